--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,157 @@
+// Package wire reads and writes the text protocol between the bench and the
+// decision module, and translates it into the module's own terms. It decides
+// nothing.
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// textFields are the fields whose value runs to the line's end.
+var textFields = map[string]bool{"profileData": true, "line": true}
+
+// message is one line: a name and its fields.
+type message struct {
+	name   string
+	fields map[string]string
+}
+
+// parseLine splits a line into its name and fields. Text that follows a key
+// which this version does not know is taken as part of that key's value.
+func parseLine(line string) (message, error) {
+	name, rest, _ := strings.Cut(line, " ")
+	if name == "" || strings.Contains(name, "=") {
+		return message{}, fmt.Errorf("no message name in %.40q", line)
+	}
+	m := message{name: name, fields: make(map[string]string, 12)}
+	last := ""
+	for rest != "" {
+		part, after, _ := strings.Cut(rest, " ")
+		key, value, ok := strings.Cut(part, "=")
+		switch {
+		case ok && key != "" && textFields[key]:
+			m.fields[key] = strings.TrimPrefix(rest, key+"=")
+			return m, nil
+		case ok && key != "":
+			if _, twice := m.fields[key]; twice {
+				return message{}, fmt.Errorf("%s: %s is given twice", name, key)
+			}
+			m.fields[key] = value
+			last = key
+		case last != "" && !knownKeys[last]:
+		default:
+			return message{}, fmt.Errorf("%s: %.40q is not a name=value pair", name, part)
+		}
+		rest = after
+	}
+	return m, nil
+}
+
+// fieldError tells which field of which message was missing or wrong.
+func (m message) fieldError(key, want string) error {
+	if value, ok := m.fields[key]; ok {
+		return fmt.Errorf("%s: %s=%.40q is not %s", m.name, key, value, want)
+	}
+	return fmt.Errorf("%s: %s is missing", m.name, key)
+}
+
+// reader collects the first error over several fields of one message.
+type reader struct {
+	message
+	err error
+}
+
+func (r *reader) fail(key, want string) {
+	if r.err == nil {
+		r.err = r.fieldError(key, want)
+	}
+}
+
+// number reads a finite number that must be there.
+func (r *reader) number(key string) float64 {
+	v, err := strconv.ParseFloat(r.fields[key], 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		r.fail(key, "a number")
+		return 0
+	}
+	return v
+}
+
+// numberOr reads a number that may be absent.
+func (r *reader) numberOr(key string, absent float64) float64 {
+	if v, ok := r.fields[key]; !ok || v == "" {
+		return absent
+	}
+	return r.number(key)
+}
+
+// whole reads a whole number from 0 up that must be there.
+func (r *reader) whole(key string) uint64 {
+	v, err := strconv.ParseUint(r.fields[key], 10, 63)
+	if err != nil {
+		r.fail(key, "a whole number")
+	}
+	return v
+}
+
+// wholeOr reads a whole number that may be absent.
+func (r *reader) wholeOr(key string, absent uint64) uint64 {
+	if v, ok := r.fields[key]; !ok || v == "" {
+		return absent
+	}
+	return r.whole(key)
+}
+
+// integer reads a whole number of either sign.
+func (r *reader) integer(key string) int64 {
+	v, err := strconv.ParseInt(r.fields[key], 10, 64)
+	if err != nil {
+		r.fail(key, "an integer")
+	}
+	return v
+}
+
+// flag reads a bool that may be absent.
+func (r *reader) flag(key string) bool {
+	switch r.fields[key] {
+	case "1":
+		return true
+	case "0", "":
+		return false
+	}
+	r.fail(key, "0 or 1")
+	return false
+}
+
+// text reads a token that must be there.
+func (r *reader) text(key string) string {
+	v := r.fields[key]
+	if v == "" {
+		r.fail(key, "text")
+	}
+	return v
+}
+
+// index reads a whole number below limit; absent counts as 0.
+func (r *reader) index(key string, limit int) int {
+	v := r.wholeOr(key, 0)
+	if v >= uint64(limit) {
+		r.fail(key, fmt.Sprintf("below %d", limit))
+		return 0
+	}
+	return int(v)
+}
+
+// knownKeys are the keys that this version reads.
+var knownKeys = func() map[string]bool {
+	known := make(map[string]bool)
+	for _, key := range strings.Fields(`momentMs serial routerId randomSeed profileData kind nodesList scale cell
+		worker model readiness area sinceMs requestId lane tenant dialogue budgetMs weightHintMs prefix promptLen
+		prefixLen maxOut repeat cameBack leg rttMs amount sort doneFlag info outcome report ref line`) {
+		known[key] = true
+	}
+	return known
+}()
--- /dev/null
+++ b/router.go
@@ -0,0 +1,912 @@
+// All decisions of a gannethook router. Its interface (Settings, events, actions, outcomes) is in api.go.
+// Order: constants, state, life of a request, the two choices, freeness, health, cold starts, membership.
+
+package gannethook
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	alpha       = 4.25e-5 // paper, table of symbols: price of a prompt token squared
+	beta        = 6.80e-3 // paper, same table: price of a prompt token
+	modelFactor = 1.0     // design page: the paper's P_m
+	near        = 0.1     // design page: freeness within which preferences decide
+
+	firstSpeed   = 0.5  // ours: price read per ms before any reader was heard
+	speedKeep    = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
+	slowPart     = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
+	sizeGain     = 0.1  // ours: weight of one report in a writer's learned memory size
+	reportLag    = 1000 // ours: ms before a report's arrival whose streams it may not show yet
+	readPatience = 4    // ours: multiple of the expected read time that an attempt may take
+	readFloor    = 400  // ours: ms that a read may take at the least
+	openPatience = 5    // ours: multiple of the mean time to the first token that a writer may take
+	openFloor    = 700  // ours: ms that a writer may take at the least
+	holdAnswer   = 50   // ours: ms after which a hold without an answer counts as unheard
+	holdTries    = 2    // ours: writers asked for a place per read
+
+	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
+	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
+	chargeKeep = 0.7  // ours: what a success leaves of a charge
+
+	admitFloor = -0.5 // ours: freeness after placing below which a request is refused
+	overFloor  = 0.3  // ours: the same for requests over their tenant's share
+	waitPart   = 0.5  // ours: part of the aim for which a request waits for a usable server
+	pinPart    = 0.6  // ours: part of the pin limit for which a read state waits for a writer
+	retryPart  = 0.5  // ours: part of the longest honoured wait that a refusal advises
+	rateWindow = 4000 // ours: ms over which own rates are counted
+	sweepEvery = 20   // ours: ms between two looks at waiting requests
+	askEvery   = 1000 // ours: ms before a failed subscription is asked for again
+	sessionCap = 8192 // ours: sessions remembered in each of two generations
+)
+
+// References of timers; a request's timer is its id times refStep plus refDeadline.
+const (
+	refSweep = iota
+	refAsk
+	refDeadline
+	refStep = 4
+)
+
+// server is what the router knows of one server.
+type server struct {
+	Server
+	role    Role
+	out     float64    // price of own reads out
+	work    float64    // price of reads timed, older ones fading
+	took    float64    // ms that they took
+	streams []*request // own places and streams
+	share   float64    // memory share as last reported
+	heard   Millis     // when; 0: never
+	size    float64    // learned memory size in tokens
+	charge  float64    // freeness taken off for failures
+	charged Millis     // when the charge was last brought up to date
+	credit  float64    // sends that a cold server may still get
+	credAt  Millis
+}
+
+// attempt is one attempt that is out.
+type attempt struct {
+	n     int
+	on    *server
+	reads bool    // it reads only: it has no effect, however it ends
+	price float64 // booked to the reader
+	queue float64 // own price out at the reader when it was sent, itself included
+	sent  Millis
+}
+
+// request is one request until its last attempt has ended.
+type request struct {
+	Request
+	price    float64
+	arrived  Millis
+	deadline Millis
+	aim      Millis // span from arrival
+	sent     int    // attempts made
+	out      []attempt
+	state    *server // reader at which the state waits
+	place    *server // writer at which a place was asked for
+	placeAt  Millis
+	placed   bool // the place is held
+	asked    int  // writers asked during this read
+	tried    []*server
+	idle     Millis // last outcome
+	ranOn    *server
+	ranAt    Millis
+	stream   bool
+	ended    bool
+	waits    bool
+}
+
+// rate counts own events over rateWindow, fading.
+type rate struct {
+	n  float64
+	at Millis
+}
+
+// Router decides for one router. It is not safe for concurrent use.
+type Router struct {
+	set      Settings
+	seed     uint64
+	now      Millis
+	start    Millis
+	begun    bool
+	servers  map[ServerID]*server
+	list     []*server // in order of id
+	requests map[RequestID]*request
+	waiting  []*request
+	sweeping bool
+	young    map[Key]ServerID // last reader of a session
+	old      map[Key]ServerID
+	tenants  []rate
+	sends    [Mixed + 1]rate
+	open     float64 // mean ms to the first token
+	acts     []Action
+}
+
+// New returns a router that knows nothing but its settings.
+func New(set Settings, seed uint64) (*Router, error) {
+	if err := validate(&set); err != nil {
+		return nil, err
+	}
+	return &Router{
+		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		young: map[Key]ServerID{}, old: map[Key]ServerID{}, tenants: make([]rate, len(set.Tenants)),
+	}, nil
+}
+
+// Handle takes one event at time now and returns what is to be done, in order.
+// Events that are late, repeated or about unknown requests cause no action.
+func (r *Router) Handle(now Millis, event Event) []Action {
+	if !r.begun {
+		r.begun, r.start = true, now
+		if r.set.AskDiscovery {
+			r.do(Subscribe{})
+		}
+	}
+	r.now = max(r.now, now)
+	switch ev := event.(type) {
+	case Membership:
+		r.membership(ev)
+	case Request:
+		r.arrive(ev)
+	case Streaming:
+		r.streaming(ev)
+	case Held:
+		r.held(ev)
+	case Ended:
+		r.attemptEnded(ev)
+	case ClientGone:
+		r.clientGone(ev)
+	case Wakeup:
+		r.wakeup(ev)
+	case Probed:
+		if s := r.servers[ev.Server]; s != nil {
+			r.learnReport(s, ev.Report)
+		}
+	}
+	acts := r.acts
+	r.acts = nil
+	return acts
+}
+
+func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
+
+// wakeup serves a timer.
+func (r *Router) wakeup(ev Wakeup) {
+	switch ev.Ref % refStep {
+	case refSweep:
+		r.sweep()
+	case refAsk:
+		r.do(Subscribe{})
+	case refDeadline:
+		// Guards rule 1: whatever became of the attempts, the last answer goes out before the deadline.
+		q := r.requests[RequestID(ev.Ref/refStep)]
+		if q != nil && !q.stream && !q.ended && r.now >= q.deadline-r.lastCall()-1 {
+			r.finish(q)
+		}
+	}
+}
+
+// lastCall is how long before its deadline a request gets its last answer.
+func (r *Router) lastCall() Millis { return 2*r.set.Quantum + 1 }
+
+// arrive takes a request in.
+func (r *Router) arrive(ev Request) {
+	if r.requests[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
+		return
+	}
+	class := &r.set.Classes[ev.Class]
+	q := &request{Request: ev, arrived: r.now, deadline: r.now + ev.Budget, idle: r.now,
+		price: alpha*ev.Prompt*ev.Prompt + beta*modelFactor*ev.Prompt,
+		aim:   class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
+	r.requests[ev.ID] = q
+	r.do(Wake{In: max(ev.Budget-r.lastCall(), 0), Ref: uint64(ev.ID)*refStep + refDeadline})
+	over := r.overShare(ev.Tenant)
+	best := r.pickReader(q)
+	floor := admitFloor
+	if over {
+		floor = overFloor
+	}
+	if best != nil && r.freeness(best, q)-q.price/r.budget(best, q) < floor {
+		r.finish(q)
+		return
+	}
+	r.route(q)
+}
+
+// overShare counts a tenant's request and tells whether it is past its share here.
+func (r *Router) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(r.tenants) {
+		return false
+	}
+	t := &r.tenants[tenant]
+	t.count(r.now, 1)
+	quota := r.set.Tenants[tenant].QuotaPerS / float64(r.set.Routers)
+	return quota > 0 && t.perSecond(r.now, r.start) > quota
+}
+
+// route takes the next step for a request that has no attempt out.
+func (r *Router) route(q *request) {
+	if q.state != nil {
+		r.toWriter(q)
+		return
+	}
+	s := r.pickReader(q)
+	direct := s == nil && r.set.WritersRead
+	if direct {
+		s = r.pickWriter(q, nil)
+	}
+	switch {
+	case s == nil:
+		r.wait(q)
+	case s.role == Reader && !r.attemptsLeft(q, 2) || !r.attemptsLeft(q, 1):
+		r.finish(q)
+	default:
+		r.read(q, s)
+	}
+}
+
+// attemptsLeft tells whether n more attempts are allowed.
+func (r *Router) attemptsLeft(q *request, n int) bool {
+	return r.set.MaxAttempts == 0 || q.sent+n <= r.set.MaxAttempts
+}
+
+// read sends a prompt to a reader and holds a place for its answer; a server
+// that answers without a state gets the whole request at once.
+func (r *Router) read(q *request, s *server) {
+	a := attempt{on: s, reads: s.role == Reader, price: q.price, queue: s.out + q.price}
+	timeout := Millis(0)
+	left := q.deadline - r.now
+	if a.reads {
+		timeout = max(readFloor, readPatience*Millis(a.queue/r.speed(s)))
+		if r.attemptsLeft(q, 4) {
+			timeout = min(timeout, left/2)
+		}
+	} else {
+		q.book(s)
+	}
+	s.out += q.price
+	r.spend(s)
+	r.remember(q.Session, s.ID)
+	r.send(q, a, timeout)
+	if a.reads {
+		q.asked = 0
+		r.hold(q, s)
+	}
+}
+
+// hold asks the writer of highest freeness for a place, as a read starts.
+func (r *Router) hold(q *request, reader *server) {
+	if !r.set.Holds || q.asked >= holdTries {
+		return
+	}
+	w := r.pickWriter(q, reader)
+	if w == nil {
+		return
+	}
+	q.asked++
+	q.place, q.placeAt, q.placed = w, r.now, false
+	q.book(w)
+	r.spend(w)
+	r.do(Hold{ID: q.ID, Server: w.ID})
+}
+
+// held takes the answer to a hold; without a place the next writer is asked.
+func (r *Router) held(ev Held) {
+	q := r.requests[ev.ID]
+	if q == nil || q.ended || q.place == nil || q.place.ID != ev.Server || q.state != nil || len(q.out) == 0 {
+		return
+	}
+	if ev.OK {
+		q.placed = true
+		return
+	}
+	q.unplace()
+	q.tried = append(q.tried, r.servers[ev.Server])
+	r.hold(q, q.out[0].on)
+}
+
+// toWriter sends a read state to the held writer, else to the freest.
+func (r *Router) toWriter(q *request) {
+	w := q.place
+	if w != nil && !q.placed && r.now-q.placeAt > holdAnswer {
+		// Guards against writers gone silent: their answer to a hold is the first that stays out.
+		r.blame(w, 1)
+		q.tried = append(q.tried, w)
+		w = nil
+	}
+	if w == nil || !r.usable(w, q) {
+		q.unplace()
+		if w = r.pickWriter(q, q.state); w == nil {
+			r.wait(q)
+			return
+		}
+	}
+	if !r.attemptsLeft(q, 1) {
+		r.finish(q)
+		return
+	}
+	if q.place != w {
+		r.spend(w)
+	}
+	q.unplace()
+	q.book(w)
+	r.send(q, attempt{on: w}, r.openTimeout(q))
+}
+
+// openTimeout is how long a writer may take to the first token.
+func (r *Router) openTimeout(q *request) Millis {
+	class := &r.set.Classes[q.Class]
+	if class.Effect != Safe || !class.Streamed || r.open == 0 || !r.attemptsLeft(q, 2) {
+		return 0
+	}
+	return min(max(openFloor, openPatience*Millis(r.open)), (q.deadline-r.now)/2)
+}
+
+// send makes the next attempt.
+func (r *Router) send(q *request, a attempt, timeout Millis) {
+	a.n, a.sent = q.sent, r.now
+	q.sent++
+	q.waits = false
+	q.out = append(q.out, a)
+	r.do(Send{ID: q.ID, Server: a.on.ID, Timeout: timeout})
+}
+
+// streaming notes that the answer has started.
+func (r *Router) streaming(ev Streaming) {
+	q := r.requests[ev.ID]
+	if q == nil || q.stream {
+		return
+	}
+	for _, a := range q.out {
+		if a.n == ev.Attempt {
+			q.stream = true
+			q.state = nil
+			took := float64(r.now - a.sent)
+			if r.open == 0 {
+				r.open = took
+			}
+			r.open += 0.05 * (took - r.open)
+			r.praise(a.on)
+		}
+	}
+}
+
+// attemptEnded takes the outcome of an attempt.
+func (r *Router) attemptEnded(ev Ended) {
+	if s := r.servers[ev.Server]; s != nil {
+		r.learnReport(s, ev.Report)
+	}
+	q := r.requests[ev.ID]
+	if q == nil {
+		return
+	}
+	i := slices.IndexFunc(q.out, func(a attempt) bool { return a.n == ev.Attempt })
+	if i < 0 {
+		return
+	}
+	a := q.out[i]
+	q.out = slices.Delete(q.out, i, i+1)
+	q.idle = r.now
+	r.settle(q, a, ev)
+	switch {
+	case ev.Done || q.stream || q.ended:
+		q.ended = true
+		r.drop(q)
+	case ev.Outcome == ReadDone:
+		q.state = a.on
+		r.route(q)
+	case ev.Outcome == Moot, ev.Outcome == Served:
+		r.finish(q)
+	default:
+		r.again(q, a, ev)
+	}
+}
+
+// settle takes an attempt out of the books and learns from its outcome.
+func (r *Router) settle(q *request, a attempt, ev Ended) {
+	a.on.out = max(0, a.on.out-a.price)
+	if !a.reads {
+		q.unbook(a.on)
+	}
+	switch ev.Outcome {
+	case ReadDone:
+		a.on.work = a.on.work*speedKeep + a.queue
+		a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
+		r.praise(a.on)
+	case Served:
+		r.praise(a.on)
+	case Full:
+		if !ev.NoState {
+			r.blame(a.on, 0.5)
+		}
+	case Failed, TimedOut, ConnectFailed, Broken:
+		// A failing server's books empty at once, a silent one's when its attempts run out: either would
+		// look free. The charge stands for the work that did not come back.
+		if !q.ended {
+			r.blame(a.on, 1)
+		}
+	}
+}
+
+// again decides what follows an attempt that gave no answer.
+func (r *Router) again(q *request, a attempt, ev Ended) {
+	if !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed {
+		if q.ranOn == nil {
+			q.ranOn, q.ranAt = a.on, a.sent
+		}
+		if r.set.Classes[q.Class].Effect == Unsafe {
+			r.finish(q)
+			return
+		}
+	}
+	q.tried = append(q.tried, a.on)
+	if a.reads {
+		r.release(q)
+	}
+	if ev.NoState {
+		q.state = nil
+	}
+	r.route(q)
+}
+
+// release lets go of the place and state of a request.
+func (r *Router) release(q *request) {
+	q.unplace()
+	q.state = nil
+	r.do(Release{ID: q.ID})
+}
+
+// finish gives the last answer: a refusal where it may promise that trying again is harmless.
+func (r *Router) finish(q *request) {
+	if q.ended || q.stream {
+		return
+	}
+	q.ended = true
+	refuse := r.harmless(q)
+	for _, a := range q.out {
+		if r.set.Cancel {
+			r.do(Cancel{ID: q.ID, Attempt: a.n})
+		}
+	}
+	if refuse {
+		r.do(Refuse{ID: q.ID, RetryAfter: retryPart * r.set.MaxRetryAfter})
+	} else {
+		r.do(Fail{ID: q.ID})
+	}
+	r.drop(q)
+}
+
+// harmless tells whether a client may be told that trying again does no harm.
+func (r *Router) harmless(q *request) bool {
+	class := &r.set.Classes[q.Class]
+	if class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll {
+		return true
+	}
+	writing := slices.ContainsFunc(q.out, func(a attempt) bool { return !a.reads })
+	return q.ranOn == nil && !writing
+}
+
+// clientGone closes a request that its client has left.
+func (r *Router) clientGone(ev ClientGone) {
+	q := r.requests[ev.ID]
+	if q == nil || q.ended {
+		return
+	}
+	q.ended = true
+	for _, a := range q.out {
+		if r.set.Cancel && !q.stream {
+			r.do(Cancel{ID: q.ID, Attempt: a.n})
+		}
+	}
+	r.drop(q)
+}
+
+// drop forgets an ended request once no attempt is out, and frees what it holds.
+func (r *Router) drop(q *request) {
+	q.waits = false
+	if len(q.out) > 0 {
+		return
+	}
+	q.unplace()
+	if q.sent > 0 && !q.stream {
+		r.do(Release{ID: q.ID})
+	}
+	delete(r.requests, q.ID)
+}
+
+// wait keeps a request until a server can take it.
+func (r *Router) wait(q *request) {
+	if q.state != nil && r.now-q.idle > pinPart*r.set.PinLimit {
+		r.finish(q) // rule 5: a state with no writer in sight is let go in time
+		return
+	}
+	if q.state == nil && r.now-q.idle > waitPart*q.aim {
+		r.finish(q)
+		return
+	}
+	if !q.waits {
+		q.waits = true
+		q.unplace()
+		r.waiting = append(r.waiting, q)
+	}
+	if !r.sweeping {
+		r.sweeping = true
+		r.do(Wake{In: sweepEvery, Ref: refSweep})
+	}
+}
+
+// sweep looks at the waiting requests again.
+func (r *Router) sweep() {
+	r.sweeping = false
+	waiting := r.waiting
+	r.waiting = nil
+	for _, q := range waiting {
+		if q.waits && !q.ended {
+			q.waits = false
+			q.tried = q.tried[:0]
+			r.route(q)
+		}
+	}
+}
+
+// pickReader chooses the reader of highest freeness; among those near it the session's last, else
+// the one that the shared beginning hashes to.
+func (r *Router) pickReader(q *request) *server {
+	var best *server
+	high := math.Inf(-1)
+	for _, s := range r.list {
+		if s.role == Writer || !r.usable(s, q) {
+			continue
+		}
+		if f := r.freeness(s, q); f > high {
+			best, high = s, f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	last := r.lastReader(q.Session)
+	var pick *server
+	top := uint64(0)
+	for _, s := range r.list {
+		if s.role == Writer || !r.usable(s, q) || r.freeness(s, q) < high-near {
+			continue
+		}
+		if s.ID == last {
+			return s
+		}
+		if h := r.affinity(q, s); pick == nil || h > top {
+			pick, top = s, h
+		}
+	}
+	return pick
+}
+
+// affinity ranks a server for a shared beginning, the same at every router; without one, for the session.
+func (r *Router) affinity(q *request, s *server) uint64 {
+	h := uint64(q.Prefix)
+	if h == 0 {
+		h = uint64(q.Session) ^ r.seed
+	}
+	for _, b := range []byte(s.ID) {
+		h = (h ^ uint64(b)) * 0x100000001b3
+	}
+	h ^= h >> 31
+	h *= 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
+
+// pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
+func (r *Router) pickWriter(q *request, reader *server) *server {
+	var best *server
+	high := math.Inf(-1)
+	for _, s := range r.list {
+		if s.role == Reader || !r.usable(s, q) {
+			continue
+		}
+		if f := r.memory(s); f > high {
+			best, high = s, f
+		}
+	}
+	if best == nil || reader == nil {
+		return best
+	}
+	rank := distance(best, reader)
+	for _, s := range r.list {
+		if s.role == Reader || !r.usable(s, q) {
+			continue
+		}
+		f, d := r.memory(s), distance(s, reader)
+		if f >= high-near && (d < rank || d == rank && f > r.memory(best)) {
+			best, rank = s, d
+		}
+	}
+	return best
+}
+
+// distance is 0 within a cell, 1 within a zone, else 2.
+func distance(a, b *server) int {
+	switch {
+	case a.Zone == b.Zone && a.Cell == b.Cell:
+		return 0
+	case a.Zone == b.Zone:
+		return 1
+	}
+	return 2
+}
+
+// usable tells whether the rules and what this request has met let it go to a server.
+func (r *Router) usable(s *server, q *request) bool {
+	return s.State == Ready && !slices.Contains(q.tried, s) && r.inGroup(s, q) && r.hasCredit(s)
+}
+
+// inGroup keeps a keyed request that may have run inside the group that drops its repeats.
+func (r *Router) inGroup(s *server, q *request) bool {
+	class := &r.set.Classes[q.Class]
+	if q.ranOn == nil || class.Effect != Keyed {
+		return true
+	}
+	if r.now-q.ranAt > class.Window {
+		return false
+	}
+	switch class.Group {
+	case GroupZone:
+		return s.Zone == q.ranOn.Zone
+	case GroupCell:
+		return s.Cell == q.ranOn.Cell
+	}
+	return true
+}
+
+// freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
+func (r *Router) freeness(s *server, q *request) float64 {
+	load := s.out
+	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
+		// Guards against slow readers that look free while idle: there the prompt's own price counts too.
+		load += q.price
+	}
+	return 1 - load/r.budget(s, q) - r.chargeOf(s)
+}
+
+// budget is the price that a reader works off within the request's aim.
+func (r *Router) budget(s *server, q *request) float64 {
+	return math.Max(r.speed(s)*float64(q.aim), 1e-9)
+}
+
+// speed is a reader's learned price per ms; an unheard one counts as average.
+func (r *Router) speed(s *server) float64 {
+	if s.took > 0 {
+		return math.Max(s.work/s.took, 1e-6)
+	}
+	return r.meanSpeed()
+}
+
+func (r *Router) meanSpeed() float64 {
+	work, took := 0.0, 0.0
+	for _, s := range r.list {
+		work, took = work+s.work, took+s.took
+	}
+	if took == 0 {
+		return firstSpeed
+	}
+	return math.Max(work/took, 1e-6)
+}
+
+// memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
+func (r *Router) memory(s *server) float64 {
+	size := s.size
+	if size <= 0 {
+		size = 1e5
+	}
+	share, heard := s.share, s.heard > 0
+	if !heard {
+		share, heard = r.meanShare()
+	}
+	since := 0.0
+	for _, q := range s.streams {
+		if !heard || s.heard == 0 || q.placeAt > s.heard-reportLag {
+			since += q.tokens()
+		}
+	}
+	return 1 - share - since/size - r.chargeOf(s)
+}
+
+// meanShare is the mean reported memory share of the writers heard.
+func (r *Router) meanShare() (float64, bool) {
+	sum, n := 0.0, 0.0
+	for _, s := range r.list {
+		if s.role != Reader && s.heard > 0 {
+			sum, n = sum+s.share, n+1
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return sum / n, true
+}
+
+// tokens is the memory that an answer may need: prompt and hint, else the told maximum.
+func (q *request) tokens() float64 {
+	if q.Hint > 0 {
+		return q.Prompt + q.Hint
+	}
+	return q.Prompt + q.MaxOut
+}
+
+// book counts the request's tokens at a writer.
+func (q *request) book(s *server) {
+	if !slices.Contains(s.streams, q) {
+		s.streams = append(s.streams, q)
+	}
+}
+
+func (q *request) unbook(s *server) {
+	if i := slices.Index(s.streams, q); i >= 0 {
+		s.streams = slices.Delete(s.streams, i, i+1)
+	}
+}
+
+// unplace forgets a place asked for.
+func (q *request) unplace() {
+	if q.place != nil {
+		q.unbook(q.place)
+		q.place, q.placed = nil, false
+	}
+}
+
+// learnReport takes a load report.
+func (r *Router) learnReport(s *server, rep Report) {
+	for _, v := range rep {
+		if v.Metric != MemoryShare || s.role == Reader {
+			continue
+		}
+		own := 0.0
+		for _, q := range s.streams {
+			own += q.tokens()
+		}
+		if size := own * float64(r.set.Routers) / v.Value; v.Value > near && own > 0 {
+			s.size += sizeGain * (size - s.size)
+		}
+		s.share, s.heard = v.Value, r.now
+	}
+}
+
+// blame charges a failure to a server's freeness.
+func (r *Router) blame(s *server, weight float64) {
+	s.charge, s.charged = math.Min(r.chargeOf(s)+weight, chargeMax), r.now
+}
+
+// praise lightens a server's charge.
+func (r *Router) praise(s *server) { s.charge, s.charged = r.chargeOf(s)*chargeKeep, r.now }
+
+// chargeOf is a server's charge, faded to now.
+func (r *Router) chargeOf(s *server) float64 {
+	if s.charge == 0 {
+		return 0
+	}
+	return s.charge * math.Exp(-float64(r.now-s.charged)/chargeFade)
+}
+
+// warmth is the fraction of its capacity that a server can be counted on for.
+func (r *Router) warmth(s *server) float64 {
+	age := r.now - s.Since
+	if s.Since <= 0 || age >= r.set.WarmAfter {
+		return 1
+	}
+	from := math.Max(r.set.ColdFrom, 0.05)
+	return math.Min(1, from+(1-from)*math.Max(float64(age/r.set.WarmAfter), 0))
+}
+
+// hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets of this router's
+// rate the part that its warmth has in the fleet's, so that all routers together stay under its capacity.
+func (r *Router) hasCredit(s *server) bool {
+	w := r.warmth(s)
+	if w >= 1 {
+		return true
+	}
+	fleet := 0.0
+	for _, o := range r.list {
+		if o.role == s.role && o.State == Ready {
+			fleet += r.warmth(o)
+		}
+	}
+	perMs := r.sends[s.role].perSecond(r.now, r.start) / 1000 * w / math.Max(fleet, w)
+	s.credit = math.Min(1, s.credit+perMs*float64(r.now-s.credAt))
+	s.credAt = r.now
+	return s.credit >= 1
+}
+
+// spend books a send to a server.
+func (r *Router) spend(s *server) {
+	s.credit = math.Max(0, s.credit-1)
+	r.sends[s.role].count(r.now, 1)
+}
+
+func (t *rate) count(now Millis, n float64) {
+	t.n, t.at = t.n*math.Exp(-float64(now-t.at)/rateWindow)+n, now
+}
+
+// perSecond is the rate; since start less than the window may have passed.
+func (t *rate) perSecond(now, start Millis) float64 {
+	seen := rateWindow * (1 - math.Exp(-math.Max(float64(now-start), 500)/rateWindow))
+	return t.n * math.Exp(-float64(now-t.at)/rateWindow) / seen * 1000
+}
+
+// lastReader is the reader that a session was last read at.
+func (r *Router) lastReader(k Key) ServerID {
+	if id, ok := r.young[k]; ok {
+		return id
+	}
+	return r.old[k]
+}
+
+// remember notes a session's reader; memory is bounded by two generations.
+func (r *Router) remember(k Key, id ServerID) {
+	if k == 0 {
+		return
+	}
+	if len(r.young) >= sessionCap {
+		r.old, r.young = r.young, make(map[Key]ServerID)
+	}
+	r.young[k] = id
+}
+
+// membership takes news of the list.
+func (r *Router) membership(ev Membership) {
+	if ev.Failed {
+		if r.set.AskDiscovery {
+			r.do(Wake{In: askEvery, Ref: refAsk})
+		}
+		return
+	}
+	listed := map[ServerID]bool{}
+	for _, e := range ev.Servers {
+		listed[e.ID] = true
+		r.update(e)
+	}
+	if ev.Whole {
+		for _, s := range r.list {
+			if !listed[s.ID] {
+				s.State = Gone
+			}
+		}
+	}
+	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
+		if s.State == Gone {
+			delete(r.servers, s.ID)
+		}
+		return s.State == Gone
+	})
+}
+
+// update takes one entry; a server that started again is a new one, of which nothing is known.
+func (r *Router) update(e Server) {
+	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
+		return
+	}
+	s := r.servers[e.ID]
+	if s != nil && s.Since == e.Since {
+		s.Server = e
+		return
+	}
+	if s != nil {
+		s.State = Gone
+		r.list = slices.DeleteFunc(r.list, func(o *server) bool { return o == s })
+	}
+	kind := r.set.Kinds[e.Kind]
+	s = &server{Server: e, role: kind.Role, size: kind.Memory, credit: 1, credAt: r.now}
+	r.servers[e.ID] = s
+	i, _ := slices.BinarySearchFunc(r.list, e.ID, func(o *server, id ServerID) int {
+		switch {
+		case o.ID < id:
+			return -1
+		case o.ID > id:
+			return 1
+		}
+		return 0
+	})
+	r.list = slices.Insert(r.list, i, s)
+}
