--- a/api.go
+++ b/api.go
@@ -197,11 +197,11 @@
 		Attempt int
 		Server  ServerID
 	}
-	// Held answers a Hold.
+	// Held answers the last Hold, while the reading attempt that it was given with is out.
 	Held struct {
-		ID     RequestID
-		Server ServerID
-		OK     bool
+		ID      RequestID
+		Attempt int
+		OK      bool
 	}
 	// Ended tells how an attempt ended.
 	Ended struct {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -236,7 +236,7 @@
 	if r.err == nil && sort != 1 && sort != 2 {
 		return nil // an answer that this version does not know
 	}
-	return gannethook.Held{ID: request(r), Server: server(r), OK: sort == 1}
+	return gannethook.Held{ID: request(r), Attempt: int(r.whole("leg")), OK: sort == 1}
 }
 
 var outcomes = map[uint64]gannethook.Outcome{
--- a/router.go
+++ b/router.go
@@ -296,15 +296,15 @@
 // held takes the answer to a hold; without a place the next writer is asked.
 func (r *Router) held(ev Held) {
 	q := r.requests[ev.ID]
-	if q == nil || q.ended || q.place == nil || q.place.ID != ev.Server || q.state != nil || len(q.out) == 0 {
+	if q == nil || q.ended || q.place == nil || len(q.out) == 0 || q.out[0].n != ev.Attempt {
 		return
 	}
 	if ev.OK {
 		q.placed = true
 		return
 	}
+	q.tried = append(q.tried, q.place)
 	q.unplace()
-	q.tried = append(q.tried, r.servers[ev.Server])
 	r.hold(q, q.out[0].on)
 }
 
