--- a/router.go
+++ b/router.go
@@ -20,9 +20,9 @@
 	sizeGain     = 0.1  // ours: weight of one report in a writer's learned memory size
 	reportLag    = 1000 // ours: ms before a report's arrival whose streams it may not show yet
 	readPatience = 4    // ours: multiple of the expected read time that an attempt may take
-	readFloor    = 400  // ours: ms that a read may take at the least
+	patience     = 0.5  // ours: part of the aim that an attempt may take at the least
+	openGain     = 0.1  // ours: weight of one sample in the mean time to the first token
 	openPatience = 5    // ours: multiple of the mean time to the first token that a writer may take
-	openFloor    = 700  // ours: ms that a writer may take at the least
 	holdAnswer   = 50   // ours: ms after which a hold without an answer counts as unheard
 	holdTries    = 2    // ours: writers asked for a place per read
 
@@ -207,7 +207,7 @@
 	if r.overShare(ev.Tenant) {
 		floor = overFloor
 	}
-	if best := r.pickReader(q); best != nil && r.freeness(best, q) < floor {
+	if best := r.pickReader(q); best != nil && r.freeness(best, q)+r.chargeOf(best) < floor {
 		r.finish(q)
 		return
 	}
@@ -258,7 +258,7 @@
 	timeout := Millis(0)
 	left := q.deadline - r.now
 	if a.reads {
-		timeout = max(readFloor, readPatience*Millis(a.queue/r.speed(s)))
+		timeout = max(patience*q.aim, readPatience*Millis(a.queue/r.speed(s)))
 		if r.attemptsLeft(q, 4) {
 			timeout = min(timeout, left/2)
 		}
@@ -315,7 +315,7 @@
 		q.tried = append(q.tried, w)
 		w = nil
 	}
-	if w == nil || !r.usable(w, q) {
+	if w == nil || w.State != Ready || !r.inGroup(w, q) {
 		q.unplace()
 		if w = r.pickWriter(q, q.state); w == nil {
 			r.wait(q)
@@ -340,7 +340,7 @@
 	if class.Effect != Safe || !class.Streamed || r.open == 0 || !r.attemptsLeft(q, 2) {
 		return 0
 	}
-	return min(max(openFloor, openPatience*Millis(r.open)), (q.deadline-r.now)/2)
+	return min(max(patience*q.aim, openPatience*Millis(r.open)), (q.deadline-r.now)/2)
 }
 
 // send makes the next attempt.
@@ -362,16 +362,21 @@
 		if a.n == ev.Attempt {
 			q.stream = true
 			q.state = nil
-			took := float64(r.now - a.sent)
-			if r.open == 0 {
-				r.open = took
-			}
-			r.open += 0.05 * (took - r.open)
+			r.learnOpen(float64(r.now - a.sent))
 			r.praise(a.on)
 		}
 	}
 }
 
+// learnOpen takes one time to the first token, or one that ran out. Guards against time-outs that
+// are too short while every writer is slow: each that runs out makes the next longer.
+func (r *Router) learnOpen(took float64) {
+	if r.open == 0 {
+		r.open = took
+	}
+	r.open += openGain * (took - r.open)
+}
+
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
 	if s := r.servers[ev.Server]; s != nil {
@@ -408,6 +413,9 @@
 	a.on.out = max(0, a.on.out-a.price)
 	if !a.reads {
 		q.unbook(a.on)
+		if ev.Outcome == TimedOut && !q.ended {
+			r.learnOpen(float64(r.now - a.sent))
+		}
 	}
 	switch ev.Outcome {
 	case ReadDone:
@@ -441,11 +449,8 @@
 		}
 	}
 	q.tried = append(q.tried, a.on)
-	if a.reads {
-		r.release(q)
-	}
-	if ev.NoState {
-		q.state = nil
+	if a.reads || ev.NoState {
+		r.release(q) // rule 5: a held place may have the state although its reader has not
 	}
 	r.route(q)
 }
--- /dev/null
+++ b/scenario_test.go
@@ -0,0 +1,248 @@
+package gannethook
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// fleet are settings with readers (kind 0), writers (1) and mixed servers (2), and classes of each effect.
+func fleet(change ...func(*Settings)) Settings {
+	set := Settings{
+		Routers: 2,
+		Classes: []Class{
+			{Aim: 1000, AimPer1000: 40, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Safe, Streamed: true},
+			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Unsafe, Streamed: true},
+			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Keyed, Group: GroupCell, Window: 2000,
+				Streamed: true},
+			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Safe},
+		},
+		Kinds:       []Kind{{Role: Reader, Memory: 2e5}, {Role: Writer, Memory: 1e5}, {Role: Mixed, Memory: 1e5}},
+		AnswerSlack: 16, DrainGrace: 500, ColdFrom: 0.25, WarmAfter: 10000, OverloadFactor: 2.5, FallWindow: 2000,
+		PinLimit: 500, MaxAttempts: 5, MaxRetryAfter: 500, Quantum: 4, Cancel: true, Holds: true,
+	}
+	for _, c := range change {
+		c(&set)
+	}
+	return set
+}
+
+// script drives a router and keeps what it did.
+type script struct {
+	t    *testing.T
+	r    *Router
+	now  Millis
+	acts []Action
+}
+
+func newScript(t *testing.T, set Settings, servers ...Server) *script {
+	t.Helper()
+	r, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{t: t, r: r, now: 1e6}
+	s.on(0, Membership{Whole: true, Servers: servers})
+	return s
+}
+
+// on hands in one event after a span and returns the actions.
+func (s *script) on(after Millis, ev Event) []Action {
+	s.now += after
+	s.acts = s.r.Handle(s.now, ev)
+	return s.acts
+}
+
+// want checks the last actions, timers left out, each by a prefix of its short form.
+func (s *script) want(short ...string) {
+	s.t.Helper()
+	got := shorts(s.acts)
+	if len(got) == 0 && len(short) == 0 {
+		return
+	}
+	same := len(got) == len(short)
+	for i := 0; same && i < len(got); i++ {
+		same = strings.HasPrefix(got[i], short[i])
+	}
+	if !same {
+		s.t.Fatalf("at %v got %q, want %q", s.now-1e6, got, short)
+	}
+}
+
+// shorts puts actions in a short form, timers left out.
+func shorts(acts []Action) []string {
+	var out []string
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Wake:
+		case Send:
+			out = append(out, fmt.Sprintf("send %d %s %.0f", a.ID, a.Server, a.Timeout))
+		case Hold:
+			out = append(out, fmt.Sprintf("hold %d %s", a.ID, a.Server))
+		default:
+			out = append(out, fmt.Sprintf("%s %v", strings.ToLower(reflect.TypeOf(a).Name()), reflect.ValueOf(a).Field(0)))
+		}
+	}
+	return out
+}
+
+func at(id string, kind, zone, cell int) Server {
+	return Server{ID: ServerID(id), Kind: kind, Zone: zone, Cell: cell, Size: 1, State: Ready}
+}
+
+func ask(id RequestID, class int) Request {
+	return Request{ID: id, Class: class, Session: Key(id), Budget: 6000, Prompt: 1000, MaxOut: 200}
+}
+
+var oneEach = []Server{at("r1", 0, 0, 0), at("w1", 1, 0, 0)}
+var twoEach = []Server{at("r1", 0, 0, 0), at("r2", 0, 0, 1), at("w1", 1, 0, 0), at("w2", 1, 0, 1)}
+
+func TestOrdinaryPath(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 0))
+	s.want("send 1 r1", "hold 1 w1")
+	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+	s.want()
+	s.on(95, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	s.want("send 1 w1")
+	s.on(50, Streaming{ID: 1, Attempt: 1, Server: "w1"})
+	s.on(900, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Served, Done: true})
+	s.want()
+	if len(s.r.requests) != 0 || len(s.r.servers["w1"].streams) != 0 || s.r.servers["r1"].out != 0 {
+		t.Error("an ended request is still in the books")
+	}
+}
+
+// TestHeldPlaceIsUsed: a hold's answer goes by the attempt; the held writer gets the state.
+func TestHeldPlaceIsUsed(t *testing.T) {
+	s := newScript(t, fleet(), twoEach...)
+	s.on(1, ask(1, 0))
+	held := s.acts[len(s.acts)-1].(Hold).Server
+	reader := s.acts[1].(Send).Server
+	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+	s.on(195, Ended{ID: 1, Attempt: 0, Server: reader, Outcome: ReadDone})
+	s.want("send 1 " + string(held))
+}
+
+func TestHoldRefusedAsksNext(t *testing.T) {
+	s := newScript(t, fleet(), twoEach...)
+	s.on(1, ask(1, 0))
+	first := s.acts[len(s.acts)-1].(Hold).Server
+	s.on(5, Held{ID: 1, Attempt: 0})
+	if len(s.acts) != 1 || s.acts[0].(Hold).Server == first {
+		t.Fatalf("got %q, want a hold at the other writer", shorts(s.acts))
+	}
+}
+
+// TestHeldColdWriterIsUsed: the hold itself spends a cold writer's credit; the send to it needs no more.
+func TestHeldColdWriterIsUsed(t *testing.T) {
+	cold := at("w1", 1, 0, 0)
+	cold.Since = 1e6 - 1000
+	s := newScript(t, fleet(), at("r1", 0, 0, 0), cold, at("w2", 1, 1, 1))
+	s.on(1, ask(1, 0))
+	s.want("send 1 r1", "hold 1 w1")
+	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+	s.on(95, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	s.want("send 1 w1")
+}
+
+// TestNoStateReleases: a place may hold the state that its reader has not; waiting must not pin it.
+func TestNoStateReleases(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 0))
+	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+	s.on(94, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	s.on(1, Membership{Servers: []Server{{ID: "r1", Kind: 0, State: Gone}}})
+	s.on(1, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Full, NoState: true})
+	s.want("release 1")
+}
+
+// TestLongPromptIsTaken: a long prompt's own quadratic price does not refuse it at an idle fleet.
+func TestLongPromptIsTaken(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	long := ask(1, 0)
+	long.Prompt = 30000
+	s.on(1, long)
+	s.want("send 1 r1", "hold 1 w1")
+}
+
+func TestUnsafeMayHaveRunFails(t *testing.T) {
+	for _, o := range []Outcome{Failed, TimedOut, Broken, Cancelled, UnknownEnd} {
+		s := newScript(t, fleet(), twoEach...)
+		s.on(1, ask(1, 1))
+		s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+		s.on(95, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		s.on(95, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: o})
+		s.want("fail 1", "release 1")
+	}
+}
+
+func TestUnsafeReadsAgain(t *testing.T) {
+	s := newScript(t, fleet(), twoEach...)
+	s.on(1, ask(1, 1))
+	first := s.acts[1].(Send).Server
+	s.on(500, Ended{ID: 1, Attempt: 0, Server: first, Outcome: TimedOut})
+	if got := shorts(s.acts); len(got) != 3 || got[0] != "release 1" || strings.Contains(got[1], string(first)) {
+		t.Fatalf("got %q, want another reader", got)
+	}
+}
+
+func TestLastAnswerBeforeDeadline(t *testing.T) {
+	for class, last := range []string{"refuse 1", "fail 1", "fail 1", "refuse 1"} {
+		s := newScript(t, fleet(), oneEach...)
+		s.on(1, ask(1, class))
+		timer := s.acts[0].(Wake)
+		s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+		s.on(95, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		s.on(timer.In-100, Wakeup{Ref: timer.Ref})
+		s.want("cancel 1", last)
+		s.on(4, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Cancelled, Done: true})
+		s.want("release 1")
+		if timer.In >= 6000 {
+			t.Error("the timer is due after the deadline")
+		}
+	}
+}
+
+func TestDrainingServerGetsNothing(t *testing.T) {
+	s := newScript(t, fleet(), twoEach...)
+	drained := at("r1", 0, 0, 0)
+	drained.State = Draining
+	w := at("w1", 1, 0, 0)
+	w.State = Gone
+	s.on(1, Membership{Servers: []Server{drained, w}})
+	for id := RequestID(1); id < 5; id++ {
+		s.on(1, ask(id, 0))
+		s.want(fmt.Sprintf("send %d r2", id), fmt.Sprintf("hold %d w2", id))
+	}
+}
+
+// TestOddEvents: late, repeated and unknown events cause no action.
+func TestOddEvents(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 0))
+	for _, ev := range []Event{ask(1, 0), ask(2, 99), ask(2, -1), Streaming{ID: 9}, Held{ID: 9}, Ended{ID: 9},
+		Ended{ID: 1, Attempt: 7, Server: "x"}, ClientGone{ID: 9}, Wakeup{Ref: 4*9 + 2}, Wakeup{Ref: 3},
+		Probed{Server: "x"}, Membership{Failed: true}, Membership{Servers: []Server{{ID: "x", Kind: 9, State: Ready}}}} {
+		s.on(1, ev)
+		s.want()
+	}
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no classes":     func(s *Settings) { s.Classes = nil },
+		"negative time":  func(s *Settings) { s.PinLimit = -1 },
+		"negative aim":   func(s *Settings) { s.Classes[0].Aim = -1 },
+		"no deadline":    func(s *Settings) { s.Classes[0].Deadline = 0 },
+		"unknown role":   func(s *Settings) { s.Kinds[0].Role = 9 },
+		"unknown effect": func(s *Settings) { s.Classes[0].Effect = 0 },
+		"unknown group":  func(s *Settings) { s.Classes[2].Group = 0 },
+		"no routers":     func(s *Settings) { s.Routers = 0 },
+	} {
+		if _, err := New(fleet(change), 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
