--- a/router.go
+++ b/router.go
@@ -46,6 +46,7 @@
 	refSweep = iota
 	refAsk
 	refDeadline
+	refPatience
 	refStep = 4
 )
 
@@ -60,6 +61,7 @@
 	share   float64    // memory share as last reported
 	heard   Millis     // when; 0: never
 	size    float64    // learned memory size in tokens
+	moved   Millis     // last time that an own read ended here
 	charge  float64    // freeness taken off for failures
 	charged Millis     // when the charge was last brought up to date
 	credit  float64    // sends that a cold server may still get
@@ -74,6 +76,7 @@
 	price float64 // booked to the reader
 	queue float64 // own price out at the reader when it was sent, itself included
 	sent  Millis
+	check Millis // when the reader is next looked at for progress
 }
 
 // request is one request until its last attempt has ended.
@@ -192,6 +195,8 @@
 		if q != nil && !q.stream && !q.ended && r.now >= q.deadline-r.lastCall()-1 {
 			r.finish(q)
 		}
+	case refPatience:
+		r.checkRead(r.requests[RequestID(ev.Ref/refStep)])
 	}
 }
 
@@ -261,19 +266,19 @@
 // that answers without a state gets the whole request at once.
 func (r *Router) read(q *request, s *server) {
 	a := attempt{on: s, reads: s.role == Reader, price: q.price, queue: s.out + q.price}
-	timeout := Millis(0)
-	left := q.deadline - r.now
-	if a.reads {
-		timeout = max(patience*q.aim, readPatience*Millis(a.queue/r.speed(s)))
-		if r.attemptsLeft(q, 4) {
-			timeout = min(timeout, left/2)
-		}
-	} else {
+	if !a.reads {
 		q.book(s)
 	}
 	s.out += q.price
 	r.spend(s)
 	r.remember(q, s)
+	timeout := Millis(0)
+	if wait := r.readPatience(q, a); a.reads && r.attemptsLeft(q, 4) && r.set.Cancel {
+		a.check = r.now + wait
+		r.do(Wake{In: wait, Ref: uint64(q.ID)*refStep + refPatience})
+	} else if a.reads && r.attemptsLeft(q, 4) {
+		timeout = wait
+	}
 	r.send(q, a, timeout)
 	if a.reads {
 		q.asked = 0
@@ -281,6 +286,28 @@
 	}
 }
 
+// readPatience is how long a read may take before its reader is doubted.
+func (r *Router) readPatience(q *request, a attempt) Millis {
+	return min(max(patience*q.aim, readPatience*Millis(a.queue/r.speed(a.on))), (q.deadline-r.now)/2)
+}
+
+// checkRead takes a read away from a reader that has ended nothing since the last look. Guards against
+// hung and silent readers; one that still ends reads, in turn, is slow or full like all others, and
+// to read elsewhere what it has half read would only add load.
+func (r *Router) checkRead(q *request) {
+	if q == nil || q.ended || len(q.out) != 1 || !q.out[0].reads || r.now < q.out[0].check {
+		return
+	}
+	a := &q.out[0]
+	if wait := r.readPatience(q, *a); a.on.moved > a.sent && a.on.moved > r.now-wait && wait > sweepEvery {
+		a.check = r.now + wait
+		r.do(Wake{In: wait, Ref: uint64(q.ID)*refStep + refPatience})
+		return
+	}
+	r.do(Cancel{ID: q.ID, Attempt: a.n})
+	r.blame(a.on, 1)
+}
+
 // hold asks the writer of highest freeness for a place, as a read starts.
 func (r *Router) hold(q *request, reader *server) {
 	if !r.set.Holds || q.asked >= holdTries {
@@ -425,6 +452,7 @@
 	}
 	switch ev.Outcome {
 	case ReadDone:
+		a.on.moved = r.now
 		a.on.work = a.on.work*speedKeep + a.queue
 		a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
 		r.praise(a.on)
