--- a/router.go
+++ b/router.go
@@ -30,8 +30,8 @@
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
-	admitFloor = 0.0  // ours: freeness of the best reader below which a request is refused
-	overFloor  = 0.5  // ours: the same for requests over their tenant's share
+	admitFloor = 0.5  // ours: freeness of the best reader below which a request is refused
+	overFloor  = 0.65 // ours: the same for requests over their tenant's share
 	waitPart   = 0.5  // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6  // ours: part of the pin limit for which a read state waits for a writer
 	retryPart  = 0.5  // ours: part of the longest honoured wait that a refusal advises
