--- a/router.go
+++ b/router.go
@@ -4,6 +4,7 @@
 package gannethook
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -12,16 +13,19 @@
 	alpha       = 4.25e-5 // paper, table of symbols: price of a prompt token squared
 	beta        = 6.80e-3 // paper, same table: price of a prompt token
 	modelFactor = 1.0     // design page: the paper's P_m
+	far         = 100     // design page: cell and zone go before freeness among near writers
 	near        = 0.1     // design page: freeness within which preferences decide
 
 	firstSpeed   = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep    = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
 	slowPart     = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
 	sizeGain     = 0.1  // ours: weight of one report in a writer's learned memory size
+	minSize      = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag    = 1000 // ours: ms before a report's arrival whose streams it may not show yet
 	readPatience = 4    // ours: multiple of the expected read time that an attempt may take
 	patience     = 0.5  // ours: part of the aim that an attempt may take at the least
-	openGain     = 0.1  // ours: weight of one sample in the mean time to the first token
+	meanGain     = 0.1  // ours: weight of one sample in the mean times to read and to the first token
+	meanFade     = 2000 // ours: ms without a sample in which such a mean fades to 1/e
 	openPatience = 5    // ours: multiple of the mean time to the first token that a writer may take
 	holdAnswer   = 50   // ours: ms after which a hold without an answer counts as unheard
 	holdTries    = 2    // ours: writers asked for a place per read
@@ -31,6 +35,7 @@
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
 	admitFloor = 0.5  // ours: freeness of the best reader below which a request is refused
+	admitRamp  = 0.5  // ours: freeness below the floor at which all are refused
 	overFloor  = 0.65 // ours: the same for requests over their tenant's share
 	waitPart   = 0.5  // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6  // ours: part of the pin limit for which a read state waits for a writer
@@ -62,44 +67,42 @@
 	heard   Millis     // when; 0: never
 	size    float64    // learned memory size in tokens
 	moved   Millis     // last time that an own read ended here
-	charge  float64    // freeness taken off for failures
-	charged Millis     // when the charge was last brought up to date
-	credit  float64    // sends that a cold server may still get
+	charge  float64    // freeness taken off for failures, as of charged
+	charged Millis
+	credit  float64 // sends that a cold server may still get, as of credAt
 	credAt  Millis
 }
 
 // attempt is one attempt that is out.
 type attempt struct {
-	n     int
-	on    *server
-	reads bool    // it reads only: it has no effect, however it ends
-	price float64 // booked to the reader
-	queue float64 // own price out at the reader when it was sent, itself included
-	sent  Millis
-	check Millis // when the reader is next looked at for progress
+	n           int
+	on          *server
+	reads       bool    // it reads only: it has no effect, however it ends
+	price       float64 // booked to the reader
+	queue       float64 // own price out at the reader when it was sent, itself included
+	sent        Millis
+	seen, check Millis // when the reader was last looked at for progress, and when it is next
 }
 
 // request is one request until its last attempt has ended.
 type request struct {
 	Request
-	price    float64
-	arrived  Millis
-	deadline Millis
-	aim      Millis // span from arrival
-	sent     int    // attempts made
-	out      []attempt
-	state    *server // reader at which the state waits
-	place    *server // writer at which a place was asked for
-	placeAt  Millis
-	placed   bool // the place is held
-	asked    int  // writers asked during this read
-	tried    []*server
-	idle     Millis // last outcome
-	ranOn    *server
-	ranAt    Millis
-	stream   bool
-	ended    bool
-	waits    bool
+	price         float64
+	deadline, aim Millis // the aim is a span
+	sent          int    // attempts made
+	out           []attempt
+	state         *server // reader at which the state waits
+	place         *server // writer at which a place was asked for, when, and whether it is held
+	placeAt       Millis
+	placed        bool
+	bookedAt      Millis    // when its tokens were last booked at a writer
+	asked         int       // writers asked during this read
+	tried         []*server // servers not to try again
+	idle          Millis    // last outcome
+	ranOn         *server   // where it may have run first, and when
+	ranAt         Millis
+	stream, ended bool
+	waits         bool
 }
 
 // visit is a session's last read.
@@ -108,9 +111,9 @@
 	prompt float64
 }
 
-// rate counts own events over rateWindow, fading.
-type rate struct {
-	n  float64
+// fading is a value that fades while nothing comes in: a mean of times, or a count of own events.
+type fading struct {
+	v  float64
 	at Millis
 }
 
@@ -119,18 +122,17 @@
 	set      Settings
 	seed     uint64
 	now      Millis
-	start    Millis
-	begun    bool
+	start    Millis // of the first event
 	servers  map[ServerID]*server
 	list     []*server // in order of id
 	requests map[RequestID]*request
 	waiting  []*request
-	sweeping bool
-	young    map[Key]visit // last read of a session
+	young    map[Key]visit // last read of a session; old is the generation before
 	old      map[Key]visit
-	tenants  []rate
-	sends    [Mixed + 1]rate
-	open     float64 // mean ms to the first token
+	tenants  []fading
+	sends    [Mixed + 1]fading
+	reading  fading // ms that reads took of late
+	opening  fading // ms from a writer's send to the first token
 	acts     []Action
 }
 
@@ -141,15 +143,15 @@
 	}
 	return &Router{
 		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		young: map[Key]visit{}, old: map[Key]visit{}, tenants: make([]rate, len(set.Tenants)),
+		young: map[Key]visit{}, old: map[Key]visit{}, tenants: make([]fading, len(set.Tenants)),
 	}, nil
 }
 
 // Handle takes one event at time now and returns what is to be done, in order.
 // Events that are late, repeated or about unknown requests cause no action.
 func (r *Router) Handle(now Millis, event Event) []Action {
-	if !r.begun {
-		r.begun, r.start = true, now
+	if r.start == 0 {
+		r.start = now
 		if r.set.AskDiscovery {
 			r.do(Subscribe{})
 		}
@@ -167,7 +169,9 @@
 	case Ended:
 		r.attemptEnded(ev)
 	case ClientGone:
-		r.clientGone(ev)
+		if q := r.requests[ev.ID]; q != nil && !q.ended {
+			r.end(q)
+		}
 	case Wakeup:
 		r.wakeup(ev)
 	case Probed:
@@ -209,20 +213,31 @@
 		return
 	}
 	class := &r.set.Classes[ev.Class]
-	q := &request{Request: ev, arrived: r.now, deadline: r.now + ev.Budget, idle: r.now,
-		price: price(ev.Prompt),
-		aim:   class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
+	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
+		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
 	r.requests[ev.ID] = q
 	r.do(Wake{In: max(ev.Budget-r.lastCall(), 0), Ref: uint64(ev.ID)*refStep + refDeadline})
+	if r.admits(q) {
+		r.route(q)
+	} else {
+		r.finish(q)
+	}
+}
+
+// admits tells whether a request is taken on. Its freeness is that of the best reader's own backlog or, as
+// other routers' load is unseen, of the times to read and to the first token seen of late, whichever is
+// less; charges stay out, for trouble everywhere is no shortage. Refusals rise as freeness falls, so that
+// routers that see the same do not swing between all and nothing.
+func (r *Router) admits(q *request) bool {
 	floor := admitFloor
-	if r.overShare(ev.Tenant) {
+	if r.overShare(q.Tenant) {
 		floor = overFloor
 	}
-	if best := r.pickReader(q); best != nil && r.freeness(best, q)+r.chargeOf(best) < floor {
-		r.finish(q)
-		return
+	free := 1 - (r.reading.now(r.now)+r.opening.now(r.now))/math.Max(float64(q.aim), 1)
+	if s := r.pickReader(q); s != nil {
+		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
 	}
-	r.route(q)
+	return (floor-free)/admitRamp <= float64(scramble(uint64(q.ID)^r.seed)>>11)/(1<<53)
 }
 
 // overShare counts a tenant's request and tells whether it is past its share here.
@@ -243,8 +258,7 @@
 		return
 	}
 	s := r.pickReader(q)
-	direct := s == nil && r.set.WritersRead
-	if direct {
+	if s == nil && r.set.WritersRead {
 		s = r.pickWriter(q, nil)
 	}
 	switch {
@@ -267,28 +281,35 @@
 func (r *Router) read(q *request, s *server) {
 	a := attempt{on: s, reads: s.role == Reader, price: q.price, queue: s.out + q.price}
 	if !a.reads {
-		q.book(s)
+		q.book(s, r.now)
 	}
 	s.out += q.price
 	r.spend(s)
 	r.remember(q, s)
-	timeout := Millis(0)
-	if wait := r.readPatience(q, a); a.reads && r.attemptsLeft(q, 4) && r.set.Cancel {
-		a.check = r.now + wait
-		r.do(Wake{In: wait, Ref: uint64(q.ID)*refStep + refPatience})
-	} else if a.reads && r.attemptsLeft(q, 4) {
-		timeout = wait
+	if !a.reads {
+		r.send(q, a, 0)
+		return
 	}
+	timeout := r.watch(q, &a)
 	r.send(q, a, timeout)
-	if a.reads {
-		q.asked = 0
-		r.hold(q, s)
-	}
+	q.asked = 0
+	r.hold(q, s)
 }
 
-// readPatience is how long a read may take before its reader is doubted.
-func (r *Router) readPatience(q *request, a attempt) Millis {
-	return min(max(patience*q.aim, readPatience*Millis(a.queue/r.speed(a.on))), (q.deadline-r.now)/2)
+// watch sets when a read's reader is looked at for progress; where nothing may be cancelled it returns
+// a time-out instead. A read that leaves no attempt for another is let be.
+func (r *Router) watch(q *request, a *attempt) Millis {
+	if !r.attemptsLeft(q, 3) {
+		return 0
+	}
+	usual := Millis(max(a.queue/r.speed(a.on), r.reading.v))
+	wait := min(max(patience*q.aim, readPatience*usual), (q.deadline-r.now)/2)
+	if !r.set.Cancel {
+		return wait
+	}
+	a.check = r.now + wait
+	r.do(Wake{In: wait, Ref: uint64(q.ID)*refStep + refPatience})
+	return 0
 }
 
 // checkRead takes a read away from a reader that has ended nothing since the last look. Guards against
@@ -299,9 +320,9 @@
 		return
 	}
 	a := &q.out[0]
-	if wait := r.readPatience(q, *a); a.on.moved > a.sent && a.on.moved > r.now-wait && wait > sweepEvery {
-		a.check = r.now + wait
-		r.do(Wake{In: wait, Ref: uint64(q.ID)*refStep + refPatience})
+	if a.on.moved > max(a.sent, a.seen) && q.deadline-r.now > 10*sweepEvery {
+		a.seen = r.now
+		r.watch(q, a)
 		return
 	}
 	r.do(Cancel{ID: q.ID, Attempt: a.n})
@@ -313,15 +334,13 @@
 	if !r.set.Holds || q.asked >= holdTries {
 		return
 	}
-	w := r.pickWriter(q, reader)
-	if w == nil {
-		return
+	if w := r.pickWriter(q, reader); w != nil {
+		q.asked++
+		q.place, q.placeAt, q.placed = w, r.now, false
+		q.book(w, r.now)
+		r.spend(w)
+		r.do(Hold{ID: q.ID, Server: w.ID})
 	}
-	q.asked++
-	q.place, q.placeAt, q.placed = w, r.now, false
-	q.book(w)
-	r.spend(w)
-	r.do(Hold{ID: q.ID, Server: w.ID})
 }
 
 // held takes the answer to a hold; without a place the next writer is asked.
@@ -330,8 +349,7 @@
 	if q == nil || q.ended || q.place == nil || len(q.out) == 0 || q.out[0].n != ev.Attempt {
 		return
 	}
-	if ev.OK {
-		q.placed = true
+	if q.placed = ev.OK; ev.OK {
 		return
 	}
 	q.tried = append(q.tried, q.place)
@@ -363,24 +381,23 @@
 		r.spend(w)
 	}
 	q.unplace()
-	q.book(w)
+	q.book(w, r.now)
 	r.send(q, attempt{on: w}, r.openTimeout(q))
 }
 
 // openTimeout is how long a writer may take to the first token.
 func (r *Router) openTimeout(q *request) Millis {
 	class := &r.set.Classes[q.Class]
-	if class.Effect != Safe || !class.Streamed || r.open == 0 || !r.attemptsLeft(q, 2) {
+	if class.Effect != Safe || !class.Streamed || r.opening.v == 0 || !r.attemptsLeft(q, 2) {
 		return 0
 	}
-	return min(max(patience*q.aim, openPatience*Millis(r.open)), (q.deadline-r.now)/2)
+	return min(max(patience*q.aim, openPatience*Millis(r.opening.v)), (q.deadline-r.now)/2)
 }
 
 // send makes the next attempt.
 func (r *Router) send(q *request, a attempt, timeout Millis) {
 	a.n, a.sent = q.sent, r.now
 	q.sent++
-	q.waits = false
 	q.out = append(q.out, a)
 	r.do(Send{ID: q.ID, Server: a.on.ID, Timeout: timeout})
 }
@@ -388,43 +405,43 @@
 // streaming notes that the answer has started.
 func (r *Router) streaming(ev Streaming) {
 	q := r.requests[ev.ID]
-	if q == nil || q.stream {
+	if q == nil || q.stream || q.find(ev.Attempt) < 0 {
 		return
 	}
-	for _, a := range q.out {
-		if a.n == ev.Attempt {
-			q.stream = true
-			q.state = nil
-			r.learnOpen(float64(r.now - a.sent))
-			r.praise(a.on)
-		}
-	}
+	a := q.out[q.find(ev.Attempt)]
+	q.stream, q.state = true, nil
+	r.opening.learn(r.now, r.now-a.sent)
+	r.praise(a.on)
+}
+
+// find is the place of an attempt among those out, or -1.
+func (q *request) find(n int) int {
+	return slices.IndexFunc(q.out, func(a attempt) bool { return a.n == n })
 }
 
-// learnOpen takes one time to the first token, or one that ran out. Guards against time-outs that
-// are too short while every writer is slow: each that runs out makes the next longer.
-func (r *Router) learnOpen(took float64) {
-	if r.open == 0 {
-		r.open = took
+// learn takes one time. Attempts that ran out count as well: else only the quick ones would, and
+// time-outs would stay too short while every server is slow.
+func (m *fading) learn(now Millis, took Millis) {
+	if m.v == 0 {
+		m.v = float64(took)
 	}
-	r.open += openGain * (took - r.open)
+	m.v, m.at = m.v+meanGain*(float64(took)-m.v), now
 }
 
+// now is the mean, less the longer no time came in: a router that refuses all must try again.
+func (m *fading) now(now Millis) float64 { return m.v * math.Exp(-float64(now-m.at)/meanFade) }
+
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
 	if s := r.servers[ev.Server]; s != nil {
 		r.learnReport(s, ev.Report)
 	}
 	q := r.requests[ev.ID]
-	if q == nil {
-		return
-	}
-	i := slices.IndexFunc(q.out, func(a attempt) bool { return a.n == ev.Attempt })
-	if i < 0 {
+	if q == nil || q.find(ev.Attempt) < 0 {
 		return
 	}
-	a := q.out[i]
-	q.out = slices.Delete(q.out, i, i+1)
+	a := q.out[q.find(ev.Attempt)]
+	q.out = slices.DeleteFunc(q.out, func(o attempt) bool { return o.n == a.n })
 	q.idle = r.now
 	r.settle(q, a, ev)
 	switch {
@@ -446,17 +463,20 @@
 	a.on.out = max(0, a.on.out-a.price)
 	if !a.reads {
 		q.unbook(a.on)
-		if ev.Outcome == TimedOut && !q.ended {
-			r.learnOpen(float64(r.now - a.sent))
-		}
+	}
+	ranOut := !q.ended && (ev.Outcome == TimedOut || ev.Outcome == Cancelled)
+	if a.reads && (ev.Outcome == ReadDone || ranOut) {
+		r.reading.learn(r.now, r.now-a.sent)
+	} else if ranOut {
+		r.opening.learn(r.now, r.now-a.sent)
 	}
 	switch ev.Outcome {
-	case ReadDone:
-		a.on.moved = r.now
-		a.on.work = a.on.work*speedKeep + a.queue
-		a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
-		r.praise(a.on)
-	case Served:
+	case ReadDone, Served:
+		if a.reads {
+			a.on.moved = r.now
+			a.on.work = a.on.work*speedKeep + a.queue
+			a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
+		}
 		r.praise(a.on)
 	case Full:
 		if !ev.NoState {
@@ -484,54 +504,37 @@
 	}
 	q.tried = append(q.tried, a.on)
 	if a.reads || ev.NoState {
-		r.release(q) // rule 5: a held place may have the state although its reader has not
+		// Rule 5: a held place may have the state although its reader has not.
+		q.unplace()
+		q.state = nil
+		r.do(Release{ID: q.ID})
 	}
 	r.route(q)
 }
 
-// release lets go of the place and state of a request.
-func (r *Router) release(q *request) {
-	q.unplace()
-	q.state = nil
-	r.do(Release{ID: q.ID})
-}
-
 // finish gives the last answer: a refusal where it may promise that trying again is harmless.
 func (r *Router) finish(q *request) {
 	if q.ended || q.stream {
 		return
 	}
-	q.ended = true
-	refuse := r.harmless(q)
-	for _, a := range q.out {
-		if r.set.Cancel {
-			r.do(Cancel{ID: q.ID, Attempt: a.n})
-		}
-	}
-	if refuse {
+	if r.harmless(q) {
 		r.do(Refuse{ID: q.ID, RetryAfter: retryPart * r.set.MaxRetryAfter})
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
-	r.drop(q)
+	r.end(q)
 }
 
 // harmless tells whether a client may be told that trying again does no harm.
 func (r *Router) harmless(q *request) bool {
 	class := &r.set.Classes[q.Class]
-	if class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll {
-		return true
-	}
 	writing := slices.ContainsFunc(q.out, func(a attempt) bool { return !a.reads })
-	return q.ranOn == nil && !writing
+	free := class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll
+	return free || q.ranOn == nil && !writing
 }
 
-// clientGone closes a request that its client has left.
-func (r *Router) clientGone(ev ClientGone) {
-	q := r.requests[ev.ID]
-	if q == nil || q.ended {
-		return
-	}
+// end closes a request and calls off what is out; a stream that has begun is the client's.
+func (r *Router) end(q *request) {
 	q.ended = true
 	for _, a := range q.out {
 		if r.set.Cancel && !q.stream {
@@ -556,28 +559,24 @@
 
 // wait keeps a request until a server can take it.
 func (r *Router) wait(q *request) {
-	if q.state != nil && r.now-q.idle > pinPart*r.set.PinLimit {
-		r.finish(q) // rule 5: a state with no writer in sight is let go in time
-		return
+	limit := waitPart * q.aim
+	if q.state != nil {
+		limit = pinPart * r.set.PinLimit // rule 5: a state with no writer in sight is let go in time
 	}
-	if q.state == nil && r.now-q.idle > waitPart*q.aim {
+	if r.now-q.idle > limit {
 		r.finish(q)
 		return
 	}
-	if !q.waits {
-		q.waits = true
-		q.unplace()
-		r.waiting = append(r.waiting, q)
-	}
-	if !r.sweeping {
-		r.sweeping = true
+	if len(r.waiting) == 0 {
 		r.do(Wake{In: sweepEvery, Ref: refSweep})
 	}
+	q.unplace()
+	q.waits = true
+	r.waiting = append(r.waiting, q)
 }
 
 // sweep looks at the waiting requests again.
 func (r *Router) sweep() {
-	r.sweeping = false
 	waiting := r.waiting
 	r.waiting = nil
 	for _, q := range waiting {
@@ -589,39 +588,45 @@
 	}
 }
 
-// pickReader chooses the reader of highest freeness; among those near it the session's last, else
-// the one that the shared beginning hashes to.
-func (r *Router) pickReader(q *request) *server {
-	var best *server
-	high := math.Inf(-1)
-	for _, s := range r.list {
-		if s.role == Writer || !r.usable(s, q) {
-			continue
+// best is the candidate of highest freeness, with it.
+func best(list []*server, free func(*server) float64) (top *server, high float64) {
+	high = math.Inf(-1)
+	for _, s := range list {
+		if f := free(s); f > high {
+			top, high = s, f
 		}
-		if f := r.freeness(s, q); f > high {
-			best, high = s, f
+	}
+	return top, high
+}
+
+// candidates are the servers, but those of one role, that the rules and a request's past let it go to.
+func (r *Router) candidates(q *request, not Role) []*server {
+	var list []*server
+	for _, s := range r.list {
+		if s.role != not && s.State == Ready && !slices.Contains(q.tried, s) &&
+			r.inGroup(s, q) && r.hasCredit(s) {
+			list = append(list, s)
 		}
 	}
-	if best == nil {
+	return list
+}
+
+// pickReader chooses the reader of highest freeness; among those near it the session's last, else
+// the one that the shared beginning hashes to.
+func (r *Router) pickReader(q *request) *server {
+	list := r.candidates(q, Writer)
+	top, high := best(list, func(s *server) float64 { return r.freeness(s, q) })
+	if top == nil {
 		return nil
 	}
 	last, keeps := r.lastRead(q.Session)
-	home := high - near - r.saved(best, q, q.PrefixLen)
-	var pick *server
-	top := uint64(0)
-	for _, s := range r.list {
-		if s.role == Writer || !r.usable(s, q) {
-			continue
-		}
-		f := r.freeness(s, q)
-		if s == last && f >= high-near-r.saved(best, q, keeps) {
-			return s
-		}
-		if h := r.affinity(q, s); f >= home && (pick == nil || h > top) {
-			pick, top = s, h
-		}
+	home := high - near - r.saved(top, q, q.PrefixLen)
+	if slices.Contains(list, last) && r.freeness(last, q) >= high-near-r.saved(top, q, keeps) {
+		return last
 	}
-	return pick
+	list = slices.DeleteFunc(list, func(s *server) bool { return r.freeness(s, q) < home })
+	top, _ = best(list, func(s *server) float64 { return float64(r.affinity(q, s) >> 11) })
+	return top
 }
 
 // saved is the freeness that text kept at a reader is worth to a prompt: the price that need not be read.
@@ -643,41 +648,31 @@
 	for _, b := range []byte(s.ID) {
 		h = (h ^ uint64(b)) * 0x100000001b3
 	}
+	return scramble(h)
+}
+
+func scramble(h uint64) uint64 {
 	h ^= h >> 31
 	h *= 0x9e3779b97f4a7c15
-	return h ^ h>>29
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	return h ^ h>>32
 }
 
 // pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
 func (r *Router) pickWriter(q *request, reader *server) *server {
-	var best *server
-	high := math.Inf(-1)
-	for _, s := range r.list {
-		if s.role == Reader || !r.usable(s, q) {
-			continue
-		}
-		if f := r.memory(s); f > high {
-			best, high = s, f
-		}
-	}
-	if best == nil || reader == nil {
-		return best
+	list := r.candidates(q, Reader)
+	top, high := best(list, r.memory)
+	if top == nil || reader == nil {
+		return top
 	}
-	rank := distance(best, reader)
-	for _, s := range r.list {
-		if s.role == Reader || !r.usable(s, q) {
-			continue
-		}
-		f, d := r.memory(s), distance(s, reader)
-		if f >= high-near && (d < rank || d == rank && f > r.memory(best)) {
-			best, rank = s, d
-		}
-	}
-	return best
+	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s) < high-near })
+	top, _ = best(list, func(s *server) float64 { return r.memory(s) - far*distance(s, reader) })
+	return top
 }
 
 // distance is 0 within a cell, 1 within a zone, else 2.
-func distance(a, b *server) int {
+func distance(a, b *server) float64 {
 	switch {
 	case a.Zone == b.Zone && a.Cell == b.Cell:
 		return 0
@@ -687,27 +682,15 @@
 	return 2
 }
 
-// usable tells whether the rules and what this request has met let it go to a server.
-func (r *Router) usable(s *server, q *request) bool {
-	return s.State == Ready && !slices.Contains(q.tried, s) && r.inGroup(s, q) && r.hasCredit(s)
-}
-
 // inGroup keeps a keyed request that may have run inside the group that drops its repeats.
 func (r *Router) inGroup(s *server, q *request) bool {
 	class := &r.set.Classes[q.Class]
 	if q.ranOn == nil || class.Effect != Keyed {
 		return true
 	}
-	if r.now-q.ranAt > class.Window {
-		return false
-	}
-	switch class.Group {
-	case GroupZone:
-		return s.Zone == q.ranOn.Zone
-	case GroupCell:
-		return s.Cell == q.ranOn.Cell
-	}
-	return true
+	same := class.Group == GroupAll || class.Group == GroupZone && s.Zone == q.ranOn.Zone ||
+		class.Group == GroupCell && s.Cell == q.ranOn.Cell
+	return same && r.now-q.ranAt <= class.Window
 }
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
@@ -745,36 +728,29 @@
 }
 
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
+// Unreported writers count average; without reports own streams alone decide.
 func (r *Router) memory(s *server) float64 {
-	size := s.size
-	if size <= 0 {
-		size = 1e5
-	}
-	share, heard := s.share, s.heard > 0
-	if !heard {
-		share, heard = r.meanShare()
+	share, since := s.share, 0.0
+	if s.heard == 0 {
+		share = r.meanShare()
 	}
-	since := 0.0
 	for _, q := range s.streams {
-		if !heard || s.heard == 0 || q.placeAt > s.heard-reportLag {
+		if s.heard == 0 || q.bookedAt > s.heard-reportLag {
 			since += q.tokens()
 		}
 	}
-	return 1 - share - since/size - r.chargeOf(s)
+	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s)
 }
 
 // meanShare is the mean reported memory share of the writers heard.
-func (r *Router) meanShare() (float64, bool) {
+func (r *Router) meanShare() float64 {
 	sum, n := 0.0, 0.0
 	for _, s := range r.list {
 		if s.role != Reader && s.heard > 0 {
 			sum, n = sum+s.share, n+1
 		}
 	}
-	if n == 0 {
-		return 0, false
-	}
-	return sum / n, true
+	return sum / math.Max(n, 1)
 }
 
 // tokens is the memory that an answer may need: prompt and hint, else the told maximum.
@@ -786,10 +762,9 @@
 }
 
 // book counts the request's tokens at a writer.
-func (q *request) book(s *server) {
-	if !slices.Contains(s.streams, q) {
-		s.streams = append(s.streams, q)
-	}
+func (q *request) book(s *server, now Millis) {
+	q.unbook(s)
+	s.streams, q.bookedAt = append(s.streams, q), now
 }
 
 func (q *request) unbook(s *server) {
@@ -833,9 +808,6 @@
 
 // chargeOf is a server's charge, faded to now.
 func (r *Router) chargeOf(s *server) float64 {
-	if s.charge == 0 {
-		return 0
-	}
 	return s.charge * math.Exp(-float64(r.now-s.charged)/chargeFade)
 }
 
@@ -874,14 +846,14 @@
 	r.sends[s.role].count(r.now, 1)
 }
 
-func (t *rate) count(now Millis, n float64) {
-	t.n, t.at = t.n*math.Exp(-float64(now-t.at)/rateWindow)+n, now
+func (t *fading) count(now Millis, n float64) {
+	t.v, t.at = t.v*math.Exp(-float64(now-t.at)/rateWindow)+n, now
 }
 
 // perSecond is the rate; since start less than the window may have passed.
-func (t *rate) perSecond(now, start Millis) float64 {
+func (t *fading) perSecond(now, start Millis) float64 {
 	seen := rateWindow * (1 - math.Exp(-math.Max(float64(now-start), 500)/rateWindow))
-	return t.n * math.Exp(-float64(now-t.at)/rateWindow) / seen * 1000
+	return t.v * math.Exp(-float64(now-t.at)/rateWindow) / seen * 1000
 }
 
 // lastRead is the reader that a session was last read at, and the length of that prompt.
@@ -949,14 +921,6 @@
 	kind := r.set.Kinds[e.Kind]
 	s = &server{Server: e, role: kind.Role, size: kind.Memory, credit: 1, credAt: r.now}
 	r.servers[e.ID] = s
-	i, _ := slices.BinarySearchFunc(r.list, e.ID, func(o *server, id ServerID) int {
-		switch {
-		case o.ID < id:
-			return -1
-		case o.ID > id:
-			return 1
-		}
-		return 0
-	})
-	r.list = slices.Insert(r.list, i, s)
+	r.list = append(r.list, s)
+	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -95,6 +95,18 @@
 	return Request{ID: id, Class: class, Session: Key(id), Budget: 6000, Prompt: 1000, MaxOut: 200}
 }
 
+// sent is the server of the last actions' send.
+func (s *script) sent() ServerID {
+	s.t.Helper()
+	for _, a := range s.acts {
+		if send, ok := a.(Send); ok {
+			return send.Server
+		}
+	}
+	s.t.Fatalf("no send in %q", shorts(s.acts))
+	return ""
+}
+
 var oneEach = []Server{at("r1", 0, 0, 0), at("w1", 1, 0, 0)}
 var twoEach = []Server{at("r1", 0, 0, 0), at("r2", 0, 0, 1), at("w1", 1, 0, 0), at("w2", 1, 0, 1)}
 
@@ -119,7 +131,7 @@
 	s := newScript(t, fleet(), twoEach...)
 	s.on(1, ask(1, 0))
 	held := s.acts[len(s.acts)-1].(Hold).Server
-	reader := s.acts[1].(Send).Server
+	reader := s.sent()
 	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
 	s.on(195, Ended{ID: 1, Attempt: 0, Server: reader, Outcome: ReadDone})
 	s.want("send 1 " + string(held))
@@ -181,7 +193,7 @@
 func TestUnsafeReadsAgain(t *testing.T) {
 	s := newScript(t, fleet(), twoEach...)
 	s.on(1, ask(1, 1))
-	first := s.acts[1].(Send).Server
+	first := s.sent()
 	s.on(500, Ended{ID: 1, Attempt: 0, Server: first, Outcome: TimedOut})
 	if got := shorts(s.acts); len(got) != 3 || got[0] != "release 1" || strings.Contains(got[1], string(first)) {
 		t.Fatalf("got %q, want another reader", got)
@@ -196,7 +208,7 @@
 		s.on(5, Held{ID: 1, Attempt: 0, OK: true})
 		s.on(95, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
 		s.on(timer.In-100, Wakeup{Ref: timer.Ref})
-		s.want("cancel 1", last)
+		s.want(last, "cancel 1")
 		s.on(4, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Cancelled, Done: true})
 		s.want("release 1")
 		if timer.In >= 6000 {
