--- a/router.go
+++ b/router.go
@@ -34,16 +34,18 @@
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
-	admitFloor = 0.5  // ours: freeness of the best reader below which a request is refused
-	admitRamp  = 0.5  // ours: freeness below the floor at which all are refused
-	overFloor  = 0.65 // ours: the same for requests over their tenant's share
-	waitPart   = 0.5  // ours: part of the aim for which a request waits for a usable server
-	pinPart    = 0.6  // ours: part of the pin limit for which a read state waits for a writer
-	retryPart  = 0.5  // ours: part of the longest honoured wait that a refusal advises
-	rateWindow = 4000 // ours: ms over which own rates are counted
-	sweepEvery = 20   // ours: ms between two looks at waiting requests
-	askEvery   = 1000 // ours: ms before a failed subscription is asked for again
-	sessionCap = 8192 // ours: sessions remembered in each of two generations
+	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
+	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
+	overFloor  = 0.65  // ours: the same for requests over their tenant's share
+	waitPart   = 0.5   // ours: part of the aim for which a request waits for a usable server
+	pinPart    = 0.6   // ours: part of the pin limit for which a read state waits for a writer
+	retryPart  = 0.5   // ours: part of the longest honoured wait that a refusal advises
+	rateWindow = 4000  // ours: ms over which own rates are counted
+	coldPart   = 1.2   // ours: part of a warm server's proven rate, times its warmth, for a cold one
+	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
+	sweepEvery = 20    // ours: ms between two looks at waiting requests
+	askEvery   = 1000  // ours: ms before a failed subscription is asked for again
+	sessionCap = 8192  // ours: sessions remembered in each of two generations
 )
 
 // References of timers; a request's timer is its id times refStep plus refDeadline.
@@ -130,9 +132,10 @@
 	young    map[Key]visit // last read of a session; old is the generation before
 	old      map[Key]visit
 	tenants  []fading
-	sends    [Mixed + 1]fading
-	reading  fading // ms that reads took of late
-	opening  fading // ms from a writer's send to the first token
+	done     [Mixed + 1]fading  // reads ended or streams begun, by role
+	peak     [Mixed + 1]float64 // most of these a second for each warm server
+	reading  fading             // ms that reads took of late
+	opening  fading             // ms from a writer's send to the first token
 	acts     []Action
 }
 
@@ -410,6 +413,7 @@
 	}
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
+	r.prove(a.on.role)
 	r.opening.learn(r.now, r.now-a.sent)
 	r.praise(a.on)
 }
@@ -474,6 +478,7 @@
 	case ReadDone, Served:
 		if a.reads {
 			a.on.moved = r.now
+			r.prove(Reader)
 			a.on.work = a.on.work*speedKeep + a.queue
 			a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
 		}
@@ -821,29 +826,33 @@
 	return math.Min(1, from+(1-from)*math.Max(float64(age/r.set.WarmAfter), 0))
 }
 
-// hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets of this router's
-// rate the part that its warmth has in the fleet's, so that all routers together stay under its capacity.
+// hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets, times its warmth,
+// the most that this router has seen a warm one of its role get done; sends would count a storm of retries,
+// and what is asked for falls while this router refuses.
 func (r *Router) hasCredit(s *server) bool {
 	w := r.warmth(s)
 	if w >= 1 {
 		return true
 	}
-	fleet := 0.0
-	for _, o := range r.list {
-		if o.role == s.role && o.State == Ready {
-			fleet += r.warmth(o)
-		}
-	}
-	perMs := r.sends[s.role].perSecond(r.now, r.start) / 1000 * w / math.Max(fleet, w)
+	perMs := coldPart * w * r.peak[s.role] / 1000
 	s.credit = math.Min(1, s.credit+perMs*float64(r.now-s.credAt))
 	s.credAt = r.now
 	return s.credit >= 1
 }
 
 // spend books a send to a server.
-func (r *Router) spend(s *server) {
-	s.credit = math.Max(0, s.credit-1)
-	r.sends[s.role].count(r.now, 1)
+func (r *Router) spend(s *server) { s.credit = math.Max(0, s.credit-1) }
+
+// prove counts work that a server got done: a read ended or a stream begun.
+func (r *Router) prove(role Role) {
+	fleet := 0.0
+	for _, o := range r.list {
+		if o.role == role && o.State == Ready {
+			fleet += r.warmth(o)
+		}
+	}
+	r.done[role].count(r.now, 1)
+	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now, r.start)/math.Max(fleet, 1))
 }
 
 func (t *fading) count(now Millis, n float64) {
@@ -852,7 +861,7 @@
 
 // perSecond is the rate; since start less than the window may have passed.
 func (t *fading) perSecond(now, start Millis) float64 {
-	seen := rateWindow * (1 - math.Exp(-math.Max(float64(now-start), 500)/rateWindow))
+	seen := rateWindow * (1 - math.Exp(-math.Max(float64(now-start), rateWindow/2)/rateWindow))
 	return t.v * math.Exp(-float64(now-t.at)/rateWindow) / seen * 1000
 }
 
