--- a/router.go
+++ b/router.go
@@ -16,19 +16,19 @@
 	far         = 100     // design page: cell and zone go before freeness among near writers
 	near        = 0.1     // design page: freeness within which preferences decide
 
-	firstSpeed   = 0.5  // ours: price read per ms before any reader was heard
-	speedKeep    = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
-	slowPart     = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
-	sizeGain     = 0.1  // ours: weight of one report in a writer's learned memory size
-	minSize      = 1e4  // ours: tokens that a writer is taken to hold at the least
-	reportLag    = 1000 // ours: ms before a report's arrival whose streams it may not show yet
-	readPatience = 4    // ours: multiple of the expected read time that an attempt may take
-	patience     = 0.5  // ours: part of the aim that an attempt may take at the least
-	meanGain     = 0.1  // ours: weight of one sample in the mean times to read and to the first token
-	meanFade     = 2000 // ours: ms without a sample in which such a mean fades to 1/e
-	openPatience = 5    // ours: multiple of the mean time to the first token that a writer may take
-	holdAnswer   = 50   // ours: ms after which a hold without an answer counts as unheard
-	holdTries    = 2    // ours: writers asked for a place per read
+	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
+	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
+	slowPart   = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
+	sizeGain   = 0.1  // ours: weight of one report in a writer's learned memory size
+	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
+	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
+	usualTimes = 4    // ours: multiple of the usual time that an attempt may take
+	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
+	meanGain   = 0.1  // ours: weight of one sample in the mean times to read and to the first token
+	waitGain   = 0.3  // ours: the same for one writer's own
+	meanFade   = 2000 // ours: ms without a sample in which such a mean fades to 1/e
+	holdAnswer = 50   // ours: ms after which a hold without an answer counts as unheard
+	holdTries  = 2    // ours: writers asked for a place per read
 
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
@@ -37,6 +37,7 @@
 	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
 	overFloor  = 0.65  // ours: the same for requests over their tenant's share
+	lastCall   = 2     // ours: batches before the deadline at which the last answer goes out
 	waitPart   = 0.5   // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6   // ours: part of the pin limit for which a read state waits for a writer
 	retryPart  = 0.5   // ours: part of the longest honoured wait that a refusal advises
@@ -45,7 +46,7 @@
 	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
 	sweepEvery = 20    // ours: ms between two looks at waiting requests
 	askEvery   = 1000  // ours: ms before a failed subscription is asked for again
-	sessionCap = 8192  // ours: sessions remembered in each of two generations
+	sessionCap = 32768 // ours: sessions remembered at most
 )
 
 // References of timers; a request's timer is its id times refStep plus refDeadline.
@@ -69,6 +70,7 @@
 	heard   Millis     // when; 0: never
 	size    float64    // learned memory size in tokens
 	moved   Millis     // last time that an own read ended here
+	wait    fading     // ms that first tokens took here of late
 	charge  float64    // freeness taken off for failures, as of charged
 	charged Millis
 	credit  float64 // sends that a cold server may still get, as of credAt
@@ -124,13 +126,12 @@
 	set      Settings
 	seed     uint64
 	now      Millis
-	start    Millis // of the first event
+	begun    bool
 	servers  map[ServerID]*server
 	list     []*server // in order of id
 	requests map[RequestID]*request
 	waiting  []*request
-	young    map[Key]visit // last read of a session; old is the generation before
-	old      map[Key]visit
+	visits   map[Key]visit // last read of a session
 	tenants  []fading
 	done     [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak     [Mixed + 1]float64 // most of these a second for each warm server
@@ -146,19 +147,17 @@
 	}
 	return &Router{
 		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		young: map[Key]visit{}, old: map[Key]visit{}, tenants: make([]fading, len(set.Tenants)),
+		visits: map[Key]visit{}, tenants: make([]fading, len(set.Tenants)),
 	}, nil
 }
 
 // Handle takes one event at time now and returns what is to be done, in order.
 // Events that are late, repeated or about unknown requests cause no action.
 func (r *Router) Handle(now Millis, event Event) []Action {
-	if r.start == 0 {
-		r.start = now
-		if r.set.AskDiscovery {
-			r.do(Subscribe{})
-		}
+	if !r.begun && r.set.AskDiscovery {
+		r.do(Subscribe{})
 	}
+	r.begun = true
 	r.now = max(r.now, now)
 	switch ev := event.(type) {
 	case Membership:
@@ -198,8 +197,7 @@
 		r.do(Subscribe{})
 	case refDeadline:
 		// Guards rule 1: whatever became of the attempts, the last answer goes out before the deadline.
-		q := r.requests[RequestID(ev.Ref/refStep)]
-		if q != nil && !q.stream && !q.ended && r.now >= q.deadline-r.lastCall()-1 {
+		if q := r.requests[RequestID(ev.Ref/refStep)]; q != nil {
 			r.finish(q)
 		}
 	case refPatience:
@@ -207,9 +205,6 @@
 	}
 }
 
-// lastCall is how long before its deadline a request gets its last answer.
-func (r *Router) lastCall() Millis { return 2*r.set.Quantum + 1 }
-
 // arrive takes a request in.
 func (r *Router) arrive(ev Request) {
 	if r.requests[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
@@ -219,7 +214,7 @@
 	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
 		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
 	r.requests[ev.ID] = q
-	r.do(Wake{In: max(ev.Budget-r.lastCall(), 0), Ref: uint64(ev.ID)*refStep + refDeadline})
+	r.do(Wake{In: max(ev.Budget-lastCall*r.set.Quantum-1, 0), Ref: uint64(ev.ID)*refStep + refDeadline})
 	if r.admits(q) {
 		r.route(q)
 	} else {
@@ -239,6 +234,9 @@
 	free := 1 - (r.reading.now(r.now)+r.opening.now(r.now))/math.Max(float64(q.aim), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
+		if w := r.pickWriter(q, s); w != nil {
+			free = math.Min(free, (r.memory(w)+r.chargeOf(w))/(2*near))
+		}
 	}
 	return (floor-free)/admitRamp <= float64(scramble(uint64(q.ID)^r.seed)>>11)/(1<<53)
 }
@@ -251,7 +249,7 @@
 	t := &r.tenants[tenant]
 	t.count(r.now, 1)
 	quota := r.set.Tenants[tenant].QuotaPerS / float64(r.set.Routers)
-	return quota > 0 && t.perSecond(r.now, r.start) > quota
+	return quota > 0 && t.perSecond(r.now) > quota
 }
 
 // route takes the next step for a request that has no attempt out.
@@ -305,8 +303,7 @@
 	if !r.attemptsLeft(q, 3) {
 		return 0
 	}
-	usual := Millis(max(a.queue/r.speed(a.on), r.reading.v))
-	wait := min(max(patience*q.aim, readPatience*usual), (q.deadline-r.now)/2)
+	wait := r.span(q, math.Max(a.queue/r.speed(a.on), r.reading.v))
 	if !r.set.Cancel {
 		return wait
 	}
@@ -391,10 +388,15 @@
 // openTimeout is how long a writer may take to the first token.
 func (r *Router) openTimeout(q *request) Millis {
 	class := &r.set.Classes[q.Class]
-	if class.Effect != Safe || !class.Streamed || r.opening.v == 0 || !r.attemptsLeft(q, 2) {
+	if class.Effect != Safe || !class.Streamed || !r.attemptsLeft(q, 2) {
 		return 0
 	}
-	return min(max(patience*q.aim, openPatience*Millis(r.opening.v)), (q.deadline-r.now)/2)
+	return r.span(q, r.opening.v)
+}
+
+// span is how long an attempt may take that usually takes so many ms.
+func (r *Router) span(q *request, usual float64) Millis {
+	return min(max(patience*q.aim, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
 }
 
 // send makes the next attempt.
@@ -414,7 +416,7 @@
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
 	r.prove(a.on.role)
-	r.opening.learn(r.now, r.now-a.sent)
+	r.opened(a)
 	r.praise(a.on)
 }
 
@@ -425,11 +427,17 @@
 
 // learn takes one time. Attempts that ran out count as well: else only the quick ones would, and
 // time-outs would stay too short while every server is slow.
-func (m *fading) learn(now Millis, took Millis) {
+func (m *fading) learn(now, took Millis, gain float64) {
 	if m.v == 0 {
 		m.v = float64(took)
 	}
-	m.v, m.at = m.v+meanGain*(float64(took)-m.v), now
+	m.v, m.at = m.v+gain*(float64(took)-m.v), now
+}
+
+// opened takes a time to the first token.
+func (r *Router) opened(a attempt) {
+	r.opening.learn(r.now, r.now-a.sent, meanGain)
+	a.on.wait.learn(r.now, r.now-a.sent, waitGain)
 }
 
 // now is the mean, less the longer no time came in: a router that refuses all must try again.
@@ -470,9 +478,9 @@
 	}
 	ranOut := !q.ended && (ev.Outcome == TimedOut || ev.Outcome == Cancelled)
 	if a.reads && (ev.Outcome == ReadDone || ranOut) {
-		r.reading.learn(r.now, r.now-a.sent)
+		r.reading.learn(r.now, r.now-a.sent, meanGain)
 	} else if ranOut {
-		r.opening.learn(r.now, r.now-a.sent)
+		r.opened(a)
 	}
 	switch ev.Outcome {
 	case ReadDone, Served:
@@ -624,10 +632,10 @@
 	if top == nil {
 		return nil
 	}
-	last, keeps := r.lastRead(q.Session)
+	last := r.visits[q.Session]
 	home := high - near - r.saved(top, q, q.PrefixLen)
-	if slices.Contains(list, last) && r.freeness(last, q) >= high-near-r.saved(top, q, keeps) {
-		return last
+	if slices.Contains(list, last.on) && r.freeness(last.on, q) >= high-near-r.saved(top, q, last.prompt) {
+		return last.on
 	}
 	list = slices.DeleteFunc(list, func(s *server) bool { return r.freeness(s, q) < home })
 	top, _ = best(list, func(s *server) float64 { return float64(r.affinity(q, s) >> 11) })
@@ -667,12 +675,13 @@
 // pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
 func (r *Router) pickWriter(q *request, reader *server) *server {
 	list := r.candidates(q, Reader)
-	top, high := best(list, r.memory)
+	free := func(s *server) float64 { return r.memory(s) - s.wait.now(r.now)/math.Max(float64(q.aim), 1) }
+	top, high := best(list, free)
 	if top == nil || reader == nil {
 		return top
 	}
-	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s) < high-near })
-	top, _ = best(list, func(s *server) float64 { return r.memory(s) - far*distance(s, reader) })
+	list = slices.DeleteFunc(list, func(s *server) bool { return free(s) < high-near })
+	top, _ = best(list, func(s *server) float64 { return free(s) - far*distance(s, reader) })
 	return top
 }
 
@@ -826,17 +835,16 @@
 	return math.Min(1, from+(1-from)*math.Max(float64(age/r.set.WarmAfter), 0))
 }
 
-// hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets, times its warmth,
-// the most that this router has seen a warm one of its role get done; sends would count a storm of retries,
-// and what is asked for falls while this router refuses.
+// hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets, times its
+// warmth, the most that this router has seen a warm one of its role get done. Sends would count a storm
+// of retries, and what is asked for falls while this router refuses.
 func (r *Router) hasCredit(s *server) bool {
 	w := r.warmth(s)
 	if w >= 1 {
 		return true
 	}
 	perMs := coldPart * w * r.peak[s.role] / 1000
-	s.credit = math.Min(1, s.credit+perMs*float64(r.now-s.credAt))
-	s.credAt = r.now
+	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
 	return s.credit >= 1
 }
 
@@ -852,37 +860,26 @@
 		}
 	}
 	r.done[role].count(r.now, 1)
-	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now, r.start)/math.Max(fleet, 1))
+	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now)/math.Max(fleet, 1))
 }
 
 func (t *fading) count(now Millis, n float64) {
 	t.v, t.at = t.v*math.Exp(-float64(now-t.at)/rateWindow)+n, now
 }
 
-// perSecond is the rate; since start less than the window may have passed.
-func (t *fading) perSecond(now, start Millis) float64 {
-	seen := rateWindow * (1 - math.Exp(-math.Max(float64(now-start), rateWindow/2)/rateWindow))
-	return t.v * math.Exp(-float64(now-t.at)/rateWindow) / seen * 1000
+// perSecond is the rate; it starts low.
+func (t *fading) perSecond(now Millis) float64 {
+	return t.v * math.Exp(-float64(now-t.at)/rateWindow) / rateWindow * 1000
 }
 
-// lastRead is the reader that a session was last read at, and the length of that prompt.
-func (r *Router) lastRead(k Key) (*server, float64) {
-	v, ok := r.young[k]
-	if !ok {
-		v = r.old[k]
-	}
-	return v.on, v.prompt
-}
-
-// remember notes a session's reader; memory is bounded by two generations.
+// remember notes a session's reader; past sessionCap all start anew, which bounds memory.
 func (r *Router) remember(q *request, s *server) {
-	if q.Session == 0 {
-		return
+	if len(r.visits) >= sessionCap {
+		clear(r.visits)
 	}
-	if len(r.young) >= sessionCap {
-		r.old, r.young = r.young, make(map[Key]visit)
+	if q.Session != 0 {
+		r.visits[q.Session] = visit{s, q.Prompt}
 	}
-	r.young[q.Session] = visit{s, q.Prompt}
 }
 
 // membership takes news of the list.
@@ -893,20 +890,16 @@
 		}
 		return
 	}
-	listed := map[ServerID]bool{}
+	for _, s := range r.list {
+		if ev.Whole {
+			s.State = Gone // unless it is listed
+		}
+	}
 	for _, e := range ev.Servers {
-		listed[e.ID] = true
 		r.update(e)
 	}
-	if ev.Whole {
-		for _, s := range r.list {
-			if !listed[s.ID] {
-				s.State = Gone
-			}
-		}
-	}
 	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
-		if s.State == Gone {
+		if s.State == Gone && r.servers[s.ID] == s {
 			delete(r.servers, s.ID)
 		}
 		return s.State == Gone
@@ -925,7 +918,6 @@
 	}
 	if s != nil {
 		s.State = Gone
-		r.list = slices.DeleteFunc(r.list, func(o *server) bool { return o == s })
 	}
 	kind := r.set.Kinds[e.Kind]
 	s = &server{Server: e, role: kind.Role, size: kind.Memory, credit: 1, credAt: r.now}
