--- a/router.go
+++ b/router.go
@@ -16,6 +16,7 @@
 	far         = 100     // design page: cell and zone go before freeness among near writers
 	near        = 0.1     // design page: freeness within which preferences decide
 
+	keepWorth  = 3    // ours: reads whose kept text a reader may be behind by; theirs is booked in full too
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
 	slowPart   = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
@@ -646,7 +647,7 @@
 // It widens the band of the preferences. Guards against a loop under load: past 0.1 prompts left the
 // readers that keep their text, were read anew in full, and made every reader slower still.
 func (r *Router) saved(s *server, q *request, kept float64) float64 {
-	return (q.price - price(math.Max(q.Prompt-kept, 0))) / r.budget(s, q)
+	return keepWorth * (q.price - price(math.Max(q.Prompt-kept, 0))) / r.budget(s, q)
 }
 
 // price is what reading so many prompt tokens costs.
