Classes worth more are refused later; cold part bounded by the overload factor; unused probes, moves and logs out

Cause: in overload both classes lost alike though one is worth three times the other. Tests for the cold budget, the worth floor and progress, each seen to fail on broken code.

--- a/api.go
+++ b/api.go
@@ -219,13 +219,6 @@
 	ClientGone struct{ ID RequestID }
 	// Wakeup is a Wake come due.
 	Wakeup struct{ Ref uint64 }
-	// Probed is the answer to a Probe.
-	Probed struct {
-		Server ServerID
-		OK     bool
-		Took   Millis
-		Report Report
-	}
 )
 
 // Action is something that a router wants done.
@@ -258,19 +251,13 @@
 	}
 	// Fail is the final answer that promises nothing.
 	Fail struct{ ID RequestID }
-	// Move ends a running stream; its client comes back to go on elsewhere.
-	Move struct{ ID RequestID }
 	// Wake asks for a Wakeup.
 	Wake struct {
 		In  Millis
 		Ref uint64
 	}
-	// Probe tests a server.
-	Probe struct{ Server ServerID }
 	// Subscribe asks for news of the list of servers.
 	Subscribe struct{}
-	// Log adds a line to the log.
-	Log struct{ Line string }
 )
 
 func (Membership) isEvent() {}
@@ -280,7 +267,6 @@
 func (Ended) isEvent()      {}
 func (ClientGone) isEvent() {}
 func (Wakeup) isEvent()     {}
-func (Probed) isEvent()     {}
 
 func (Send) isAction()      {}
 func (Cancel) isAction()    {}
@@ -288,8 +274,5 @@
 func (Release) isAction()   {}
 func (Refuse) isAction()    {}
 func (Fail) isAction()      {}
-func (Move) isAction()      {}
 func (Wake) isAction()      {}
-func (Probe) isAction()     {}
 func (Subscribe) isAction() {}
-func (Log) isAction()       {}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -163,10 +163,6 @@
 		}
 		return gannethook.Wakeup{Ref: ref}
 	},
-	"ECHO": func(_ *host, inst *instance, r *reader) gannethook.Event {
-		return gannethook.Probed{Server: server(r), OK: r.whole("outcome") == 100,
-			Took: gannethook.Millis(r.numberOr("rttMs", 0)), Report: inst.report(r)}
-	},
 	"WHISPER": func(*host, *instance, *reader) gannethook.Event { return nil },
 }
 
@@ -308,15 +304,9 @@
 		fmt.Fprintln(w)
 	case gannethook.Fail:
 		fmt.Fprintf(w, "FINISH_ERROR routerId=%d requestId=%d\n", id, a.ID)
-	case gannethook.Move:
-		fmt.Fprintf(w, "REDIRECT routerId=%d requestId=%d\n", id, a.ID)
 	case gannethook.Wake:
 		fmt.Fprintf(w, "AFTER routerId=%d inMs=%.3f ref=%d\n", id, a.In, a.Ref)
-	case gannethook.Probe:
-		fmt.Fprintf(w, "TOUCH routerId=%d worker=%s\n", id, a.Server)
 	case gannethook.Subscribe:
 		fmt.Fprintf(w, "KEEP_INFORMED routerId=%d enable=1\n", id)
-	case gannethook.Log:
-		fmt.Fprintf(w, "NOTE_DOWN routerId=%d line=%s\n", id, strings.ReplaceAll(a.Line, "\n", " "))
 	}
 }
--- a/router.go
+++ b/router.go
@@ -19,7 +19,6 @@
 	keepWorth  = 3    // ours: reads whose kept text a reader may be behind by; theirs is booked in full too
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
-	slowPart   = 0.5  // ours: below this part of the mean speed a prompt's own price counts as well
 	sizeGain   = 0.1  // ours: weight of one report in a writer's learned memory size
 	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
@@ -35,9 +34,11 @@
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
+	slowPart   = 0.5   // ours: below this part of the mean speed a prompt's own price counts as well
 	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
 	overFloor  = 0.65  // ours: the same for requests over their tenant's share
+	worthPart  = 0.4   // ours: how much lower the floor is for a class worth far more than the least
 	lastCall   = 2     // ours: batches before the deadline at which the last answer goes out
 	waitPart   = 0.5   // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6   // ours: part of the pin limit for which a read state waits for a writer
@@ -177,10 +178,6 @@
 		}
 	case Wakeup:
 		r.wakeup(ev)
-	case Probed:
-		if s := r.servers[ev.Server]; s != nil {
-			r.learnReport(s, ev.Report)
-		}
 	}
 	acts := r.acts
 	r.acts = nil
@@ -225,13 +222,17 @@
 
 // admits tells whether a request is taken on. Its freeness is that of the best reader's own backlog or, as
 // other routers' load is unseen, of the times to read and to the first token seen of late, whichever is
-// less; charges stay out, for trouble everywhere is no shortage. Refusals rise as freeness falls, so that
-// routers that see the same do not swing between all and nothing.
+// less; charges stay out, for trouble everywhere is no shortage. What is worth more is refused later.
+// Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
 	floor := admitFloor
 	if r.overShare(q.Tenant) {
 		floor = overFloor
 	}
+	low := slices.MinFunc(r.set.Classes, func(a, b Class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
+	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
+		floor -= worthPart * (1 - low/worth)
+	}
 	free := 1 - (r.reading.now(r.now)+r.opening.now(r.now))/math.Max(float64(q.aim), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
@@ -712,8 +713,7 @@
 func (r *Router) freeness(s *server, q *request) float64 {
 	load := s.out
 	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
-		// Guards against slow readers that look free while idle: there the prompt's own price counts too.
-		load += q.price
+		load += q.price // a slow reader looks free whenever it is idle
 	}
 	return 1 - load/r.budget(s, q) - r.chargeOf(s)
 }
@@ -844,7 +844,7 @@
 	if w >= 1 {
 		return true
 	}
-	perMs := coldPart * w * r.peak[s.role] / 1000
+	perMs := math.Min(coldPart, r.set.OverloadFactor/2) * w * r.peak[s.role] / 1000
 	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
 	return s.credit >= 1
 }
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -236,7 +236,7 @@
 	s.on(1, ask(1, 0))
 	for _, ev := range []Event{ask(1, 0), ask(2, 99), ask(2, -1), Streaming{ID: 9}, Held{ID: 9}, Ended{ID: 9},
 		Ended{ID: 1, Attempt: 7, Server: "x"}, ClientGone{ID: 9}, Wakeup{Ref: 4*9 + 2}, Wakeup{Ref: 3},
-		Probed{Server: "x"}, Membership{Failed: true}, Membership{Servers: []Server{{ID: "x", Kind: 9, State: Ready}}}} {
+		Membership{Failed: true}, Membership{Servers: []Server{{ID: "x", Kind: 9, State: Ready}}}} {
 		s.on(1, ev)
 		s.want()
 	}
@@ -258,3 +258,72 @@
 		}
 	}
 }
+
+// TestColdServerBudget: a cold server's sends follow its warmth and the overload factor, a warm one's nothing.
+func TestColdServerBudget(t *testing.T) {
+	for factor, most := range map[float64]int{2.5: 12, 0.2: 2} {
+		cold := at("r2", 0, 0, 0)
+		cold.Since = 1e6
+		s := newScript(t, fleet(func(set *Settings) { set.OverloadFactor = factor }), at("r1", 0, 0, 0), cold, at("w1", 1, 0, 0))
+		sent := 0
+		for id := RequestID(1); id <= 80; id++ {
+			s.on(50, ask(id, 0))
+			reader := s.sent()
+			if reader == "r2" {
+				sent++
+			}
+			s.on(10, Ended{ID: id, Attempt: 0, Server: reader, Outcome: ReadDone})
+			s.on(5, Streaming{ID: id, Attempt: 1, Server: "w1"})
+			s.on(5, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Served, Done: true})
+		}
+		if sent > most {
+			t.Errorf("factor %v: a cold reader got %d of 80 prompts in 6 s, %d at most", factor, sent, most)
+		}
+	}
+}
+
+// TestWorthSetsFloor: as freeness falls, what is worth far more is refused later.
+func TestWorthSetsFloor(t *testing.T) {
+	s := newScript(t, fleet(func(set *Settings) { set.Classes[3].Worth = 9 }), oneEach...)
+	taken := [2]int{}
+	for id := RequestID(1); id <= 400; id++ {
+		class := 3 * int(id%2)
+		long := ask(id, class)
+		long.Prompt = 2000
+		s.on(1, long)
+		if len(shorts(s.acts)) == 2 {
+			taken[id%2]++
+		}
+		s.on(1, ClientGone{ID: id - 8})
+		s.on(0, Ended{ID: id - 8, Attempt: 0, Server: "r1", Outcome: Cancelled})
+	}
+	if taken[1] <= taken[0] {
+		t.Errorf("%d of the class of high worth taken, %d of the other", taken[1], taken[0])
+	}
+}
+
+// TestProgressKeepsRead: a read is taken away only from a reader that ends nothing.
+func TestProgressKeepsRead(t *testing.T) {
+	for _, moves := range []bool{true, false} {
+		s := newScript(t, fleet(func(set *Settings) { set.MaxAttempts = 0 }), oneEach...)
+		s.on(1, ask(1, 0))
+		s.on(1, ask(2, 0))
+		var watch Wake
+		for _, a := range s.acts {
+			if w, ok := a.(Wake); ok && w.Ref%refStep == refPatience {
+				watch = w
+			}
+		}
+		if moves {
+			s.on(100, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		} else {
+			s.on(100, Wakeup{Ref: 3})
+		}
+		s.on(watch.In-100, Wakeup{Ref: watch.Ref})
+		if moves {
+			s.want()
+		} else {
+			s.want("cancel 2")
+		}
+	}
+}
