--- a/router.go
+++ b/router.go
@@ -72,6 +72,7 @@
 	heard   Millis     // when; 0: never
 	size    float64    // learned memory size in tokens
 	moved   Millis     // last time that an own read ended here
+	stuck   fading     // price taken to be queued where a read was turned away
 	wait    fading     // ms that first tokens took here of late
 	charge  float64    // freeness taken off for failures, as of charged
 	charged Millis
@@ -186,7 +187,6 @@
 
 func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
 
-// wakeup serves a timer.
 func (r *Router) wakeup(ev Wakeup) {
 	switch ev.Ref % refStep {
 	case refSweep:
@@ -401,7 +401,6 @@
 	return min(max(patience*q.aim, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
 }
 
-// send makes the next attempt.
 func (r *Router) send(q *request, a attempt, timeout Millis) {
 	a.n, a.sent = q.sent, r.now
 	q.sent++
@@ -494,7 +493,9 @@
 		}
 		r.praise(a.on)
 	case Full:
-		if !ev.NoState {
+		if a.reads { // no headroom, whatever own books say: its queue is full of others' or dead work
+			a.on.stuck = fading{math.Max(a.on.stuck.now(r.now), r.budget(a.on, q)), r.now}
+		} else if !ev.NoState {
 			r.blame(a.on, 0.5)
 		}
 	case Failed, TimedOut, ConnectFailed, Broken:
@@ -590,7 +591,6 @@
 	r.waiting = append(r.waiting, q)
 }
 
-// sweep looks at the waiting requests again.
 func (r *Router) sweep() {
 	waiting := r.waiting
 	r.waiting = nil
@@ -711,7 +711,7 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	load := s.out
+	load := s.out + s.stuck.now(r.now)
 	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -327,3 +327,15 @@
 		}
 	}
 }
+
+// TestFullReaderHasNoHeadroom: when readers turn prompts away, admission refuses although own books are empty.
+func TestFullReaderHasNoHeadroom(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 0))
+	s.on(1, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: Full})
+	s.on(1, ClientGone{ID: 1})
+	s.on(1, ask(2, 0))
+	s.want("refuse 2")
+	s.on(20000, ask(3, 0))
+	s.want("send 3 r1", "hold 3 w1")
+}
