--- a/router.go
+++ b/router.go
@@ -544,9 +544,9 @@
 // harmless tells whether a client may be told that trying again does no harm.
 func (r *Router) harmless(q *request) bool {
 	class := &r.set.Classes[q.Class]
-	writing := slices.ContainsFunc(q.out, func(a attempt) bool { return !a.reads })
+	// An attempt without an outcome proves nothing yet, a read that is out included.
 	free := class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll
-	return free || q.ranOn == nil && !writing
+	return free || q.ranOn == nil && len(q.out) == 0
 }
 
 // end closes a request and calls off what is out; a stream that has begun is the client's.
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -339,3 +339,13 @@
 	s.on(20000, ask(3, 0))
 	s.want("send 3 r1", "hold 3 w1")
 }
+
+// TestUnsafeReadOutFails: at its last answer an unsafe request with a read still out fails, for a refusal
+// needs an outcome of every attempt.
+func TestUnsafeReadOutFails(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 1))
+	timer := s.acts[0].(Wake)
+	s.on(timer.In, Wakeup{Ref: timer.Ref})
+	s.want("fail 1", "cancel 1")
+}
--- a/stream_test.go
+++ b/stream_test.go
@@ -53,12 +53,8 @@
 			b.reqs[a.ID].holds = false
 		case Refuse:
 			it := b.reqs[a.ID]
-			writing := false
-			for n := range it.out {
-				writing = writing || !it.reads[n]
-			}
 			effect := b.set.Classes[it.class]
-			if effect.Effect != Safe && !(effect.Effect == Keyed && effect.Group == GroupAll) && (it.mayRan || writing) {
+			if effect.Effect != Safe && !(effect.Effect == Keyed && effect.Group == GroupAll) && (it.mayRan || len(it.out) > 0) {
 				b.fault("refused though it may have run", a.ID)
 			}
 			b.final(a.ID)
