--- a/scenario_test.go
+++ b/scenario_test.go
@@ -349,3 +349,29 @@
 	s.on(timer.In, Wakeup{Ref: timer.Ref})
 	s.want("fail 1", "cancel 1")
 }
+
+// TestKeyedStaysInGroup: a keyed request that may have run goes on inside its cell and window, else fails.
+func TestKeyedStaysInGroup(t *testing.T) {
+	for _, c := range []struct {
+		after Millis
+		want  []string
+	}{{1990, []string{"send 1 w3"}}, {2010, []string{}}} {
+		s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 1), at("w3", 1, 0, 0))
+		s.on(1, ask(1, 2))
+		held := s.acts[len(s.acts)-1].(Hold).Server
+		s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+		s.on(100, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		s.on(c.after, Ended{ID: 1, Attempt: 1, Server: held, Outcome: TimedOut})
+		if held == "w3" && len(c.want) > 0 {
+			c.want[0] = "send 1 w1"
+		}
+		s.want(c.want...)
+	}
+}
+
+// TestMixedServerTakesAll: a mixed server gets the whole request, without a hold.
+func TestMixedServerTakesAll(t *testing.T) {
+	s := newScript(t, fleet(), at("m1", 2, 0, 0))
+	s.on(1, ask(1, 0))
+	s.want("send 1 m1")
+}
