--- a/scenario_test.go
+++ b/scenario_test.go
@@ -375,3 +375,14 @@
 	s.on(1, ask(1, 0))
 	s.want("send 1 m1")
 }
+
+// TestKeyedLeavesNoCell: with no other writer in its cell a keyed request that may have run is sent nowhere.
+func TestKeyedLeavesNoCell(t *testing.T) {
+	s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 1))
+	s.on(1, ask(1, 2))
+	s.want("send 1 r1", "hold 1 w1")
+	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+	s.on(100, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	s.on(100, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: TimedOut})
+	s.want()
+}
