Cold credit holds for the sum over all routers

Cause: every router began with one whole send for a cold server, and read a rate from one event in 4 s. Credit now starts at a part of a send drawn from the seed; rates rest on at least ten own requests.

--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -34,7 +34,7 @@
 	return "BATCH momentMs=1000 serial=1\nOPEN_INSTANCE routerId=3 randomSeed=5 profileData=" +
 		profileText(t, change...) + "\nUPDATE routerId=3 kind=cached serial=1 nodesList=2\n" +
 		"WORKER worker=10.0.0.1:1 model=0 readiness=Ready area=0 cell=0 scale=1\n" +
-		"WORKER worker=10.0.0.2:1 model=1 readiness=Ready area=0 cell=0 scale=1 sinceMs=10\nEND\n"
+		"WORKER worker=10.0.0.2:1 model=1 readiness=Ready area=0 cell=0 scale=1 sinceMs=0.0\nEND\n"
 }
 
 const ordering = "ORDER routerId=3 requestId=7 lane=0 dialogue=9 budgetMs=6000 promptLen=1000 prefixLen=0 maxOut=200\n"
--- a/router.go
+++ b/router.go
@@ -25,9 +25,7 @@
 	usualTimes = 4    // ours: multiple of the usual time that an attempt may take
 	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
 	meanGain   = 0.1  // ours: weight of one sample in the mean times to read and to the first token
-	waitGain   = 0.3  // ours: the same for one writer's own
 	meanFade   = 2000 // ours: ms without a sample in which such a mean fades to 1/e
-	holdAnswer = 50   // ours: ms after which a hold without an answer counts as unheard
 	holdTries  = 2    // ours: writers asked for a place per read
 
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
@@ -43,7 +41,8 @@
 	waitPart   = 0.5   // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6   // ours: part of the pin limit for which a read state waits for a writer
 	retryPart  = 0.5   // ours: part of the longest honoured wait that a refusal advises
-	rateWindow = 4000  // ours: ms over which own rates are counted
+	rateWindow = 4000  // ours: ms over which own rates are counted at the least
+	enough     = 10    // ours: own requests that a count or a mean rests on
 	coldPart   = 1.2   // ours: part of a warm server's proven rate, times its warmth, for a cold one
 	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
 	sweepEvery = 20    // ours: ms between two looks at waiting requests
@@ -73,10 +72,8 @@
 	size    float64    // learned memory size in tokens
 	moved   Millis     // last time that an own read ended here
 	stuck   fading     // price taken to be queued where a read was turned away
-	wait    fading     // ms that first tokens took here of late
-	charge  float64    // freeness taken off for failures, as of charged
-	charged Millis
-	credit  float64 // sends that a cold server may still get, as of credAt
+	charge  fading     // freeness taken off for failures
+	credit  float64    // sends that a cold server may still get, as of credAt
 	credAt  Millis
 }
 
@@ -98,10 +95,8 @@
 	deadline, aim Millis // the aim is a span
 	sent          int    // attempts made
 	out           []attempt
-	state         *server // reader at which the state waits
-	place         *server // writer at which a place was asked for, when, and whether it is held
-	placeAt       Millis
-	placed        bool
+	state         *server   // reader at which the state waits
+	place         *server   // writer at which a place was asked for
 	bookedAt      Millis    // when its tokens were last booked at a writer
 	asked         int       // writers asked during this read
 	tried         []*server // servers not to try again
@@ -129,7 +124,8 @@
 	set      Settings
 	seed     uint64
 	now      Millis
-	begun    bool
+	begun    Millis  // first event; 0: none yet
+	arrived  float64 // requests taken
 	servers  map[ServerID]*server
 	list     []*server // in order of id
 	requests map[RequestID]*request
@@ -157,11 +153,13 @@
 // Handle takes one event at time now and returns what is to be done, in order.
 // Events that are late, repeated or about unknown requests cause no action.
 func (r *Router) Handle(now Millis, event Event) []Action {
-	if !r.begun && r.set.AskDiscovery {
-		r.do(Subscribe{})
-	}
-	r.begun = true
 	r.now = max(r.now, now)
+	if r.begun == 0 {
+		r.begun = r.now
+		if r.set.AskDiscovery {
+			r.do(Subscribe{})
+		}
+	}
 	switch ev := event.(type) {
 	case Membership:
 		r.membership(ev)
@@ -208,6 +206,7 @@
 	if r.requests[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
 		return
 	}
+	r.arrived++
 	class := &r.set.Classes[ev.Class]
 	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
 		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
@@ -233,14 +232,14 @@
 	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
 		floor -= worthPart * (1 - low/worth)
 	}
-	free := 1 - (r.reading.now(r.now)+r.opening.now(r.now))/math.Max(float64(q.aim), 1)
+	free := 1 - (r.reading.left(r.now, meanFade)+r.opening.left(r.now, meanFade))/math.Max(float64(q.aim), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
 		if w := r.pickWriter(q, s); w != nil {
 			free = math.Min(free, (r.memory(w)+r.chargeOf(w))/(2*near))
 		}
 	}
-	return (floor-free)/admitRamp <= float64(scramble(uint64(q.ID)^r.seed)>>11)/(1<<53)
+	return (floor-free)/admitRamp <= unit(scramble(uint64(q.ID)^r.seed))
 }
 
 // overShare counts a tenant's request and tells whether it is past its share here.
@@ -249,9 +248,9 @@
 		return false
 	}
 	t := &r.tenants[tenant]
-	t.count(r.now, 1)
+	t.count(r.now, rateWindow)
 	quota := r.set.Tenants[tenant].QuotaPerS / float64(r.set.Routers)
-	return quota > 0 && t.perSecond(r.now) > quota
+	return quota > 0 && t.perSecond(r.now, rateWindow) > quota
 }
 
 // route takes the next step for a request that has no attempt out.
@@ -338,7 +337,7 @@
 	}
 	if w := r.pickWriter(q, reader); w != nil {
 		q.asked++
-		q.place, q.placeAt, q.placed = w, r.now, false
+		q.place = w
 		q.book(w, r.now)
 		r.spend(w)
 		r.do(Hold{ID: q.ID, Server: w.ID})
@@ -348,10 +347,7 @@
 // held takes the answer to a hold; without a place the next writer is asked.
 func (r *Router) held(ev Held) {
 	q := r.requests[ev.ID]
-	if q == nil || q.ended || q.place == nil || len(q.out) == 0 || q.out[0].n != ev.Attempt {
-		return
-	}
-	if q.placed = ev.OK; ev.OK {
+	if q == nil || ev.OK || q.ended || q.place == nil || len(q.out) == 0 || q.out[0].n != ev.Attempt {
 		return
 	}
 	q.tried = append(q.tried, q.place)
@@ -362,12 +358,6 @@
 // toWriter sends a read state to the held writer, else to the freest.
 func (r *Router) toWriter(q *request) {
 	w := q.place
-	if w != nil && !q.placed && r.now-q.placeAt > holdAnswer {
-		// Guards against writers gone silent: their answer to a hold is the first that stays out.
-		r.blame(w, 1)
-		q.tried = append(q.tried, w)
-		w = nil
-	}
 	if w == nil || w.State != Ready || !r.inGroup(w, q) {
 		q.unplace()
 		if w = r.pickWriter(q, q.state); w == nil {
@@ -417,7 +407,7 @@
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
 	r.prove(a.on.role)
-	r.opened(a)
+	r.opening.learn(r.now, r.now-a.sent, meanGain)
 	r.praise(a.on)
 }
 
@@ -435,14 +425,9 @@
 	m.v, m.at = m.v+gain*(float64(took)-m.v), now
 }
 
-// opened takes a time to the first token.
-func (r *Router) opened(a attempt) {
-	r.opening.learn(r.now, r.now-a.sent, meanGain)
-	a.on.wait.learn(r.now, r.now-a.sent, waitGain)
-}
-
-// now is the mean, less the longer no time came in: a router that refuses all must try again.
-func (m *fading) now(now Millis) float64 { return m.v * math.Exp(-float64(now-m.at)/meanFade) }
+// left is what is left of the value, less the longer nothing came in: a router that refuses all must try
+// again.
+func (m *fading) left(now, span Millis) float64 { return m.v * math.Exp(-float64((now-m.at)/span)) }
 
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
@@ -481,7 +466,7 @@
 	if a.reads && (ev.Outcome == ReadDone || ranOut) {
 		r.reading.learn(r.now, r.now-a.sent, meanGain)
 	} else if ranOut {
-		r.opened(a)
+		r.opening.learn(r.now, r.now-a.sent, meanGain)
 	}
 	switch ev.Outcome {
 	case ReadDone, Served:
@@ -494,7 +479,7 @@
 		r.praise(a.on)
 	case Full:
 		if a.reads { // no headroom, whatever own books say: its queue is full of others' or dead work
-			a.on.stuck = fading{math.Max(a.on.stuck.now(r.now), r.budget(a.on, q)), r.now}
+			a.on.stuck = fading{math.Max(a.on.stuck.left(r.now, meanFade), r.budget(a.on, q)), r.now}
 		} else if !ev.NoState {
 			r.blame(a.on, 0.5)
 		}
@@ -640,7 +625,7 @@
 		return last.on
 	}
 	list = slices.DeleteFunc(list, func(s *server) bool { return r.freeness(s, q) < home })
-	top, _ = best(list, func(s *server) float64 { return float64(r.affinity(q, s) >> 11) })
+	top, _ = best(list, func(s *server) float64 { return unit(r.affinity(q, s)) })
 	return top
 }
 
@@ -660,12 +645,19 @@
 	if h == 0 {
 		h = uint64(q.Session) ^ r.seed
 	}
-	for _, b := range []byte(s.ID) {
+	return idHash(h, s.ID)
+}
+
+func idHash(h uint64, id ServerID) uint64 {
+	for _, b := range []byte(id) {
 		h = (h ^ uint64(b)) * 0x100000001b3
 	}
 	return scramble(h)
 }
 
+// unit is a hash as a number from 0 to under 1.
+func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
 func scramble(h uint64) uint64 {
 	h ^= h >> 31
 	h *= 0x9e3779b97f4a7c15
@@ -677,13 +669,12 @@
 // pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
 func (r *Router) pickWriter(q *request, reader *server) *server {
 	list := r.candidates(q, Reader)
-	free := func(s *server) float64 { return r.memory(s) - s.wait.now(r.now)/math.Max(float64(q.aim), 1) }
-	top, high := best(list, free)
+	top, high := best(list, r.memory)
 	if top == nil || reader == nil {
 		return top
 	}
-	list = slices.DeleteFunc(list, func(s *server) bool { return free(s) < high-near })
-	top, _ = best(list, func(s *server) float64 { return free(s) - far*distance(s, reader) })
+	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s) < high-near })
+	top, _ = best(list, func(s *server) float64 { return r.memory(s) - far*distance(s, reader) })
 	return top
 }
 
@@ -711,7 +702,7 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	load := s.out + s.stuck.now(r.now)
+	load := s.out + s.stuck.left(r.now, meanFade)
 	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
@@ -792,7 +783,7 @@
 func (q *request) unplace() {
 	if q.place != nil {
 		q.unbook(q.place)
-		q.place, q.placed = nil, false
+		q.place = nil
 	}
 }
 
@@ -815,16 +806,14 @@
 
 // blame charges a failure to a server's freeness.
 func (r *Router) blame(s *server, weight float64) {
-	s.charge, s.charged = math.Min(r.chargeOf(s)+weight, chargeMax), r.now
+	s.charge = fading{math.Min(r.chargeOf(s)+weight, chargeMax), r.now}
 }
 
 // praise lightens a server's charge.
-func (r *Router) praise(s *server) { s.charge, s.charged = r.chargeOf(s)*chargeKeep, r.now }
+func (r *Router) praise(s *server) { s.charge = fading{r.chargeOf(s) * chargeKeep, r.now} }
 
 // chargeOf is a server's charge, faded to now.
-func (r *Router) chargeOf(s *server) float64 {
-	return s.charge * math.Exp(-float64(r.now-s.charged)/chargeFade)
-}
+func (r *Router) chargeOf(s *server) float64 { return s.charge.left(r.now, chargeFade) }
 
 // warmth is the fraction of its capacity that a server can be counted on for.
 func (r *Router) warmth(s *server) float64 {
@@ -860,17 +849,24 @@
 			fleet += r.warmth(o)
 		}
 	}
-	r.done[role].count(r.now, 1)
-	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now)/math.Max(fleet, 1))
+	window := r.window()
+	r.done[role].count(r.now, window)
+	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now, window)/math.Max(fleet, 1))
+}
+
+// window is the span that own observations rest on: long enough, at this router's pace, for enough of them.
+// Guards against reading a rate or a trend from one event, where many routers see little each.
+func (r *Router) window() Millis {
+	return max(rateWindow, enough*(r.now-r.begun)/Millis(math.Max(r.arrived, 1)))
 }
 
-func (t *fading) count(now Millis, n float64) {
-	t.v, t.at = t.v*math.Exp(-float64(now-t.at)/rateWindow)+n, now
+func (t *fading) count(now, window Millis) {
+	t.v, t.at = t.left(now, window)+1, now
 }
 
 // perSecond is the rate; it starts low.
-func (t *fading) perSecond(now Millis) float64 {
-	return t.v * math.Exp(-float64(now-t.at)/rateWindow) / rateWindow * 1000
+func (t *fading) perSecond(now, window Millis) float64 {
+	return t.left(now, window) / float64(window) * 1000
 }
 
 // remember notes a session's reader; past sessionCap all start anew, which bounds memory.
@@ -921,7 +917,10 @@
 		s.State = Gone
 	}
 	kind := r.set.Kinds[e.Kind]
-	s = &server{Server: e, role: kind.Role, size: kind.Memory, credit: 1, credAt: r.now}
+	s = &server{Server: e, role: kind.Role, size: kind.Memory, credAt: r.now}
+	// Guards rule 4 for the sum over all routers: each starts somewhere between two sends of its own, so
+	// that together they keep the pace from the first moment. A whole send each would be a flood.
+	s.credit = unit(idHash(r.seed, e.ID))
 	r.servers[e.ID] = s
 	r.list = append(r.list, s)
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -152,6 +153,7 @@
 	cold := at("w1", 1, 0, 0)
 	cold.Since = 1e6 - 1000
 	s := newScript(t, fleet(), at("r1", 0, 0, 0), cold, at("w2", 1, 1, 1))
+	s.r.servers["w1"].credit = 1
 	s.on(1, ask(1, 0))
 	s.want("send 1 r1", "hold 1 w1")
 	s.on(5, Held{ID: 1, Attempt: 0, OK: true})
@@ -386,3 +388,60 @@
 	s.on(100, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: TimedOut})
 	s.want()
 }
+
+// TestManyRoutersOneColdServer: the cold budget holds for the sum over all routers, uneven and restarted ones
+// too. 100 routers share 4 warm readers; none knows of another, and a fifth reader starts cold.
+func TestManyRoutersOneColdServer(t *testing.T) {
+	const routers, span = 100, 2000
+	warm := []Server{at("r1", 0, 0, 0), at("r2", 0, 0, 0), at("r3", 0, 0, 0), at("r4", 0, 0, 0), at("w1", 1, 0, 0)}
+	var fleetOf []*script
+	for i := range routers {
+		s := &script{t: t, now: 1e6}
+		s.r, _ = New(fleet(func(set *Settings) { set.Routers, set.Router = routers, i }), uint64(i)*7919)
+		s.on(0, Membership{Whole: true, Servers: warm})
+		fleetOf = append(fleetOf, s)
+	}
+	id, reads, cold := RequestID(0), 0, 0
+	turn := func(ms Millis) {
+		for i, s := range fleetOf {
+			s.now += ms
+			if i%2 == 1 && id%3 != 0 { // uneven fronts: every other router sees a third
+				id++
+				continue
+			}
+			id++
+			s.on(0, ask(id, 0))
+			for _, a := range s.acts {
+				if send, ok := a.(Send); ok {
+					if reads++; send.Server == "r5" {
+						cold++
+					}
+					s.on(0, Ended{ID: id, Attempt: 0, Server: send.Server, Outcome: ReadDone})
+					s.on(0, ClientGone{ID: id})
+					s.on(0, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Cancelled})
+				}
+			}
+		}
+	}
+	for range 20 {
+		turn(1500)
+	}
+	each := float64(reads) / 4 / (20 * 1500) * span // what a warm reader takes in the span
+	fresh := at("r5", 0, 0, 0)
+	fresh.Since = fleetOf[0].now
+	for i, s := range fleetOf {
+		if i < 20 { // restarted just now
+			s.r, _ = New(s.r.set, uint64(i))
+			s.on(0, Membership{Whole: true, Servers: append(slices.Clone(warm), fresh)})
+		}
+		s.on(0, Membership{Servers: []Server{fresh}})
+	}
+	cold = 0
+	for range 4 {
+		turn(span / 4)
+	}
+	set := fleetOf[0].r.set
+	if most := set.OverloadFactor * (set.ColdFrom + 0.15) * each; float64(cold) > most {
+		t.Errorf("%d reads at the cold reader within its window, %.1f at most", cold, most)
+	}
+}
