Writers that tie are drawn by the request's hash, not by the lowest id

Cause: own streams are nearly nil at 40 to 300 routers; every router took the same writer of a cell.

--- a/router.go
+++ b/router.go
@@ -674,7 +674,9 @@
 		return top
 	}
 	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s) < high-near })
-	top, _ = best(list, func(s *server) float64 { return r.memory(s) - far*distance(s, reader) })
+	top, _ = best(list, func(s *server) float64 {
+		return unit(idHash(uint64(q.ID)^r.seed, s.ID)) - far*distance(s, reader)
+	})
 	return top
 }
 
