--- a/router.go
+++ b/router.go
@@ -24,8 +24,7 @@
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
 	usualTimes = 4    // ours: multiple of the usual time that an attempt may take
 	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
-	meanGain   = 0.1  // ours: weight of one sample in the mean times to read and to the first token
-	meanFade   = 2000 // ours: ms without a sample in which such a mean fades to 1/e
+	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
 
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
@@ -232,7 +231,8 @@
 	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
 		floor -= worthPart * (1 - low/worth)
 	}
-	free := 1 - (r.reading.left(r.now, meanFade)+r.opening.left(r.now, meanFade))/math.Max(float64(q.aim), 1)
+	span := r.window() / 2
+	free := 1 - (r.reading.left(r.now, span)+r.opening.left(r.now, span))/math.Max(float64(q.aim), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
 		if w := r.pickWriter(q, s); w != nil {
@@ -407,7 +407,7 @@
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
 	r.prove(a.on.role)
-	r.opening.learn(r.now, r.now-a.sent, meanGain)
+	r.opening.learn(r.now, r.now-a.sent)
 	r.praise(a.on)
 }
 
@@ -418,10 +418,8 @@
 
 // learn takes one time. Attempts that ran out count as well: else only the quick ones would, and
 // time-outs would stay too short while every server is slow.
-func (m *fading) learn(now, took Millis, gain float64) {
-	if m.v == 0 {
-		m.v = float64(took)
-	}
+func (m *fading) learn(now, took Millis) {
+	gain := math.Max(meanGain, 1-math.Exp(-float64((now-m.at)/rateWindow)))
 	m.v, m.at = m.v+gain*(float64(took)-m.v), now
 }
 
@@ -464,9 +462,9 @@
 	}
 	ranOut := !q.ended && (ev.Outcome == TimedOut || ev.Outcome == Cancelled)
 	if a.reads && (ev.Outcome == ReadDone || ranOut) {
-		r.reading.learn(r.now, r.now-a.sent, meanGain)
+		r.reading.learn(r.now, r.now-a.sent)
 	} else if ranOut {
-		r.opening.learn(r.now, r.now-a.sent, meanGain)
+		r.opening.learn(r.now, r.now-a.sent)
 	}
 	switch ev.Outcome {
 	case ReadDone, Served:
@@ -479,7 +477,7 @@
 		r.praise(a.on)
 	case Full:
 		if a.reads { // no headroom, whatever own books say: its queue is full of others' or dead work
-			a.on.stuck = fading{math.Max(a.on.stuck.left(r.now, meanFade), r.budget(a.on, q)), r.now}
+			a.on.stuck = fading{math.Max(a.on.stuck.left(r.now, r.window()/2), r.budget(a.on, q)), r.now}
 		} else if !ev.NoState {
 			r.blame(a.on, 0.5)
 		}
@@ -641,11 +639,7 @@
 
 // affinity ranks a server for a shared beginning, the same at every router; without one, for the session.
 func (r *Router) affinity(q *request, s *server) uint64 {
-	h := uint64(q.Prefix)
-	if h == 0 {
-		h = uint64(q.Session) ^ r.seed
-	}
-	return idHash(h, s.ID)
+	return idHash(uint64(q.Session), s.ID)
 }
 
 func idHash(h uint64, id ServerID) uint64 {
@@ -704,7 +698,7 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	load := s.out + s.stuck.left(r.now, meanFade)
+	load := s.out + s.stuck.left(r.now, r.window()/2)
 	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
