--- a/router.go
+++ b/router.go
@@ -23,7 +23,7 @@
 	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
 	usualTimes = 4    // ours: multiple of the usual time that an attempt may take
-	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
+	patience   = 1.0  // ours: part of the aim that an attempt may take at the least
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
 
