A reader's speed starts from three mean reads; the mean is kept once

Cause: at 300 routers a speed rested on one or two reads; a long prompt or another router's queue halved it and drove sessions from home. meanSpeed was summed per candidate.

--- a/router.go
+++ b/router.go
@@ -19,6 +19,8 @@
 	keepWorth  = 3    // ours: reads whose kept text a reader may be behind by; theirs is booked in full too
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
+	meanKeep   = 0.98 // ours: the same for the mean speed of all readers
+	meanReads  = 3    // ours: mean reads that a reader's speed starts from
 	sizeGain   = 0.1  // ours: weight of one report in a writer's learned memory size
 	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
@@ -62,9 +64,8 @@
 type server struct {
 	Server
 	role    Role
-	out     float64    // price of own reads out
-	work    float64    // price of reads timed, older ones fading
-	took    float64    // ms that they took
+	out     float64 // price of own reads out
+	speed   tally
 	streams []*request // own places and streams
 	share   float64    // memory share as last reported
 	heard   Millis     // when; 0: never
@@ -76,6 +77,13 @@
 	credAt  Millis
 }
 
+// tally sums up timed reads, older ones fading: their prices, the ms that they took, and how many.
+type tally struct{ work, took, n float64 }
+
+func (t *tally) add(keep, work, took float64) {
+	*t = tally{t.work*keep + work, t.took*keep + math.Max(took, 1), t.n*keep + 1}
+}
+
 // attempt is one attempt that is out.
 type attempt struct {
 	n           int
@@ -133,6 +141,7 @@
 	tenants  []fading
 	done     [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak     [Mixed + 1]float64 // most of these a second for each warm server
+	reads    tally              // all readers' reads
 	reading  fading             // ms that reads took of late
 	opening  fading             // ms from a writer's send to the first token
 	acts     []Action
@@ -471,8 +480,8 @@
 		if a.reads {
 			a.on.moved = r.now
 			r.prove(Reader)
-			a.on.work = a.on.work*speedKeep + a.queue
-			a.on.took = a.on.took*speedKeep + math.Max(float64(r.now-a.sent), 1)
+			a.on.speed.add(speedKeep, a.queue, float64(r.now-a.sent))
+			r.reads.add(meanKeep, a.queue, float64(r.now-a.sent))
 		}
 		r.praise(a.on)
 	case Full:
@@ -699,7 +708,7 @@
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
 	load := s.out + s.stuck.left(r.now, r.window()/2)
-	if s.took > 0 && r.speed(s) < slowPart*r.meanSpeed() {
+	if r.speed(s)*r.reads.took < slowPart*r.reads.work {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
 	return 1 - load/r.budget(s, q) - r.chargeOf(s)
@@ -710,23 +719,16 @@
 	return math.Max(r.speed(s)*float64(q.aim), 1e-9)
 }
 
-// speed is a reader's learned price per ms; an unheard one counts as average.
+// speed is a reader's learned price per ms. It starts from a few mean reads: an unheard reader counts
+// as average, and one odd read of a few (a long prompt, another router's queue) does not drive its
+// sessions from the text that it keeps. A much slower reader shows after one or two reads all the same.
 func (r *Router) speed(s *server) float64 {
-	if s.took > 0 {
-		return math.Max(s.work/s.took, 1e-6)
-	}
-	return r.meanSpeed()
-}
-
-func (r *Router) meanSpeed() float64 {
-	work, took := 0.0, 0.0
-	for _, s := range r.list {
-		work, took = work+s.work, took+s.took
-	}
+	part := meanReads / math.Max(r.reads.n, 1)
+	took := s.speed.took + part*r.reads.took
 	if took == 0 {
 		return firstSpeed
 	}
-	return math.Max(work/took, 1e-6)
+	return math.Max((s.speed.work+part*r.reads.work)/took, 1e-6)
 }
 
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
