--- a/router.go
+++ b/router.go
@@ -48,7 +48,10 @@
 	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
 	sweepEvery = 20    // ours: ms between two looks at waiting requests
 	askEvery   = 1000  // ours: ms before a failed subscription is asked for again
-	sessionCap = 32768 // ours: sessions remembered at most
+	keyCap     = 32768 // ours: sessions and shared beginnings remembered at most
+	leastHomes = 3     // ours: readers that share a beginning's sessions at the least
+	homesPart  = 2     // ours: homes for each reader's worth of reads that a beginning makes up
+	homesFade  = 60000 // ours: ms in which a read counts less for that, to 1/e
 )
 
 // References of timers; a request's timer is its id times refStep plus refDeadline.
@@ -66,14 +69,14 @@
 	role    Role
 	out     float64 // price of own reads out
 	speed   tally
-	streams []*request // own places and streams
-	share   float64    // memory share as last reported
-	heard   Millis     // when; 0: never
-	size    float64    // learned memory size in tokens
-	moved   Millis     // last time that an own read ended here
-	stuck   fading     // price taken to be queued where a read was turned away
-	charge  fading     // freeness taken off for failures
-	credit  float64    // sends that a cold server may still get, as of credAt
+	streams []*request     // own places and streams
+	share   float64        // memory share as last reported
+	heard   Millis         // when; 0: never
+	size    float64        // learned memory size in tokens
+	moved   Millis         // last time that an own read ended here
+	full    map[int]fading // freeness taken off for a flow that it turned away
+	charge  fading         // freeness taken off for failures
+	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
 }
 
@@ -137,7 +140,9 @@
 	list     []*server // in order of id
 	requests map[RequestID]*request
 	waiting  []*request
-	visits   map[Key]visit // last read of a session
+	visits   map[Key]visit  // last read of a session
+	begins   map[Key]fading // requests of a shared beginning, and of all
+	all      fading
 	tenants  []fading
 	done     [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak     [Mixed + 1]float64 // most of these a second for each warm server
@@ -154,7 +159,7 @@
 	}
 	return &Router{
 		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		visits: map[Key]visit{}, tenants: make([]fading, len(set.Tenants)),
+		visits: map[Key]visit{}, begins: map[Key]fading{}, tenants: make([]fading, len(set.Tenants)),
 	}, nil
 }
 
@@ -215,6 +220,7 @@
 		return
 	}
 	r.arrived++
+	r.begin(ev.Prefix)
 	class := &r.set.Classes[ev.Class]
 	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
 		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
@@ -245,7 +251,7 @@
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
 		if w := r.pickWriter(q, s); w != nil {
-			free = math.Min(free, (r.memory(w)+r.chargeOf(w))/(2*near))
+			free = math.Min(free, (r.memory(w, q)+r.chargeOf(w))/(2*near))
 		}
 	}
 	return (floor-free)/admitRamp <= unit(scramble(uint64(q.ID)^r.seed))
@@ -485,10 +491,10 @@
 		}
 		r.praise(a.on)
 	case Full:
-		if a.reads { // no headroom, whatever own books say: its queue is full of others' or dead work
-			a.on.stuck = fading{math.Max(a.on.stuck.left(r.now, r.window()/2), r.budget(a.on, q)), r.now}
-		} else if !ev.NoState {
-			r.blame(a.on, 0.5)
+		// No headroom, whatever own books say: its queue is full of others' or dead work, or it turns away
+		// this class or tenant alone. So it counts for these alone; others find out for themselves.
+		if !ev.NoState {
+			a.on.full[r.flow(q)] = fading{1, r.now}
 		}
 	case Failed, TimedOut, ConnectFailed, Broken:
 		// A failing server's books empty at once, a silent one's when its attempts run out: either would
@@ -632,8 +638,7 @@
 		return last.on
 	}
 	list = slices.DeleteFunc(list, func(s *server) bool { return r.freeness(s, q) < home })
-	top, _ = best(list, func(s *server) float64 { return unit(r.affinity(q, s)) })
-	return top
+	return r.home(q, list)
 }
 
 // saved is the freeness that text kept at a reader is worth to a prompt: the price that need not be read.
@@ -646,9 +651,38 @@
 // price is what reading so many prompt tokens costs.
 func price(tokens float64) float64 { return alpha*tokens*tokens + beta*modelFactor*tokens }
 
-// affinity ranks a server for a shared beginning, the same at every router; without one, for the session.
-func (r *Router) affinity(q *request, s *server) uint64 {
-	return idHash(uint64(q.Session), s.ID)
+// home chooses among near readers by two hashes that are the same at every router: the shared beginning's
+// first few are its homes, and of these the session's first. Departs from the design page, where a beginning
+// has one home: at many routers a session's last reader is unknown, for each turn comes to another router,
+// and own backlog, nearly nil, does not send the reads of a common beginning on.
+func (r *Router) home(q *request, list []*server) *server {
+	homes := min(r.homes(q, len(list)), len(list))
+	slices.SortFunc(list, func(a, b *server) int {
+		return cmp.Compare(idHash(uint64(q.Prefix), b.ID), idHash(uint64(q.Prefix), a.ID))
+	})
+	top, _ := best(list[:homes], func(s *server) float64 { return unit(idHash(uint64(q.Session), s.ID)) })
+	return top
+}
+
+// homes is how many readers a shared beginning is spread over: more, the more of the own requests have it.
+func (r *Router) homes(q *request, readers int) int {
+	if q.Prefix == 0 {
+		return readers
+	}
+	b := r.begins[q.Prefix]
+	part := b.left(r.now, homesFade) / (enough + r.all.left(r.now, homesFade))
+	return leastHomes + int(homesPart*part*float64(readers))
+}
+
+// begin counts a request under its shared beginning.
+func (r *Router) begin(key Key) {
+	if len(r.begins) >= keyCap {
+		clear(r.begins)
+	}
+	b := r.begins[key]
+	b.count(r.now, homesFade)
+	r.begins[key] = b
+	r.all.count(r.now, homesFade)
 }
 
 func idHash(h uint64, id ServerID) uint64 {
@@ -672,11 +706,11 @@
 // pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
 func (r *Router) pickWriter(q *request, reader *server) *server {
 	list := r.candidates(q, Reader)
-	top, high := best(list, r.memory)
+	top, high := best(list, func(s *server) float64 { return r.memory(s, q) })
 	if top == nil || reader == nil {
 		return top
 	}
-	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s) < high-near })
+	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s, q) < high-near })
 	top, _ = best(list, func(s *server) float64 {
 		return unit(idHash(uint64(q.ID)^r.seed, s.ID)) - far*distance(s, reader)
 	})
@@ -707,11 +741,19 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	load := s.out + s.stuck.left(r.now, r.window()/2)
+	load := s.out
 	if r.speed(s)*r.reads.took < slowPart*r.reads.work {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
-	return 1 - load/r.budget(s, q) - r.chargeOf(s)
+	return 1 - load/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q)
+}
+
+// flow is what a server may turn away by itself: a class and a tenant.
+func (r *Router) flow(q *request) int { return q.Class*max(len(r.tenants), 1) + q.Tenant }
+
+func (r *Router) fullFor(s *server, q *request) float64 {
+	f := s.full[r.flow(q)]
+	return f.left(r.now, r.window())
 }
 
 // budget is the price that a reader works off within the request's aim.
@@ -733,17 +775,17 @@
 
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
 // Unreported writers count average; without reports own streams alone decide.
-func (r *Router) memory(s *server) float64 {
+func (r *Router) memory(s *server, q *request) float64 {
 	share, since := s.share, 0.0
 	if s.heard == 0 {
 		share = r.meanShare()
 	}
-	for _, q := range s.streams {
-		if s.heard == 0 || q.bookedAt > s.heard-reportLag {
-			since += q.tokens()
+	for _, o := range s.streams {
+		if s.heard == 0 || o.bookedAt > s.heard-reportLag {
+			since += o.tokens()
 		}
 	}
-	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s)
+	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q)
 }
 
 // meanShare is the mean reported memory share of the writers heard.
@@ -867,9 +909,9 @@
 	return t.left(now, window) / float64(window) * 1000
 }
 
-// remember notes a session's reader; past sessionCap all start anew, which bounds memory.
+// remember notes a session's reader; past keyCap all start anew, which bounds memory.
 func (r *Router) remember(q *request, s *server) {
-	if len(r.visits) >= sessionCap {
+	if len(r.visits) >= keyCap {
 		clear(r.visits)
 	}
 	if q.Session != 0 {
@@ -915,7 +957,7 @@
 		s.State = Gone
 	}
 	kind := r.set.Kinds[e.Kind]
-	s = &server{Server: e, role: kind.Role, size: kind.Memory, credAt: r.now}
+	s = &server{Server: e, role: kind.Role, size: kind.Memory, full: map[int]fading{}, credAt: r.now}
 	// Guards rule 4 for the sum over all routers: each starts somewhere between two sends of its own, so
 	// that together they keep the pace from the first moment. A whole send each would be a flood.
 	s.credit = unit(idHash(r.seed, e.ID))
