--- a/router.go
+++ b/router.go
@@ -31,6 +31,7 @@
 
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
+	fullFade   = 3    // ours: windows in which being turned away fades to 1/e
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
 	slowPart   = 0.5   // ours: below this part of the mean speed a prompt's own price counts as well
@@ -753,7 +754,7 @@
 
 func (r *Router) fullFor(s *server, q *request) float64 {
 	f := s.full[r.flow(q)]
-	return f.left(r.now, r.window())
+	return f.left(r.now, fullFade*r.window())
 }
 
 // budget is the price that a reader works off within the request's aim.
