--- a/router.go
+++ b/router.go
@@ -37,13 +37,14 @@
 	slowPart   = 0.5   // ours: below this part of the mean speed a prompt's own price counts as well
 	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
-	overFloor  = 0.65  // ours: the same for requests over their tenant's share
+	overSlack  = 1.2   // ours: times its share that a tenant may seem to ask for by chance
 	worthPart  = 0.4   // ours: how much lower the floor is for a class worth far more than the least
 	lastCall   = 2     // ours: batches before the deadline at which the last answer goes out
 	waitPart   = 0.5   // ours: part of the aim for which a request waits for a usable server
 	pinPart    = 0.6   // ours: part of the pin limit for which a read state waits for a writer
 	retryPart  = 0.5   // ours: part of the longest honoured wait that a refusal advises
 	rateWindow = 4000  // ours: ms over which own rates are counted at the least
+	windowCap  = 20000 // ours: and at the most
 	enough     = 10    // ours: own requests that a count or a mean rests on
 	coldPart   = 1.2   // ours: part of a warm server's proven rate, times its warmth, for a cold one
 	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
@@ -239,16 +240,14 @@
 // less; charges stay out, for trouble everywhere is no shortage. What is worth more is refused later.
 // Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
-	floor := admitFloor
-	if r.overShare(q.Tenant) {
-		floor = overFloor
-	}
+	floor := 1 - (1-admitFloor)/r.overShare(q.Tenant)
 	low := slices.MinFunc(r.set.Classes, func(a, b Class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
 	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
 		floor -= worthPart * (1 - low/worth)
 	}
 	span := r.window() / 2
-	free := 1 - (r.reading.left(r.now, span)+r.opening.left(r.now, span))/math.Max(float64(q.aim), 1)
+	usual := r.reading.left(r.now, span) + r.opening.left(r.now, span)
+	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
 		if w := r.pickWriter(q, s); w != nil {
@@ -258,15 +257,17 @@
 	return (floor-free)/admitRamp <= unit(scramble(uint64(q.ID)^r.seed))
 }
 
-// overShare counts a tenant's request and tells whether it is past its share here.
-func (r *Router) overShare(tenant int) bool {
-	if tenant < 0 || tenant >= len(r.tenants) {
-		return false
+// overShare counts a tenant's request and tells how many times its share here the tenant asks for, 1 at the
+// least. The count runs over enough requests at its share, and a little more is chance.
+func (r *Router) overShare(tenant int) float64 {
+	if tenant < 0 || tenant >= len(r.tenants) || r.set.Tenants[tenant].QuotaPerS <= 0 {
+		return 1
 	}
-	t := &r.tenants[tenant]
-	t.count(r.now, rateWindow)
 	quota := r.set.Tenants[tenant].QuotaPerS / float64(r.set.Routers)
-	return quota > 0 && t.perSecond(r.now, rateWindow) > quota
+	window := min(max(rateWindow, Millis(enough*1000/quota)), 3*windowCap)
+	t := &r.tenants[tenant]
+	t.count(r.now, window)
+	return math.Max(1, t.perSecond(r.now, window)/quota/overSlack)
 }
 
 // route takes the next step for a request that has no attempt out.
@@ -432,11 +433,11 @@
 	return slices.IndexFunc(q.out, func(a attempt) bool { return a.n == n })
 }
 
-// learn takes one time. Attempts that ran out count as well: else only the quick ones would, and
-// time-outs would stay too short while every server is slow.
+// learn takes one time into a geometric mean: most requests' time, which a few sick servers do not move.
 func (m *fading) learn(now, took Millis) {
 	gain := math.Max(meanGain, 1-math.Exp(-float64((now-m.at)/rateWindow)))
-	m.v, m.at = m.v+gain*(float64(took)-m.v), now
+	was := math.Max(m.v, 1)
+	m.v, m.at = was*math.Pow(math.Max(float64(took), 1)/was, gain), now
 }
 
 // left is what is left of the value, less the longer nothing came in: a router that refuses all must try
@@ -476,12 +477,7 @@
 	if !a.reads {
 		q.unbook(a.on)
 	}
-	ranOut := !q.ended && (ev.Outcome == TimedOut || ev.Outcome == Cancelled)
-	if a.reads && (ev.Outcome == ReadDone || ranOut) {
-		r.reading.learn(r.now, r.now-a.sent)
-	} else if ranOut {
-		r.opening.learn(r.now, r.now-a.sent)
-	}
+	r.timed(q, a, ev.Outcome)
 	switch ev.Outcome {
 	case ReadDone, Served:
 		if a.reads {
@@ -506,6 +502,20 @@
 	}
 }
 
+// timed learns from how long an attempt took. One that was called off, by its client too, and had outlasted
+// the mean tells at least that: else only what ends would count, and a jam would look quick.
+func (r *Router) timed(q *request, a attempt, o Outcome) {
+	mean := &r.opening
+	if a.reads {
+		mean = &r.reading
+	}
+	took := r.now - a.sent
+	ranOut := (o == TimedOut || o == Cancelled) && !q.stream && float64(took) > mean.v
+	if a.reads && o == ReadDone || ranOut {
+		mean.learn(r.now, took)
+	}
+}
+
 // again decides what follows an attempt that gave no answer.
 func (r *Router) again(q *request, a attempt, ev Ended) {
 	if !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed {
@@ -898,7 +908,7 @@
 // window is the span that own observations rest on: long enough, at this router's pace, for enough of them.
 // Guards against reading a rate or a trend from one event, where many routers see little each.
 func (r *Router) window() Millis {
-	return max(rateWindow, enough*(r.now-r.begun)/Millis(math.Max(r.arrived, 1)))
+	return min(max(rateWindow, enough*(r.now-r.begun)/Millis(math.Max(r.arrived, 1))), windowCap)
 }
 
 func (t *fading) count(now, window Millis) {
