--- a/router.go
+++ b/router.go
@@ -25,7 +25,7 @@
 	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
 	usualTimes = 4    // ours: multiple of the usual time that an attempt may take
-	patience   = 1.0  // ours: part of the aim that an attempt may take at the least
+	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
 
@@ -403,9 +403,10 @@
 	return r.span(q, r.opening.v)
 }
 
-// span is how long an attempt may take that usually takes so many ms.
+// span is how long an attempt may take that usually takes so many ms. The fewer own requests a router has
+// to tell a silent server from a loaded one by, the longer it waits, up to the whole aim.
 func (r *Router) span(q *request, usual float64) Millis {
-	return min(max(patience*q.aim, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
+	return min(max(min(patience*r.window()/rateWindow, 1)*q.aim, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
 }
 
 func (r *Router) send(q *request, a attempt, timeout Millis) {
