--- a/router.go
+++ b/router.go
@@ -32,6 +32,7 @@
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	fullFade   = 3    // ours: windows in which being turned away fades to 1/e
+	lateGain   = 0.5  // ours: weight of one attempt in a server's lateness
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
 	slowPart   = 0.5   // ours: below this part of the mean speed a prompt's own price counts as well
@@ -77,6 +78,7 @@
 	size    float64        // learned memory size in tokens
 	moved   Millis         // last time that an own read ended here
 	full    map[int]fading // freeness taken off for a flow that it turned away
+	late    fading         // freeness taken off for taking longer than others
 	charge  fading         // freeness taken off for failures
 	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
@@ -425,6 +427,7 @@
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
 	r.prove(a.on.role)
+	r.lateness(a.on, q, r.now-a.sent-Millis(usualTimes*r.opening.v))
 	r.opening.learn(r.now, r.now-a.sent)
 	r.praise(a.on)
 }
@@ -512,9 +515,20 @@
 	}
 	took := r.now - a.sent
 	ranOut := (o == TimedOut || o == Cancelled) && !q.stream && float64(took) > mean.v
-	if a.reads && o == ReadDone || ranOut {
+	read := a.reads && o == ReadDone
+	if read || ranOut {
 		mean.learn(r.now, took)
 	}
+	if read {
+		r.lateness(a.on, q, took-Millis(a.queue/r.speed(a.on)))
+	}
+}
+
+// lateness takes off a server's freeness by what an attempt took longer than usual, as a part of the aim.
+// Guards against servers that grow slower with nothing in the books: the load that this router does not see.
+func (r *Router) lateness(s *server, q *request, over Millis) {
+	late := math.Max(float64(over/max(q.aim, 1)), 0)
+	s.late = fading{(1-lateGain)*s.late.left(r.now, r.window()) + lateGain*late, r.now}
 }
 
 // again decides what follows an attempt that gave no answer.
@@ -757,7 +771,7 @@
 	if r.speed(s)*r.reads.took < slowPart*r.reads.work {
 		load += q.price // a slow reader looks free whenever it is idle
 	}
-	return 1 - load/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q)
+	return 1 - load/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q) - s.late.left(r.now, r.window())
 }
 
 // flow is what a server may turn away by itself: a class and a tenant.
@@ -797,7 +811,8 @@
 			since += o.tokens()
 		}
 	}
-	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q)
+	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q) -
+		s.late.left(r.now, r.window())
 }
 
 // meanShare is the mean reported memory share of the writers heard.
