--- a/router.go
+++ b/router.go
@@ -802,10 +802,8 @@
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
 // Unreported writers count average; without reports own streams alone decide.
 func (r *Router) memory(s *server, q *request) float64 {
-	share, since := s.share, 0.0
-	if s.heard == 0 {
-		share = r.meanShare()
-	}
+	mean, since := r.meanShare(), 0.0
+	share := mean + (s.share-mean)*math.Exp(-float64((r.now-s.heard)/r.window()))
 	for _, o := range s.streams {
 		if s.heard == 0 || o.bookedAt > s.heard-reportLag {
 			since += o.tokens()
