--- a/router.go
+++ b/router.go
@@ -151,6 +151,7 @@
 	done     [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak     [Mixed + 1]float64 // most of these a second for each warm server
 	reads    tally              // all readers' reads
+	share    float64            // mean memory share of the writers that reported
 	reading  fading             // ms that reads took of late
 	opening  fading             // ms from a writer's send to the first token
 	acts     []Action
@@ -802,8 +803,8 @@
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
 // Unreported writers count average; without reports own streams alone decide.
 func (r *Router) memory(s *server, q *request) float64 {
-	mean, since := r.meanShare(), 0.0
-	share := mean + (s.share-mean)*math.Exp(-float64((r.now-s.heard)/r.window()))
+	since := 0.0
+	share := r.share + (s.share-r.share)*math.Exp(-float64((r.now-s.heard)/r.window()))
 	for _, o := range s.streams {
 		if s.heard == 0 || o.bookedAt > s.heard-reportLag {
 			since += o.tokens()
@@ -813,17 +814,6 @@
 		s.late.left(r.now, r.window())
 }
 
-// meanShare is the mean reported memory share of the writers heard.
-func (r *Router) meanShare() float64 {
-	sum, n := 0.0, 0.0
-	for _, s := range r.list {
-		if s.role != Reader && s.heard > 0 {
-			sum, n = sum+s.share, n+1
-		}
-	}
-	return sum / math.Max(n, 1)
-}
-
 // tokens is the memory that an answer may need: prompt and hint, else the told maximum.
 func (q *request) tokens() float64 {
 	if q.Hint > 0 {
@@ -865,6 +855,10 @@
 		if size := own * float64(r.set.Routers) / v.Value; v.Value > near && own > 0 {
 			s.size += sizeGain * (size - s.size)
 		}
+		if r.share == 0 {
+			r.share = v.Value
+		}
+		r.share += meanGain * (v.Value - r.share)
 		s.share, s.heard = v.Value, r.now
 	}
 }
