--- a/router.go
+++ b/router.go
@@ -248,7 +248,7 @@
 	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
 		floor -= worthPart * (1 - low/worth)
 	}
-	span := r.window() / 2
+	span := r.window()
 	usual := r.reading.left(r.now, span) + r.opening.left(r.now, span)
 	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
 	if s := r.pickReader(q); s != nil {
