--- a/router.go
+++ b/router.go
@@ -31,6 +31,7 @@
 
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
+	heldBack   = 0.3  // ours: freeness taken off a writer that refused a place
 	fullFade   = 3    // ours: windows in which being turned away fades to 1/e
 	lateGain   = 0.5  // ours: weight of one attempt in a server's lateness
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
@@ -371,6 +372,9 @@
 		return
 	}
 	q.tried = append(q.tried, q.place)
+	if r.now-q.place.heard > r.window() { // no slot or memory free, and no report that says how little
+		q.place.full[r.flow(q)] = fading{heldBack, r.now}
+	}
 	q.unplace()
 	r.hold(q, q.out[0].on)
 }
@@ -400,7 +404,7 @@
 // openTimeout is how long a writer may take to the first token.
 func (r *Router) openTimeout(q *request) Millis {
 	class := &r.set.Classes[q.Class]
-	if class.Effect != Safe || !class.Streamed || !r.attemptsLeft(q, 2) {
+	if class.Effect != Safe || !class.Streamed || q.ranOn != nil || !r.attemptsLeft(q, 2) {
 		return 0
 	}
 	return r.span(q, r.opening.v)
