--- a/router.go
+++ b/router.go
@@ -33,10 +33,9 @@
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	heldBack   = 0.3  // ours: freeness taken off a writer that refused a place
 	fullFade   = 3    // ours: windows in which being turned away fades to 1/e
-	lateGain   = 0.5  // ours: weight of one attempt in a server's lateness
+	lateGain   = 0.5  // ours: charge for a success that is a whole aim late
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
-	slowPart   = 0.5   // ours: below this part of the mean speed a prompt's own price counts as well
 	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
 	overSlack  = 1.2   // ours: times its share that a tenant may seem to ask for by chance
@@ -49,7 +48,6 @@
 	windowCap  = 20000 // ours: and at the most
 	enough     = 10    // ours: own requests that a count or a mean rests on
 	coldPart   = 1.2   // ours: part of a warm server's proven rate, times its warmth, for a cold one
-	peakKeep   = 0.999 // ours: what one more proof leaves of the peak
 	sweepEvery = 20    // ours: ms between two looks at waiting requests
 	askEvery   = 1000  // ours: ms before a failed subscription is asked for again
 	keyCap     = 32768 // ours: sessions and shared beginnings remembered at most
@@ -79,8 +77,7 @@
 	size    float64        // learned memory size in tokens
 	moved   Millis         // last time that an own read ended here
 	full    map[int]fading // freeness taken off for a flow that it turned away
-	late    fading         // freeness taken off for taking longer than others
-	charge  fading         // freeness taken off for failures
+	charge  fading         // freeness taken off for failures and lateness
 	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
 }
@@ -97,7 +94,6 @@
 	n           int
 	on          *server
 	reads       bool    // it reads only: it has no effect, however it ends
-	price       float64 // booked to the reader
 	queue       float64 // own price out at the reader when it was sent, itself included
 	sent        Millis
 	seen, check Millis // when the reader was last looked at for progress, and when it is next
@@ -253,9 +249,9 @@
 	usual := r.reading.left(r.now, span) + r.opening.left(r.now, span)
 	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
 	if s := r.pickReader(q); s != nil {
-		free = math.Min(free, r.freeness(s, q)+r.chargeOf(s))
+		free = math.Min(free, r.freeness(s, q))
 		if w := r.pickWriter(q, s); w != nil {
-			free = math.Min(free, (r.memory(w, q)+r.chargeOf(w))/(2*near))
+			free = math.Min(free, r.memory(w, q)/(2*near))
 		}
 	}
 	return (floor-free)/admitRamp <= unit(scramble(uint64(q.ID)^r.seed))
@@ -302,7 +298,7 @@
 // read sends a prompt to a reader and holds a place for its answer; a server
 // that answers without a state gets the whole request at once.
 func (r *Router) read(q *request, s *server) {
-	a := attempt{on: s, reads: s.role == Reader, price: q.price, queue: s.out + q.price}
+	a := attempt{on: s, reads: s.role == Reader, queue: s.out + q.price}
 	if !a.reads {
 		q.book(s, r.now)
 	}
@@ -432,9 +428,8 @@
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
 	r.prove(a.on.role)
-	r.lateness(a.on, q, r.now-a.sent-Millis(usualTimes*r.opening.v))
+	r.praise(a.on, (r.now-a.sent-Millis(usualTimes*r.opening.v))/max(q.aim, 1))
 	r.opening.learn(r.now, r.now-a.sent)
-	r.praise(a.on)
 }
 
 // find is the place of an attempt among those out, or -1.
@@ -482,7 +477,7 @@
 
 // settle takes an attempt out of the books and learns from its outcome.
 func (r *Router) settle(q *request, a attempt, ev Ended) {
-	a.on.out = max(0, a.on.out-a.price)
+	a.on.out = max(0, a.on.out-q.price)
 	if !a.reads {
 		q.unbook(a.on)
 	}
@@ -492,10 +487,10 @@
 		if a.reads {
 			a.on.moved = r.now
 			r.prove(Reader)
+			r.praise(a.on, (r.now-a.sent-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
 			a.on.speed.add(speedKeep, a.queue, float64(r.now-a.sent))
 			r.reads.add(meanKeep, a.queue, float64(r.now-a.sent))
 		}
-		r.praise(a.on)
 	case Full:
 		// No headroom, whatever own books say: its queue is full of others' or dead work, or it turns away
 		// this class or tenant alone. So it counts for these alone; others find out for themselves.
@@ -520,20 +515,9 @@
 	}
 	took := r.now - a.sent
 	ranOut := (o == TimedOut || o == Cancelled) && !q.stream && float64(took) > mean.v
-	read := a.reads && o == ReadDone
-	if read || ranOut {
+	if a.reads && o == ReadDone || ranOut {
 		mean.learn(r.now, took)
 	}
-	if read {
-		r.lateness(a.on, q, took-Millis(a.queue/r.speed(a.on)))
-	}
-}
-
-// lateness takes off a server's freeness by what an attempt took longer than usual, as a part of the aim.
-// Guards against servers that grow slower with nothing in the books: the load that this router does not see.
-func (r *Router) lateness(s *server, q *request, over Millis) {
-	late := math.Max(float64(over/max(q.aim, 1)), 0)
-	s.late = fading{(1-lateGain)*s.late.left(r.now, r.window()) + lateGain*late, r.now}
 }
 
 // again decides what follows an attempt that gave no answer.
@@ -772,11 +756,7 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	load := s.out
-	if r.speed(s)*r.reads.took < slowPart*r.reads.work {
-		load += q.price // a slow reader looks free whenever it is idle
-	}
-	return 1 - load/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q) - s.late.left(r.now, r.window())
+	return 1 - s.out/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q)
 }
 
 // flow is what a server may turn away by itself: a class and a tenant.
@@ -814,8 +794,7 @@
 			since += o.tokens()
 		}
 	}
-	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q) -
-		s.late.left(r.now, r.window())
+	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q)
 }
 
 // tokens is the memory that an answer may need: prompt and hint, else the told maximum.
@@ -872,11 +851,16 @@
 	s.charge = fading{math.Min(r.chargeOf(s)+weight, chargeMax), r.now}
 }
 
-// praise lightens a server's charge.
-func (r *Router) praise(s *server) { s.charge = fading{r.chargeOf(s) * chargeKeep, r.now} }
+// praise lightens a server's charge after a success, but for the part of the aim that it came late by. That
+// guards against servers that grow slower with nothing in the books: load that this router does not see.
+func (r *Router) praise(s *server, late Millis) {
+	s.charge = fading{r.chargeOf(s)*chargeKeep + lateGain*math.Max(float64(late), 0), r.now}
+}
 
 // chargeOf is a server's charge, faded to now.
-func (r *Router) chargeOf(s *server) float64 { return s.charge.left(r.now, chargeFade) }
+func (r *Router) chargeOf(s *server) float64 {
+	return s.charge.left(r.now, max(chargeFade, r.window()))
+}
 
 // warmth is the fraction of its capacity that a server can be counted on for.
 func (r *Router) warmth(s *server) float64 {
@@ -914,7 +898,7 @@
 	}
 	window := r.window()
 	r.done[role].count(r.now, window)
-	r.peak[role] = math.Max(r.peak[role]*peakKeep, r.done[role].perSecond(r.now, window)/math.Max(fleet, 1))
+	r.peak[role] = math.Max(r.peak[role], r.done[role].perSecond(r.now, window)/math.Max(fleet, 1))
 }
 
 // window is the span that own observations rest on: long enough, at this router's pace, for enough of them.
