--- a/router.go
+++ b/router.go
@@ -20,7 +20,7 @@
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
 	meanKeep   = 0.98 // ours: the same for the mean speed of all readers
-	meanReads  = 3    // ours: mean reads that a reader's speed starts from
+	meanPart   = 0.06 // ours: part of all readers' fifty last reads or so that each one's speed starts from
 	sizeGain   = 0.1  // ours: weight of one report in a writer's learned memory size
 	minSize    = 1e4  // ours: tokens that a writer is taken to hold at the least
 	reportLag  = 1000 // ours: ms before a report's arrival whose streams it may not show yet
@@ -53,7 +53,7 @@
 	keyCap     = 32768 // ours: sessions and shared beginnings remembered at most
 	leastHomes = 3     // ours: readers that share a beginning's sessions at the least
 	homesPart  = 2     // ours: homes for each reader's worth of reads that a beginning makes up
-	homesFade  = 60000 // ours: ms in which a read counts less for that, to 1/e
+	longest    = 60000 // ours: ms over which beginnings are counted, and tenants at the most
 )
 
 // References of timers; a request's timer is its id times refStep plus refDeadline.
@@ -82,11 +82,11 @@
 	credAt  Millis
 }
 
-// tally sums up timed reads, older ones fading: their prices, the ms that they took, and how many.
-type tally struct{ work, took, n float64 }
+// tally sums up timed reads, older ones fading: their prices, and the ms that they took.
+type tally struct{ work, took float64 }
 
 func (t *tally) add(keep, work, took float64) {
-	*t = tally{t.work*keep + work, t.took*keep + math.Max(took, 1), t.n*keep + 1}
+	*t = tally{t.work*keep + work, t.took*keep + math.Max(took, 1)}
 }
 
 // attempt is one attempt that is out.
@@ -115,7 +115,6 @@
 	ranOn         *server   // where it may have run first, and when
 	ranAt         Millis
 	stream, ended bool
-	waits         bool
 }
 
 // visit is a session's last read.
@@ -208,9 +207,7 @@
 		r.do(Subscribe{})
 	case refDeadline:
 		// Guards rule 1: whatever became of the attempts, the last answer goes out before the deadline.
-		if q := r.requests[RequestID(ev.Ref/refStep)]; q != nil {
-			r.finish(q)
-		}
+		r.finish(r.requests[RequestID(ev.Ref/refStep)])
 	case refPatience:
 		r.checkRead(r.requests[RequestID(ev.Ref/refStep)])
 	}
@@ -222,7 +219,6 @@
 		return
 	}
 	r.arrived++
-	r.begin(ev.Prefix)
 	class := &r.set.Classes[ev.Class]
 	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
 		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
@@ -235,9 +231,9 @@
 	}
 }
 
-// admits tells whether a request is taken on. Its freeness is that of the best reader's own backlog or, as
-// other routers' load is unseen, of the times to read and to the first token seen of late, whichever is
-// less; charges stay out, for trouble everywhere is no shortage. What is worth more is refused later.
+// admits tells whether a request is taken on. Its freeness is the best reader's or, as other routers' load is
+// unseen, that of the times to read and to the first token seen of late, or that of the best writer's memory,
+// whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner.
 // Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
 	floor := 1 - (1-admitFloor)/r.overShare(q.Tenant)
@@ -264,10 +260,9 @@
 		return 1
 	}
 	quota := r.set.Tenants[tenant].QuotaPerS / float64(r.set.Routers)
-	window := min(max(rateWindow, Millis(enough*1000/quota)), 3*windowCap)
-	t := &r.tenants[tenant]
-	t.count(r.now, window)
-	return math.Max(1, t.perSecond(r.now, window)/quota/overSlack)
+	window := min(max(rateWindow, Millis(enough*1000/quota)), longest)
+	r.tenants[tenant].count(r.now, window)
+	return math.Max(1, r.tenants[tenant].perSecond(r.now, window)/quota/overSlack)
 }
 
 // route takes the next step for a request that has no attempt out.
@@ -299,13 +294,11 @@
 // that answers without a state gets the whole request at once.
 func (r *Router) read(q *request, s *server) {
 	a := attempt{on: s, reads: s.role == Reader, queue: s.out + q.price}
-	if !a.reads {
-		q.book(s, r.now)
-	}
 	s.out += q.price
 	r.spend(s)
 	r.remember(q, s)
 	if !a.reads {
+		q.book(s, r.now)
 		r.send(q, a, 0)
 		return
 	}
@@ -375,7 +368,8 @@
 	r.hold(q, q.out[0].on)
 }
 
-// toWriter sends a read state to the held writer, else to the freest.
+// toWriter sends a read state to the held writer, else to the freest. One time-out guards against hung
+// writers; a second would have the state fetched over and over when links or writers are only full.
 func (r *Router) toWriter(q *request) {
 	w := q.place
 	if w == nil || w.State != Ready || !r.inGroup(w, q) {
@@ -394,22 +388,19 @@
 	}
 	q.unplace()
 	q.book(w, r.now)
-	r.send(q, attempt{on: w}, r.openTimeout(q))
-}
-
-// openTimeout is how long a writer may take to the first token.
-func (r *Router) openTimeout(q *request) Millis {
+	timeout := Millis(0)
 	class := &r.set.Classes[q.Class]
-	if class.Effect != Safe || !class.Streamed || q.ranOn != nil || !r.attemptsLeft(q, 2) {
-		return 0
+	if class.Effect == Safe && class.Streamed && q.ranOn == nil && r.attemptsLeft(q, 2) {
+		timeout = r.span(q, r.opening.v)
 	}
-	return r.span(q, r.opening.v)
+	r.send(q, attempt{on: w}, timeout)
 }
 
 // span is how long an attempt may take that usually takes so many ms. The fewer own requests a router has
 // to tell a silent server from a loaded one by, the longer it waits, up to the whole aim.
 func (r *Router) span(q *request, usual float64) Millis {
-	return min(max(min(patience*r.window()/rateWindow, 1)*q.aim, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
+	least := min(patience*r.window()/rateWindow, 1) * q.aim
+	return min(max(least, usualTimes*Millis(usual)), (q.deadline-r.now)/2)
 }
 
 func (r *Router) send(q *request, a attempt, timeout Millis) {
@@ -481,15 +472,24 @@
 	if !a.reads {
 		q.unbook(a.on)
 	}
-	r.timed(q, a, ev.Outcome)
+	mean, took := &r.opening, r.now-a.sent
+	if a.reads {
+		mean = &r.reading
+	}
+	// An attempt that was called off, by its client too, and had outlasted the mean tells at least that: else
+	// only what ends would count, and a jam would look quick.
+	ranOut := (ev.Outcome == TimedOut || ev.Outcome == Cancelled) && !q.stream && float64(took) > mean.v
+	if a.reads && ev.Outcome == ReadDone || ranOut {
+		mean.learn(r.now, took)
+	}
 	switch ev.Outcome {
 	case ReadDone, Served:
 		if a.reads {
 			a.on.moved = r.now
 			r.prove(Reader)
-			r.praise(a.on, (r.now-a.sent-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
-			a.on.speed.add(speedKeep, a.queue, float64(r.now-a.sent))
-			r.reads.add(meanKeep, a.queue, float64(r.now-a.sent))
+			r.praise(a.on, (took-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
+			a.on.speed.add(speedKeep, a.queue, float64(took))
+			r.reads.add(meanKeep, a.queue, float64(took))
 		}
 	case Full:
 		// No headroom, whatever own books say: its queue is full of others' or dead work, or it turns away
@@ -506,20 +506,6 @@
 	}
 }
 
-// timed learns from how long an attempt took. One that was called off, by its client too, and had outlasted
-// the mean tells at least that: else only what ends would count, and a jam would look quick.
-func (r *Router) timed(q *request, a attempt, o Outcome) {
-	mean := &r.opening
-	if a.reads {
-		mean = &r.reading
-	}
-	took := r.now - a.sent
-	ranOut := (o == TimedOut || o == Cancelled) && !q.stream && float64(took) > mean.v
-	if a.reads && o == ReadDone || ranOut {
-		mean.learn(r.now, took)
-	}
-}
-
 // again decides what follows an attempt that gave no answer.
 func (r *Router) again(q *request, a attempt, ev Ended) {
 	if !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed {
@@ -541,12 +527,15 @@
 	r.route(q)
 }
 
-// finish gives the last answer: a refusal where it may promise that trying again is harmless.
+// finish gives the last answer: a refusal where it may promise that trying again is harmless. An attempt
+// without an outcome proves nothing yet, a read that is out included.
 func (r *Router) finish(q *request) {
-	if q.ended || q.stream {
+	if q == nil || q.ended || q.stream {
 		return
 	}
-	if r.harmless(q) {
+	class := &r.set.Classes[q.Class]
+	free := class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll
+	if free || q.ranOn == nil && len(q.out) == 0 {
 		r.do(Refuse{ID: q.ID, RetryAfter: retryPart * r.set.MaxRetryAfter})
 	} else {
 		r.do(Fail{ID: q.ID})
@@ -554,14 +543,6 @@
 	r.end(q)
 }
 
-// harmless tells whether a client may be told that trying again does no harm.
-func (r *Router) harmless(q *request) bool {
-	class := &r.set.Classes[q.Class]
-	// An attempt without an outcome proves nothing yet, a read that is out included.
-	free := class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll
-	return free || q.ranOn == nil && len(q.out) == 0
-}
-
 // end closes a request and calls off what is out; a stream that has begun is the client's.
 func (r *Router) end(q *request) {
 	q.ended = true
@@ -575,7 +556,6 @@
 
 // drop forgets an ended request once no attempt is out, and frees what it holds.
 func (r *Router) drop(q *request) {
-	q.waits = false
 	if len(q.out) > 0 {
 		return
 	}
@@ -600,7 +580,6 @@
 		r.do(Wake{In: sweepEvery, Ref: refSweep})
 	}
 	q.unplace()
-	q.waits = true
 	r.waiting = append(r.waiting, q)
 }
 
@@ -608,8 +587,7 @@
 	waiting := r.waiting
 	r.waiting = nil
 	for _, q := range waiting {
-		if q.waits && !q.ended {
-			q.waits = false
+		if !q.ended {
 			q.tried = q.tried[:0]
 			r.route(q)
 		}
@@ -629,14 +607,10 @@
 
 // candidates are the servers, but those of one role, that the rules and a request's past let it go to.
 func (r *Router) candidates(q *request, not Role) []*server {
-	var list []*server
-	for _, s := range r.list {
-		if s.role != not && s.State == Ready && !slices.Contains(q.tried, s) &&
-			r.inGroup(s, q) && r.hasCredit(s) {
-			list = append(list, s)
-		}
-	}
-	return list
+	return slices.DeleteFunc(slices.Clone(r.list), func(s *server) bool {
+		return s.role == not || s.State != Ready || slices.Contains(q.tried, s) ||
+			!r.inGroup(s, q) || !r.hasCredit(s)
+	})
 }
 
 // pickReader chooses the reader of highest freeness; among those near it the session's last, else
@@ -666,12 +640,17 @@
 // price is what reading so many prompt tokens costs.
 func price(tokens float64) float64 { return alpha*tokens*tokens + beta*modelFactor*tokens }
 
-// home chooses among near readers by two hashes that are the same at every router: the shared beginning's
-// first few are its homes, and of these the session's first. Departs from the design page, where a beginning
-// has one home: at many routers a session's last reader is unknown, for each turn comes to another router,
-// and own backlog, nearly nil, does not send the reads of a common beginning on.
+// home chooses among near readers by two hashes, the same at every router: the shared beginning's first few
+// are its homes (more, the more own reads have it), and of these the session's first. Departs from the design
+// page, where a beginning has one home: at many routers each turn of a session comes to another, so its last
+// reader is unknown, and own backlog, nearly nil, does not send the reads of a common beginning on.
 func (r *Router) home(q *request, list []*server) *server {
-	homes := min(r.homes(q, len(list)), len(list))
+	homes := len(list)
+	if q.Prefix != 0 {
+		b := r.begins[q.Prefix]
+		part := b.left(r.now, longest) / (enough + r.all.left(r.now, longest))
+		homes = min(homes, leastHomes+int(homesPart*part*float64(homes)))
+	}
 	slices.SortFunc(list, func(a, b *server) int {
 		return cmp.Compare(idHash(uint64(q.Prefix), b.ID), idHash(uint64(q.Prefix), a.ID))
 	})
@@ -679,27 +658,6 @@
 	return top
 }
 
-// homes is how many readers a shared beginning is spread over: more, the more of the own requests have it.
-func (r *Router) homes(q *request, readers int) int {
-	if q.Prefix == 0 {
-		return readers
-	}
-	b := r.begins[q.Prefix]
-	part := b.left(r.now, homesFade) / (enough + r.all.left(r.now, homesFade))
-	return leastHomes + int(homesPart*part*float64(readers))
-}
-
-// begin counts a request under its shared beginning.
-func (r *Router) begin(key Key) {
-	if len(r.begins) >= keyCap {
-		clear(r.begins)
-	}
-	b := r.begins[key]
-	b.count(r.now, homesFade)
-	r.begins[key] = b
-	r.all.count(r.now, homesFade)
-}
-
 func idHash(h uint64, id ServerID) uint64 {
 	for _, b := range []byte(id) {
 		h = (h ^ uint64(b)) * 0x100000001b3
@@ -734,13 +692,12 @@
 
 // distance is 0 within a cell, 1 within a zone, else 2.
 func distance(a, b *server) float64 {
-	switch {
-	case a.Zone == b.Zone && a.Cell == b.Cell:
-		return 0
-	case a.Zone == b.Zone:
+	if a.Zone != b.Zone {
+		return 2
+	} else if a.Cell != b.Cell {
 		return 1
 	}
-	return 2
+	return 0
 }
 
 // inGroup keeps a keyed request that may have run inside the group that drops its repeats.
@@ -756,15 +713,18 @@
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
 func (r *Router) freeness(s *server, q *request) float64 {
-	return 1 - s.out/r.budget(s, q) - r.chargeOf(s) - r.fullFor(s, q)
+	return 1 - s.out/r.budget(s, q) - r.takenOff(s, q)
 }
 
 // flow is what a server may turn away by itself: a class and a tenant.
-func (r *Router) flow(q *request) int { return q.Class*max(len(r.tenants), 1) + q.Tenant }
+func (r *Router) flow(q *request) int {
+	return q.Class*(len(r.tenants)+1) + min(max(q.Tenant, 0), len(r.tenants))
+}
 
-func (r *Router) fullFor(s *server, q *request) float64 {
-	f := s.full[r.flow(q)]
-	return f.left(r.now, fullFade*r.window())
+// takenOff is the freeness that a server loses to its charge and to having turned this flow away.
+func (r *Router) takenOff(s *server, q *request) float64 {
+	full := s.full[r.flow(q)]
+	return r.chargeOf(s) + full.left(r.now, fullFade*r.window())
 }
 
 // budget is the price that a reader works off within the request's aim.
@@ -776,12 +736,11 @@
 // as average, and one odd read of a few (a long prompt, another router's queue) does not drive its
 // sessions from the text that it keeps. A much slower reader shows after one or two reads all the same.
 func (r *Router) speed(s *server) float64 {
-	part := meanReads / math.Max(r.reads.n, 1)
-	took := s.speed.took + part*r.reads.took
+	took := s.speed.took + meanPart*r.reads.took
 	if took == 0 {
 		return firstSpeed
 	}
-	return math.Max((s.speed.work+part*r.reads.work)/took, 1e-6)
+	return math.Max((s.speed.work+meanPart*r.reads.work)/took, 1e-6)
 }
 
 // memory is a writer's freeness: one minus the reported share and own streams since, over its memory.
@@ -794,7 +753,7 @@
 			since += o.tokens()
 		}
 	}
-	return 1 - share - since/math.Max(s.size, minSize) - r.chargeOf(s) - r.fullFor(s, q)
+	return 1 - share - since/math.Max(s.size, minSize) - r.takenOff(s, q)
 }
 
 // tokens is the memory that an answer may need: prompt and hint, else the told maximum.
@@ -812,9 +771,7 @@
 }
 
 func (q *request) unbook(s *server) {
-	if i := slices.Index(s.streams, q); i >= 0 {
-		s.streams = slices.Delete(s.streams, i, i+1)
-	}
+	s.streams = slices.DeleteFunc(s.streams, func(o *request) bool { return o == q })
 }
 
 // unplace forgets a place asked for.
@@ -838,9 +795,6 @@
 		if size := own * float64(r.set.Routers) / v.Value; v.Value > near && own > 0 {
 			s.size += sizeGain * (size - s.size)
 		}
-		if r.share == 0 {
-			r.share = v.Value
-		}
 		r.share += meanGain * (v.Value - r.share)
 		s.share, s.heard = v.Value, r.now
 	}
@@ -868,8 +822,7 @@
 	if s.Since <= 0 || age >= r.set.WarmAfter {
 		return 1
 	}
-	from := math.Max(r.set.ColdFrom, 0.05)
-	return math.Min(1, from+(1-from)*math.Max(float64(age/r.set.WarmAfter), 0))
+	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*math.Max(float64(age/r.set.WarmAfter), 0))
 }
 
 // hasCredit tells whether a server may get one more send. Guards rule 4: a cold server gets, times its
@@ -907,23 +860,26 @@
 	return min(max(rateWindow, enough*(r.now-r.begun)/Millis(math.Max(r.arrived, 1))), windowCap)
 }
 
-func (t *fading) count(now, window Millis) {
-	t.v, t.at = t.left(now, window)+1, now
-}
+func (t *fading) count(now, window Millis) { t.v, t.at = t.left(now, window)+1, now }
 
 // perSecond is the rate; it starts low.
 func (t *fading) perSecond(now, window Millis) float64 {
 	return t.left(now, window) / float64(window) * 1000
 }
 
-// remember notes a session's reader; past keyCap all start anew, which bounds memory.
+// remember notes a session's reader and counts its beginning; past keyCap all start anew: memory is bounded.
 func (r *Router) remember(q *request, s *server) {
-	if len(r.visits) >= keyCap {
+	if max(len(r.visits), len(r.begins)) >= keyCap {
 		clear(r.visits)
+		clear(r.begins)
 	}
 	if q.Session != 0 {
 		r.visits[q.Session] = visit{s, q.Prompt}
 	}
+	b := r.begins[q.Prefix]
+	b.count(r.now, longest)
+	r.begins[q.Prefix] = b
+	r.all.count(r.now, longest)
 }
 
 // membership takes news of the list.
