--- /dev/null
+++ b/scale_test.go
@@ -0,0 +1,318 @@
+package gannethook
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// readers are n readers, each in a cell of its own, and a writer.
+func readers(n int) []Server {
+	list := []Server{at("w1", 1, 0, 0)}
+	for i := range n {
+		list = append(list, at(fmt.Sprintf("r%02d", i), 0, 0, i))
+	}
+	return list
+}
+
+// readAt asks a router that knows nothing where a session's prompt goes.
+func readAt(t *testing.T, seed uint64, list []Server, session, prefix Key) ServerID {
+	t.Helper()
+	s := newScript(t, fleet(), list...)
+	s.r.seed = seed
+	q := ask(1, 0)
+	q.Session, q.Prefix, q.PrefixLen = session, prefix, 500
+	s.on(1, q)
+	return s.sent()
+}
+
+// round plays one request to its first token and hangs up: the read takes so long, the first token so long.
+func (s *script) round(id RequestID, class int, read, open Millis) (reader, writer ServerID) {
+	s.t.Helper()
+	q := ask(id, class)
+	q.Prompt = 100
+	s.on(1, q)
+	if len(shorts(s.acts)) < 2 {
+		return "", ""
+	}
+	reader = s.sent()
+	s.on(read, Ended{ID: id, Attempt: 0, Server: reader, Outcome: ReadDone})
+	writer = s.sent()
+	s.on(open, Streaming{ID: id, Attempt: 1, Server: writer})
+	s.on(1, Ended{ID: id, Attempt: 1, Server: writer, Outcome: Served, Done: true})
+	return reader, writer
+}
+
+// TestSessionsHomeIsShared: routers that never met a session agree on its reader, and a common beginning does
+// not send all its sessions to one.
+func TestSessionsHomeIsShared(t *testing.T) {
+	list := readers(20)
+	used := map[ServerID]bool{}
+	for session := Key(1); session <= 40; session++ {
+		home := readAt(t, 1, list, session, 77)
+		for seed := uint64(2); seed < 6; seed++ {
+			if got := readAt(t, seed, list, session, 77); got != home {
+				t.Fatalf("session %d: %s at one router, %s at another", session, home, got)
+			}
+		}
+		used[home] = true
+	}
+	if len(used) < 3 || len(used) > 6 {
+		t.Errorf("40 sessions of one beginning, seldom seen, use %d readers, want its few homes", len(used))
+	}
+}
+
+// TestCommonBeginningGetsMoreHomes: what makes up half of the reads spreads over about as many readers.
+func TestCommonBeginningGetsMoreHomes(t *testing.T) {
+	s := newScript(t, fleet(), readers(20)...)
+	used := map[ServerID]bool{}
+	for id := RequestID(1); id <= 300; id++ {
+		q := ask(id, 0)
+		q.Prompt, q.Prefix = 100, Key(id%2)*77
+		s.on(20, q)
+		if q.Prefix != 0 && id > 200 {
+			used[s.sent()] = true
+		}
+		s.on(1, Ended{ID: id, Attempt: 0, Server: s.sent(), Outcome: ReadDone})
+		s.on(1, ClientGone{ID: id})
+		s.on(0, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Cancelled})
+	}
+	if len(used) < 10 {
+		t.Errorf("half of all reads use %d of 20 readers", len(used))
+	}
+}
+
+// TestTiedWritersDiffer: routers that know no writer do not all take the one of lowest id.
+func TestTiedWritersDiffer(t *testing.T) {
+	used := map[ServerID]bool{}
+	for seed := range uint64(40) {
+		s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 0), at("w3", 1, 0, 0))
+		s.r.seed = seed
+		s.on(1, ask(1, 0))
+		used[s.acts[len(s.acts)-1].(Hold).Server] = true
+	}
+	if len(used) != 3 {
+		t.Errorf("40 routers use %d of 3 equal writers", len(used))
+	}
+}
+
+// TestOneOddReadKeepsSpeed: one long read does not make a reader slow; several do.
+func TestOneOddReadKeepsSpeed(t *testing.T) {
+	s := newScript(t, fleet(), readers(4)...)
+	for id := RequestID(1); id <= 60; id++ {
+		s.round(id, 0, 100, 10)
+	}
+	odd := s.r.servers["r00"]
+	odd.speed = tally{}
+	usual := s.r.speed(odd)
+	odd.speed.add(speedKeep, price(100), 400)
+	if got := s.r.speed(odd); got < usual/2.5 || got > usual {
+		t.Errorf("speed %v after one read of four times the usual, %v before", got, usual)
+	}
+	for range 10 {
+		odd.speed.add(speedKeep, price(100), 400)
+	}
+	if got := s.r.speed(odd); got > usual/2 {
+		t.Errorf("speed %v after many slow reads, %v before", got, usual)
+	}
+}
+
+// TestFullCountsForItsFlow: a server that turns one class away is still good for the other.
+func TestFullCountsForItsFlow(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.on(1, ask(1, 0))
+	s.on(1, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: Full})
+	s.on(1, ClientGone{ID: 1})
+	s.on(1, ask(2, 3))
+	s.want("send 2 r1", "hold 2 w1")
+	s.on(1, ask(3, 0))
+	s.want("refuse 3")
+}
+
+// TestOldReportFades: a report of long ago does not drive a state out of the reader's cell.
+func TestOldReportFades(t *testing.T) {
+	for _, c := range []struct {
+		age  Millis
+		want string
+	}{{100, "hold 9 w2"}, {60000, "hold 9 w1"}} {
+		s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 1))
+		for w, share := range map[ServerID]float64{"w1": 0.8, "w2": 0.4} {
+			s.r.servers[w].share, s.r.servers[w].heard = share, s.now
+		}
+		s.r.share = 0.6
+		s.on(c.age, ask(9, 0))
+		s.want("send 9 r1", c.want)
+	}
+}
+
+// TestTenantShares: one request is no excess at a router that sees little of a tenant; ten times its share is,
+// and is refused before what others ask within theirs.
+func TestTenantShares(t *testing.T) {
+	set := fleet(func(set *Settings) {
+		set.Routers, set.Tenants = 100, []Tenant{{QuotaPerS: 10}, {QuotaPerS: 10}}
+	})
+	s := newScript(t, set, oneEach...)
+	if over := s.r.overShare(0); over != 1 {
+		t.Errorf("one request counts as %v times the share", over)
+	}
+	for range 200 {
+		s.on(1000, Wakeup{Ref: 3})
+		s.r.overShare(1)
+	}
+	if over := s.r.overShare(1); over < 5 {
+		t.Errorf("ten times the share counts as %v times", over)
+	}
+	if over := s.r.overShare(7); over != 1 {
+		t.Errorf("an unknown tenant counts as %v times its share", over)
+	}
+}
+
+// TestHopelessTriesAreRefused: a try whose client leaves before the usual time is not read in vain.
+func TestHopelessTriesAreRefused(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	for id := RequestID(1); id <= 20; id++ {
+		s.round(id, 0, 300, 10)
+	}
+	short := ask(30, 0)
+	short.Budget = 200
+	s.on(1, short)
+	s.want("refuse 30")
+	s.on(1, ask(31, 0))
+	s.want("send 31 r1", "hold 31 w1")
+}
+
+// TestFewSickServersRefuseNobody: one time in ten at fifty times the usual leaves the mean near the usual.
+func TestFewSickServersRefuseNobody(t *testing.T) {
+	var m fading
+	for i := range 200 {
+		took := Millis(50)
+		if i%10 == 9 {
+			took = 2500
+		}
+		m.learn(Millis(1e6+i*1000), took)
+		if i > 0 && m.v > 250 {
+			t.Fatalf("mean %v after %d times", m.v, i+1)
+		}
+	}
+}
+
+// TestJamIsSeenWithoutSurvivors: reads that clients gave up count in the mean time.
+func TestJamIsSeenWithoutSurvivors(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	s.round(1, 0, 50, 10)
+	for id := RequestID(2); id < 12; id++ {
+		s.on(1, ask(id, 0))
+		if len(shorts(s.acts)) < 2 {
+			break
+		}
+		s.on(2000, ClientGone{ID: id})
+		s.on(1, Ended{ID: id, Attempt: 0, Server: "r1", Outcome: Cancelled})
+	}
+	if s.r.reading.v < 700 {
+		t.Errorf("mean time of reads %v ms, though clients left after 2 s", s.r.reading.v)
+	}
+}
+
+// TestRefusedPlaceCounts: where nothing is reported, a writer that refused a place is not the next one's first.
+func TestRefusedPlaceCounts(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 1))
+		s.on(1, ask(1, 0))
+		s.want("send 1 r1", "hold 1 w1")
+		if heard {
+			s.r.servers["w1"].heard = s.now
+		}
+		s.on(1, Held{ID: 1, Attempt: 0})
+		s.on(1, ask(2, 0))
+		if heard {
+			s.want("send 2 r1", "hold 2 w1")
+		} else {
+			s.want("send 2 r1", "hold 2 w2")
+		}
+	}
+}
+
+// TestOneTimeoutAtWriters: a state that was fetched once in vain is left where it goes next.
+func TestOneTimeoutAtWriters(t *testing.T) {
+	s := newScript(t, fleet(), twoEach...)
+	s.on(1, ask(1, 0))
+	s.on(100, Ended{ID: 1, Attempt: 0, Server: s.sent(), Outcome: ReadDone})
+	if s.acts[0].(Send).Timeout == 0 {
+		t.Error("the first writer has no time-out")
+	}
+	s.on(500, Ended{ID: 1, Attempt: 1, Server: s.sent(), Outcome: TimedOut})
+	if s.acts[0].(Send).Timeout != 0 {
+		t.Error("the second writer has one too")
+	}
+}
+
+// TestPatienceFollowsPace: a router that sees little waits the whole aim before it takes a read away.
+func TestPatienceFollowsPace(t *testing.T) {
+	waits := map[Millis]Millis{}
+	for _, gap := range []Millis{50, 2000} {
+		s := newScript(t, fleet(), oneEach...)
+		for id := RequestID(1); id <= 30; id++ {
+			s.on(gap, Wakeup{Ref: 3})
+			s.round(id, 0, 20, 10)
+		}
+		last := ask(99, 0)
+		last.Prompt = 100
+		s.on(gap, last)
+		for _, a := range s.acts {
+			if w, ok := a.(Wake); ok && w.Ref%refStep == refPatience {
+				waits[gap] = w.In
+			}
+		}
+	}
+	if aim := Millis(1004); math.Abs(float64(waits[50]-aim/2)) > 1 || math.Abs(float64(waits[2000]-aim)) > 1 {
+		t.Errorf("waits %v, want half the aim and the whole", waits)
+	}
+}
+
+// TestLateWriterIsPassedOver: a writer that comes far later than usual loses freeness though nothing failed.
+func TestLateWriterIsPassedOver(t *testing.T) {
+	s := newScript(t, fleet(), at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 1))
+	for id := RequestID(1); id <= 5; id++ {
+		if _, w := s.round(id, 0, 20, 10); w != "w1" {
+			t.Fatalf("state at %s, want the reader's cell", w)
+		}
+	}
+	s.round(6, 0, 20, 900)
+	if _, w := s.round(7, 0, 20, 10); w != "w2" {
+		t.Errorf("the next state went to %s, which was 900 ms late", w)
+	}
+}
+
+// TestWhatIsKeptIsBounded: requests ended, sessions, beginnings and servers gone do not pile up.
+func TestWhatIsKeptIsBounded(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	for id := RequestID(1); id <= 2*keyCap+10; id++ {
+		q := ask(id, 0)
+		q.Prefix, q.Tenant, q.Prompt = Key(id)<<8, int(id), 10
+		s.on(10, q)
+		s.on(1, Ended{ID: id, Attempt: 0, Server: "r1", Outcome: Full})
+		s.on(1, ClientGone{ID: id})
+		s.r.servers["r1"].full = map[int]fading{}
+	}
+	for i := range 1000 {
+		fresh := at(fmt.Sprintf("x%d", i), 1, 0, 0)
+		s.on(1, Membership{Servers: []Server{fresh}})
+		fresh.State = Gone
+		s.on(1, Membership{Servers: []Server{fresh}})
+	}
+	s.on(50, Wakeup{Ref: refSweep})
+	r := s.r
+	if len(r.requests) > 0 || len(r.waiting) > 0 || len(r.servers) != 2 || len(r.list) != 2 ||
+		len(r.visits) > keyCap || len(r.begins) > keyCap {
+		t.Errorf("kept: %d requests, %d waiting, %d servers, %d listed, %d sessions, %d beginnings",
+			len(r.requests), len(r.waiting), len(r.servers), len(r.list), len(r.visits), len(r.begins))
+	}
+	for i := range 100 {
+		q := ask(1, i%4)
+		q.Tenant = i - 50
+		r.servers["r1"].full[r.flow(&request{Request: q})] = fading{1, r.now}
+	}
+	if n := len(r.servers["r1"].full); n > len(r.set.Classes)*(len(r.set.Tenants)+1) {
+		t.Errorf("%d flows kept", n)
+	}
+}
