--- a/api.go
+++ b/api.go
@@ -91,6 +91,7 @@
 	FallWindow     Millis  // for this long, a cold server falls over
 	PinLimit       Millis  // an idle hold or state is let go by then
 
+	ConnIdle      Millis // a connection closes after so long without use; 0: not told
 	MaxAttempts   int    // per request; 0 means no limit
 	MaxRetryAfter Millis // the longest wait that clients honour; 0 means none do
 	Quantum       Millis // time between two batches of events
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,6 +12,7 @@
 type profile struct {
 	Ceilings struct {
 		Cancel        bool    `json:"cancel"`
+		ConnIdle      float64 `json:"connIdleMs"`
 		MaxAttempts   int     `json:"maxAttempts"`
 		MaxRetryAfter float64 `json:"maxRetryAfterMs"`
 		RetryAfter    bool    `json:"retryAfter"`
@@ -87,7 +88,8 @@
 		ColdFrom: p.Rules.ColdFrom, WarmAfter: gannethook.Millis(p.Rules.WarmAfter),
 		OverloadFactor: p.Rules.Overload, FallWindow: gannethook.Millis(p.Rules.Fall),
 		PinLimit: gannethook.Millis(p.Domain.PinLimit), MaxAttempts: p.Ceilings.MaxAttempts,
-		Quantum: gannethook.Millis(p.Quantum), MustAsk: gannethook.Millis(p.Rules.MustAsk),
+		ConnIdle: gannethook.Millis(p.Ceilings.ConnIdle),
+		Quantum:  gannethook.Millis(p.Quantum), MustAsk: gannethook.Millis(p.Rules.MustAsk),
 		AskDiscovery: p.Discovery == "subscribe", SecondCopies: p.Ceilings.SecondCopies,
 		Cancel: p.Ceilings.Cancel, Holds: p.Domain.Holds, WritersRead: p.Domain.WritersRead,
 		Resume: p.Domain.Resume,
--- a/router.go
+++ b/router.go
@@ -29,6 +29,9 @@
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
 
+	dialGain   = 0.25 // ours: weight of one dial in the part of them that fails
+	dialsBad   = 0.4  // ours: part of the dials that fail above which open connections are preferred
+	dialCost   = 0.5  // ours: freeness taken off a server without one then
 	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
 	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
 	heldBack   = 0.3  // ours: freeness taken off a writer that refused a place
@@ -75,6 +78,7 @@
 	share   float64        // memory share as last reported
 	heard   Millis         // when; 0: never
 	size    float64        // learned memory size in tokens
+	linked  Millis         // last time that it answered on a connection
 	moved   Millis         // last time that an own read ended here
 	full    map[int]fading // freeness taken off for a flow that it turned away
 	charge  fading         // freeness taken off for failures and lateness
@@ -147,6 +151,7 @@
 	done     [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak     [Mixed + 1]float64 // most of these a second for each warm server
 	reads    tally              // all readers' reads
+	dials    fading             // part of the dials that failed of late
 	share    float64            // mean memory share of the writers that reported
 	reading  fading             // ms that reads took of late
 	opening  fading             // ms from a writer's send to the first token
@@ -418,6 +423,7 @@
 	}
 	a := q.out[q.find(ev.Attempt)]
 	q.stream, q.state = true, nil
+	r.dialled(a.on, Served)
 	r.prove(a.on.role)
 	r.praise(a.on, (r.now-a.sent-Millis(usualTimes*r.opening.v))/max(q.aim, 1))
 	r.opening.learn(r.now, r.now-a.sent)
@@ -482,6 +488,7 @@
 	if a.reads && ev.Outcome == ReadDone || ranOut {
 		mean.learn(r.now, took)
 	}
+	r.dialled(a.on, ev.Outcome)
 	switch ev.Outcome {
 	case ReadDone, Served:
 		if a.reads {
@@ -506,6 +513,22 @@
 	}
 }
 
+// dialled learns whether dials fail: from attempts at servers without an open connection. Guards against new
+// connections that are slow to set up, at servers that are well: most dials fail then. Servers that are down
+// do not count far, for most others are dialled well; there, to keep to what is open would crowd it.
+func (r *Router) dialled(s *server, o Outcome) {
+	failed := 0.0
+	if o == ConnectFailed {
+		failed = 1
+	}
+	if failed > 0 || r.now-s.linked > r.set.ConnIdle {
+		r.dials = fading{(1-dialGain)*r.dials.left(r.now, fullFade*r.window()) + dialGain*failed, r.now}
+	}
+	if failed == 0 && o != Moot {
+		s.linked = r.now
+	}
+}
+
 // again decides what follows an attempt that gave no answer.
 func (r *Router) again(q *request, a attempt, ev Ended) {
 	if !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed {
@@ -724,7 +747,11 @@
 // takenOff is the freeness that a server loses to its charge and to having turned this flow away.
 func (r *Router) takenOff(s *server, q *request) float64 {
 	full := s.full[r.flow(q)]
-	return r.chargeOf(s) + full.left(r.now, fullFade*r.window())
+	off := r.chargeOf(s) + full.left(r.now, fullFade*r.window())
+	if r.dials.left(r.now, fullFade*r.window()) > dialsBad && r.now-s.linked > r.set.ConnIdle {
+		off += dialCost
+	}
+	return off
 }
 
 // budget is the price that a reader works off within the request's aim.
