--- a/router.go
+++ b/router.go
@@ -41,7 +41,7 @@
 	lateGain   = 0.5  // ours: charge for a success that is a whole aim late
 	chargeKeep = 0.7  // ours: what a success leaves of a charge
 
-	admitFloor = 0.5   // ours: freeness of the best reader below which a request is refused
+	admitFloor = 0.6   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
 	overSlack  = 1.2   // ours: times its share that a tenant may seem to ask for by chance
 	worthPart  = 0.4   // ours: how much lower the floor is for a class worth far more than the least
