--- a/router.go
+++ b/router.go
@@ -57,6 +57,7 @@
 	askEvery   = 1000  // ours: ms before a failed subscription is asked for again
 	keyCap     = 32768 // ours: sessions and shared beginnings remembered at most
 	leastHomes = 3     // ours: readers that share a beginning's sessions at the least
+	fleetPart  = 0.1   // ours: part of the readers that share them besides
 	homesPart  = 2     // ours: homes for each reader's worth of reads that a beginning makes up
 	longest    = 60000 // ours: ms over which beginnings are counted, and tenants at the most
 )
@@ -436,7 +437,7 @@
 }
 
 // left is less the longer nothing came in: a router that refuses all must try again.
-func (m *fading) left(now, span Millis) float64 { return m.v * math.Exp(-float64((now-m.at)/span)) }
+func (m fading) left(now, span Millis) float64 { return m.v * math.Exp(-float64((now-m.at)/span)) }
 
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
@@ -648,9 +649,9 @@
 func (r *Router) home(q *request, list []*server) *server {
 	homes := len(list)
 	if q.Prefix != 0 {
-		b := r.begins[q.Prefix]
-		part := b.left(r.now, longest) / (enough + r.all.left(r.now, longest))
-		homes = min(homes, leastHomes+int(homesPart*part*float64(homes)))
+		part := r.begins[q.Prefix].left(r.now, longest) / (enough + r.all.left(r.now, longest))
+		all := float64(homes)
+		homes = min(homes, leastHomes+int(fleetPart*all)+int(homesPart*part*all))
 	}
 	slices.SortFunc(list, func(a, b *server) int {
 		return cmp.Compare(unit(uint64(q.Prefix), a.hash), unit(uint64(q.Prefix), b.hash))
@@ -709,8 +710,7 @@
 
 // takenOff is the freeness that a server loses to its charge and to having turned this flow away.
 func (r *Router) takenOff(s *server, q *request) float64 {
-	full := s.full[r.flow(q)]
-	off := r.chargeOf(s) + full.left(r.now, fullFade*r.window())
+	off := r.chargeOf(s) + s.full[r.flow(q)].left(r.now, fullFade*r.window())
 	if r.dials.left(r.now, fullFade*r.window()) > dialsBad && r.now-s.linked > r.set.ConnIdle {
 		off += dialCost
 	}
