Interface keeps only what the module reads

Out: token aim, late worth and deadline of classes; own number, zone, answer slack, drain grace, fall window, second copies, resume and must-ask of the settings; size of servers; repeat and come-back marks; kept and took of outcomes; load report values other than the memory share.

--- a/api.go
+++ b/api.go
@@ -54,10 +54,7 @@
 type Class struct {
 	Aim        Millis  // first token wanted within this
 	AimPer1000 Millis  // and so much more for each 1,000 prompt tokens
-	TokenAim   Millis  // wanted mean time between tokens
-	Deadline   Millis  // the client gives up after this, over all its tries
 	Worth      float64 // of one request, or of one unit of its work
-	LateWorth  float64 // fraction paid after the aim, before the deadline
 	Effect     Effect
 	Group      Group
 	Window     Millis // how long a group remembers a keyed request
@@ -77,58 +74,27 @@
 
 // Settings are all that a router is told at its start.
 type Settings struct {
-	Router, Routers int // own number from 0, and how many there are
-	Zone            int // the router's zone
-	Classes         []Class
-	Kinds           []Kind
-	Tenants         []Tenant
+	Routers int // how many there are
+	Classes []Class
+	Kinds   []Kind
+	Tenants []Tenant
 
-	AnswerSlack    Millis  // a final answer may come so long after the deadline
-	DrainGrace     Millis  // sends to a draining server must have ended by then
 	ColdFrom       float64 // fraction of its capacity with which a server starts
 	WarmAfter      Millis  // it is warm by then
-	OverloadFactor float64 // sent more than this multiple of its capacity
-	FallWindow     Millis  // for this long, a cold server falls over
+	OverloadFactor float64 // sent more than this multiple of its capacity, for a time, a cold server falls over
 	PinLimit       Millis  // an idle hold or state is let go by then
 
 	ConnIdle      Millis // a connection closes after so long without use; 0: not told
 	MaxAttempts   int    // per request; 0 means no limit
 	MaxRetryAfter Millis // the longest wait that clients honour; 0 means none do
 	Quantum       Millis // time between two batches of events
-	MustAsk       Millis // re-ask an asked-for discovery within this; 0: pushed
 
 	AskDiscovery bool // changes come only to routers that ask for them
-	SecondCopies bool // two attempts of one request may be out together
 	Cancel       bool // Cancel actions are allowed
 	Holds        bool // Hold actions are allowed
 	WritersRead  bool // a writer without a state reads the prompt itself
-	Resume       bool // a broken stream goes on from its last token
 }
 
-// Metric names one value of a load report.
-type Metric int
-
-// The values that a load report may hold.
-const (
-	InFlight     Metric = iota + 1 // requests being handled
-	Queue                          // requests waiting
-	SlotShare                      // share of slots in use
-	LatencyMS                      // recent time to the first token or end of read
-	PerSecond                      // requests served a second
-	ErrorsPerS                     // errors a second
-	MemoryShare                    // share of memory held
-	PromptTokens                   // thousands of prompt tokens waiting
-)
-
-// Reading is one value of a load report.
-type Reading struct {
-	Metric Metric
-	Value  float64
-}
-
-// Report is a server's load report as it came along; nil when none did.
-type Report []Reading
-
 // ServerState is a server's state in the list.
 type ServerState int
 
@@ -144,8 +110,7 @@
 	ID         ServerID
 	Kind       int
 	Zone, Cell int
-	Size       float64 // relative; 1 when not told
-	Since      Millis  // when it last started; 0: long ago
+	Since      Millis // when it last started; 0: long ago
 	State      ServerState
 }
 
@@ -189,8 +154,6 @@
 		PrefixLen float64 // tokens of Prompt that belong to Prefix
 		MaxOut    float64 // most tokens of the answer
 		Hint      float64 // rough tokens of the answer; 0 when not told
-		Repeat    bool    // the client says that it repeats
-		CameBack  bool    // the client returns after a broken or moved stream
 	}
 	// Streaming tells that an answer has started; the attempt is the client's.
 	Streaming struct {
@@ -206,15 +169,14 @@
 	}
 	// Ended tells how an attempt ended.
 	Ended struct {
-		ID      RequestID
-		Attempt int
-		Server  ServerID
-		Outcome Outcome
-		Done    bool    // the request has had its final answer
-		NoState bool    // Full because there was no state to fetch
-		Kept    float64 // prompt tokens found kept
-		Took    Millis
-		Report  Report
+		ID       RequestID
+		Attempt  int
+		Server   ServerID
+		Outcome  Outcome
+		Done     bool    // the request has had its final answer
+		NoState  bool    // Full because there was no state to fetch
+		Reported bool    // a load report came along
+		Memory   float64 // and tells this share of memory held
 	}
 	// ClientGone tells that the client left; no answer is owed.
 	ClientGone struct{ ID RequestID }
--- a/example_test.go
+++ b/example_test.go
@@ -10,7 +10,7 @@
 func ExampleRouter_Handle() {
 	router, err := gannethook.New(gannethook.Settings{
 		Routers: 1,
-		Classes: []gannethook.Class{{Aim: 1000, Deadline: 5000, Worth: 1, Effect: gannethook.Safe, Streamed: true}},
+		Classes: []gannethook.Class{{Aim: 1000, Worth: 1, Effect: gannethook.Safe, Streamed: true}},
 		Kinds:   []gannethook.Kind{{Role: gannethook.Reader}, {Role: gannethook.Writer, Memory: 1e5}},
 		Holds:   true, PinLimit: 500,
 	}, 1)
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -14,10 +14,9 @@
 // instance is one hosted router with what is needed to translate for it.
 type instance struct {
 	router *gannethook.Router
-	fields []gannethook.Metric
-	kinds  int
-	zones  int
-	set    gannethook.Settings
+	layout
+	kinds int
+	set   gannethook.Settings
 }
 
 // host translates between the pipe and its instances.
@@ -134,7 +133,7 @@
 	if r.err != nil {
 		return r.err
 	}
-	set, fields, zones, err := parseSettings(profile)
+	set, places, err := parseSettings(profile)
 	if err != nil {
 		return fmt.Errorf("OPEN_INSTANCE: %w", err)
 	}
@@ -142,7 +141,7 @@
 	if err != nil {
 		return fmt.Errorf("OPEN_INSTANCE: %w", err)
 	}
-	h.instances[id] = &instance{router: router, fields: fields, kinds: len(set.Kinds), zones: zones, set: set}
+	h.instances[id] = &instance{router: router, layout: places, kinds: len(set.Kinds), set: set}
 	return nil
 }
 
@@ -203,7 +202,7 @@
 	}
 	return gannethook.Server{
 		ID: server(e), Kind: e.index("model", inst.kinds), Zone: e.index("area", inst.zones),
-		Cell: int(e.wholeOr("cell", 0)), Size: e.numberOr("scale", 1),
+		Cell:  int(e.wholeOr("cell", 0)),
 		Since: gannethook.Millis(e.numberOr("sinceMs", 0)), State: state,
 	}
 }
@@ -215,10 +214,9 @@
 		Session: gannethook.Key(r.wholeOr("dialogue", 0)), Prefix: gannethook.Key(r.wholeOr("prefix", 0)),
 		Budget: gannethook.Millis(r.number("budgetMs")), Prompt: r.numberOr("promptLen", 0),
 		PrefixLen: r.numberOr("prefixLen", 0), MaxOut: r.numberOr("maxOut", 0),
-		Repeat: r.flag("repeat"), CameBack: r.flag("cameBack"),
 	}
-	if pace := inst.set.Classes[class].TokenAim; pace > 0 {
-		ev.Hint = r.numberOr("weightHintMs", 0) / float64(pace)
+	if class < len(inst.pace) && inst.pace[class] > 0 {
+		ev.Hint = r.numberOr("weightHintMs", 0) / inst.pace[class]
 	}
 	return ev
 }
@@ -249,35 +247,32 @@
 	}
 	ev := gannethook.Ended{
 		ID: request(r), Attempt: int(r.whole("leg")), Server: server(r), Outcome: outcome,
-		Done: r.flag("doneFlag"), Took: gannethook.Millis(r.numberOr("rttMs", 0)), Report: inst.report(r),
-	}
-	if info := r.numberOr("info", 0); outcome == gannethook.Full {
-		ev.NoState = info == 1
-	} else {
-		ev.Kept = info
+		Done: r.flag("doneFlag"), NoState: r.numberOr("info", 0) == 1 && outcome == gannethook.Full,
 	}
+	ev.Memory, ev.Reported = inst.report(r)
 	return ev
 }
 
-// report reads a load report; values of unknown fields are skipped.
-func (inst *instance) report(r *reader) gannethook.Report {
+// report reads the memory share of a load report, if there is one; other values are skipped.
+func (inst *instance) report(r *reader) (share float64, ok bool) {
 	row := r.fields["report"]
-	if row == "" || row == "-" || len(inst.fields) == 0 {
-		return nil
+	if row == "" || row == "-" || inst.memory < 0 {
+		return 0, false
 	}
-	var rep gannethook.Report
 	for i, part := range strings.Split(row, ",") {
-		if i >= len(inst.fields) || inst.fields[i] == 0 || part == "" || part == "-" {
+		if part == "" || part == "-" {
 			continue
 		}
 		v, err := strconv.ParseFloat(part, 64)
 		if err != nil {
 			r.fail("report", "a row of numbers")
-			return nil
+			return 0, false
+		}
+		if i == inst.memory {
+			share, ok = v, true
 		}
-		rep = append(rep, gannethook.Reading{Metric: inst.fields[i], Value: v})
 	}
-	return rep
+	return share, ok
 }
 
 // write writes one action of instance id.
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -87,7 +87,7 @@
 		"class too high":     {start + "BATCH momentMs=2000 serial=2\n" + strings.Replace(ordering, "lane=0", "lane=5", 1) + "END\n", "lane=\"5\""},
 		"entry missing":      {start + "BATCH momentMs=2000 serial=2\nUPDATE routerId=3 kind=full serial=2 nodesList=1\nEND\n", "entry 1 of 1"},
 		"bad state":          {start + "BATCH momentMs=2000 serial=2\nUPDATE routerId=3 kind=full serial=2 nodesList=1\nWORKER worker=a model=0 readiness=Odd area=0\nEND\n", "readiness"},
-		"bad flag":           {start + "BATCH momentMs=2000 serial=2\n" + strings.Replace(ordering, "maxOut", "repeat=yes maxOut", 1) + "END\n", "0 or 1"},
+		"bad flag":           {start + "BATCH momentMs=2000 serial=2\n" + "CLOSED_ATTEMPT routerId=3 requestId=7 outcome=102 leg=0 worker=a doneFlag=yes\nEND\n", "0 or 1"},
 		"bad report":         {start + "BATCH momentMs=2000 serial=2\nCLOSED_ATTEMPT routerId=3 requestId=7 outcome=102 leg=0 worker=a report=x,1,2\nEND\n", "row of numbers"},
 		"stray entry":        {start + "BATCH momentMs=2000 serial=2\nWORKER worker=a\nEND\n", "out of place"},
 	} {
--- a/router.go
+++ b/router.go
@@ -442,7 +442,7 @@
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
 	if s := r.servers[ev.Server]; s != nil {
-		r.learnReport(s, ev.Report)
+		r.learnReport(s, ev)
 	}
 	q := r.requests[ev.ID]
 	if q == nil || q.find(ev.Attempt) < 0 {
@@ -772,21 +772,19 @@
 }
 
 // learnReport takes a load report.
-func (r *Router) learnReport(s *server, rep Report) {
-	for _, v := range rep {
-		if v.Metric != MemoryShare || s.role == Reader {
-			continue
-		}
-		own := 0.0
-		for _, q := range s.streams {
-			own += q.tokens()
-		}
-		if size := own * float64(r.set.Routers) / v.Value; v.Value > near && own > 0 {
-			s.size += sizeGain / float64(r.set.Routers) * (size - s.size)
-		}
-		r.share += meanGain * (v.Value - r.share)
-		s.share, s.heard = v.Value, r.now
+func (r *Router) learnReport(s *server, ev Ended) {
+	if !ev.Reported || s.role == Reader {
+		return
+	}
+	own := 0.0
+	for _, q := range s.streams {
+		own += q.tokens()
+	}
+	if size := own * float64(r.set.Routers) / ev.Memory; ev.Memory > near && own > 0 {
+		s.size += sizeGain / float64(r.set.Routers) * (size - s.size)
 	}
+	r.share += meanGain * (ev.Memory - r.share)
+	s.share, s.heard = ev.Memory, r.now
 }
 
 // blame charges a failure to a server's freeness.
--- a/scale_test.go
+++ b/scale_test.go
@@ -359,7 +359,7 @@
 	s := newScript(t, fleet(func(set *Settings) { set.Routers = 300 }), oneEach...)
 	s.on(1, ask(1, 0))
 	for range 100 {
-		s.r.learnReport(s.r.servers["w1"], Report{{Metric: MemoryShare, Value: 0.2}})
+		s.r.learnReport(s.r.servers["w1"], Ended{Reported: true, Memory: 0.2})
 	}
 	if size := s.r.servers["w1"].size; size < 9e4 || size > 2e5 {
 		t.Errorf("size %v, told 1e5", size)
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -13,14 +13,14 @@
 	set := Settings{
 		Routers: 2,
 		Classes: []Class{
-			{Aim: 1000, AimPer1000: 40, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Safe, Streamed: true},
-			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Unsafe, Streamed: true},
-			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Keyed, Group: GroupCell, Window: 2000,
+			{Aim: 1000, AimPer1000: 40, Worth: 1, Effect: Safe, Streamed: true},
+			{Aim: 1000, Worth: 1, Effect: Unsafe, Streamed: true},
+			{Aim: 1000, Worth: 1, Effect: Keyed, Group: GroupCell, Window: 2000,
 				Streamed: true},
-			{Aim: 1000, TokenAim: 60, Deadline: 6000, Worth: 1, Effect: Safe},
+			{Aim: 1000, Worth: 1, Effect: Safe},
 		},
-		Kinds:       []Kind{{Role: Reader, Memory: 2e5}, {Role: Writer, Memory: 1e5}, {Role: Mixed, Memory: 1e5}},
-		AnswerSlack: 16, DrainGrace: 500, ColdFrom: 0.25, WarmAfter: 10000, OverloadFactor: 2.5, FallWindow: 2000,
+		Kinds:    []Kind{{Role: Reader, Memory: 2e5}, {Role: Writer, Memory: 1e5}, {Role: Mixed, Memory: 1e5}},
+		ColdFrom: 0.25, WarmAfter: 10000, OverloadFactor: 2.5,
 		PinLimit: 500, MaxAttempts: 5, MaxRetryAfter: 500, Quantum: 4, Cancel: true, Holds: true,
 	}
 	for _, c := range change {
@@ -89,7 +89,7 @@
 }
 
 func at(id string, kind, zone, cell int) Server {
-	return Server{ID: ServerID(id), Kind: kind, Zone: zone, Cell: cell, Size: 1, State: Ready}
+	return Server{ID: ServerID(id), Kind: kind, Zone: zone, Cell: cell, State: Ready}
 }
 
 func ask(id RequestID, class int) Request {
@@ -249,7 +249,6 @@
 		"no classes":     func(s *Settings) { s.Classes = nil },
 		"negative time":  func(s *Settings) { s.PinLimit = -1 },
 		"negative aim":   func(s *Settings) { s.Classes[0].Aim = -1 },
-		"no deadline":    func(s *Settings) { s.Classes[0].Deadline = 0 },
 		"unknown role":   func(s *Settings) { s.Kinds[0].Role = 9 },
 		"unknown effect": func(s *Settings) { s.Classes[0].Effect = 0 },
 		"unknown group":  func(s *Settings) { s.Classes[2].Group = 0 },
@@ -397,7 +396,7 @@
 	var fleetOf []*script
 	for i := range routers {
 		s := &script{t: t, now: 1e6}
-		s.r, _ = New(fleet(func(set *Settings) { set.Routers, set.Router = routers, i }), uint64(i)*7919)
+		s.r, _ = New(fleet(func(set *Settings) { set.Routers = routers }), uint64(i)*7919)
 		s.on(0, Membership{Whole: true, Servers: warm})
 		fleetOf = append(fleetOf, s)
 	}
--- a/settings.go
+++ b/settings.go
@@ -11,8 +11,8 @@
 		return errors.New("settings: no classes")
 	}
 	for i, c := range set.Classes {
-		if !(c.Aim >= 0 && c.Deadline > 0 && c.AimPer1000 >= 0 && c.TokenAim >= 0 && c.Window >= 0) {
-			return fmt.Errorf("settings: class %d has a negative or missing time", i)
+		if !(c.Aim >= 0 && c.AimPer1000 >= 0 && c.Window >= 0) {
+			return fmt.Errorf("settings: class %d has a negative time", i)
 		}
 		if c.Effect < Safe || c.Effect > Unsafe {
 			return fmt.Errorf("settings: class %d has an unknown effect", i)
@@ -26,8 +26,7 @@
 			return fmt.Errorf("settings: kind %d has an unknown role", i)
 		}
 	}
-	for _, t := range []Millis{set.AnswerSlack, set.DrainGrace, set.WarmAfter, set.FallWindow, set.PinLimit,
-		set.MaxRetryAfter, set.Quantum, set.MustAsk} {
+	for _, t := range []Millis{set.WarmAfter, set.PinLimit, set.MaxRetryAfter, set.Quantum, set.ConnIdle} {
 		if !(t >= 0) {
 			return errors.New("settings: a time is negative")
 		}
--- a/stream_test.go
+++ b/stream_test.go
@@ -8,6 +8,9 @@
 	"testing"
 )
 
+// Figures of the rules that a router needs not be told.
+const drainGrace, answerSlack = 500, 16
+
 // book checks a router's actions against the five rules over a random legal event stream.
 type book struct {
 	t       *testing.T
@@ -65,7 +68,7 @@
 }
 
 func (b *book) drained(id RequestID, s ServerID) {
-	if at, ok := b.told[s]; ok && b.now > at+b.set.DrainGrace {
+	if at, ok := b.told[s]; ok && b.now > at+drainGrace {
 		b.fault("sent to a draining server", id)
 	}
 }
@@ -92,7 +95,7 @@
 	if b.reqs[id].done {
 		b.fault("two answers", id)
 	}
-	if b.now > b.reqs[id].deadline+b.set.AnswerSlack {
+	if b.now > b.reqs[id].deadline+answerSlack {
 		b.fault("answered late", id)
 	}
 	b.reqs[id].done = true
@@ -102,7 +105,7 @@
 func (b *book) overdue() {
 	for _, id := range b.order {
 		it := b.reqs[id]
-		if !it.done && !it.stream && b.now > it.deadline+b.set.AnswerSlack {
+		if !it.done && !it.stream && b.now > it.deadline+answerSlack {
 			b.fault("no answer", id)
 		}
 		if it.holds && len(it.out) == 0 && b.now > it.idle+b.set.PinLimit {
