--- a/router.go
+++ b/router.go
@@ -616,8 +616,7 @@
 	})
 }
 
-// pickReader chooses the reader of highest freeness; among those near it the session's last, else
-// the one that the shared beginning hashes to.
+// pickReader chooses the reader of highest freeness; among those near it the session's last, else a home.
 func (r *Router) pickReader(q *request) *server {
 	list := r.candidates(q, Writer)
 	top, high := best(list, func(s *server) float64 { return r.freeness(s, q) })
--- a/scale_test.go
+++ b/scale_test.go
@@ -365,3 +365,32 @@
 		t.Errorf("size %v, told 1e5", size)
 	}
 }
+
+// TestListsThatServeNobody: an empty list, or one with readers or writers alone, ends in timely refusals that
+// pin nothing.
+func TestListsThatServeNobody(t *testing.T) {
+	for name, list := range map[string][]Server{"empty": nil, "no reader": {at("w1", 1, 0, 0)},
+		"no writer": {at("r1", 0, 0, 0)}} {
+		s := newScript(t, fleet(), list...)
+		s.on(1, ask(1, 0))
+		read := len(shorts(s.acts)) > 0
+		if read {
+			s.want("send 1 r1")
+			s.on(100, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		}
+		for range 40 {
+			if len(s.r.requests) == 0 {
+				break
+			}
+			s.on(sweepEvery, Wakeup{Ref: refSweep})
+		}
+		if read {
+			s.want("refuse 1", "release 1")
+		} else {
+			s.want("refuse 1")
+		}
+		if s.now > 1e6+1000 {
+			t.Errorf("%s: refused after %v ms", name, s.now-1e6)
+		}
+	}
+}
