--- /dev/null
+++ b/internal/driver/call.go
@@ -0,0 +1,259 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/engine"
+)
+
+// Call is one request until its last attempt has ended. All but Abandon is the
+// driver's goroutine's.
+type Call struct {
+	d    *Driver
+	id   gannethook.RequestID
+	job  Job
+	sink Sink
+	came time.Time
+
+	attempts  []*attempt
+	out       int // attempts that are out
+	answered  bool
+	forgotten bool
+	streaming bool
+	gone      atomic.Bool // nothing more may be relayed
+	abandoned bool
+	first     time.Time
+	final     Answer
+	ended     time.Time
+
+	key      string // of the last read
+	params   []byte // that its reader returned
+	reader   gannethook.ServerID
+	writer   gannethook.ServerID
+	held     []heldAt // what may be held, and where, until it is let go
+	releases int      // how often all was let go: tells late grants
+}
+
+// heldAt is a state or place that may be held for the request.
+type heldAt struct {
+	server gannethook.ServerID
+	key    string
+}
+
+type attempt struct {
+	n      int
+	server gannethook.ServerID
+	reads  bool
+	out    bool
+	cancel context.CancelFunc
+	end    string
+}
+
+// Abandon tells that the client took the request back or left. The final answer
+// is Cancelled unless another was on its way already.
+func (c *Call) Abandon() {
+	c.d.post(func() {
+		if c.answered {
+			return
+		}
+		c.abandoned = true
+		c.answer(Answer{Kind: Cancelled})
+		c.d.tell(gannethook.ClientGone{ID: c.id})
+		for _, a := range c.attempts { // a stream is the client's: it ends with it
+			if a.out {
+				c.finish(a.n, engine.Result{Outcome: gannethook.Cancelled, Detail: "its client left"})
+			}
+		}
+		c.d.settle(c)
+	})
+}
+
+// answer gives the final answer, once.
+func (c *Call) answer(a Answer) {
+	if c.answered {
+		return
+	}
+	c.answered, c.final, c.ended = true, a, time.Now()
+	c.gone.Store(true)
+	c.sink.Final(a)
+}
+
+// send starts an attempt. One for a request that is answered, or whose stream
+// has begun, is moot.
+func (c *Call) send(s gannethook.Send) gannethook.Event {
+	a := &attempt{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader, out: true}
+	c.attempts = append(c.attempts, a)
+	c.out++
+	var ctx context.Context
+	ctx, a.cancel = context.WithCancel(c.d.ctx)
+	if c.answered || c.streaming {
+		return c.end(a.n, engine.Result{Outcome: gannethook.Moot})
+	}
+	if a.reads {
+		c.key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
+		c.held = append(c.held, heldAt{s.Server, c.key})
+		c.reader = s.Server
+	} else {
+		c.writer = s.Server
+	}
+	call := &engine.Call{Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
+		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
+		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName}
+	if !a.reads && c.d.roles[s.Server] == gannethook.Writer {
+		call.Params = c.params
+	}
+	if call.Key == "" { // a server that reads and writes gets the request whole
+		call.Key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
+	}
+	if s.Timeout > 0 {
+		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
+	}
+	go c.attempt(ctx, a, call)
+	return nil
+}
+
+// attempt runs on its own goroutine.
+func (c *Call) attempt(ctx context.Context, a *attempt, call *engine.Call) {
+	var r engine.Result
+	if a.reads {
+		r = c.d.cfg.Engines.Read(ctx, call)
+	} else {
+		r = c.d.cfg.Engines.Write(ctx, call, func() bool { return c.started(a) }, c.relay)
+	}
+	a.cancel()
+	c.d.post(func() { c.finish(a.n, r) })
+}
+
+// relay passes a token on, unless the request has ended.
+func (c *Call) relay(text []byte) bool { return !c.gone.Load() && c.sink.Token(text) }
+
+// started asks the driver's goroutine whether the first token may pass: it may
+// not where the final answer was quicker.
+func (c *Call) started(a *attempt) bool {
+	ok := make(chan bool, 1)
+	if !c.d.post(func() { ok <- c.stream(a) }) {
+		return false
+	}
+	select {
+	case yes := <-ok:
+		return yes
+	case <-c.d.stopped:
+		return false
+	}
+}
+
+func (c *Call) stream(a *attempt) bool {
+	if !a.out || c.answered || c.streaming {
+		return false
+	}
+	c.streaming, c.first, c.writer = true, time.Now(), a.server
+	c.d.tell(gannethook.Streaming{ID: c.id, Attempt: a.n, Server: a.server})
+	c.release(a.server)
+	c.d.settle(c)
+	return true
+}
+
+// finish takes an attempt's outcome to the module.
+func (c *Call) finish(n int, r engine.Result) {
+	if ev := c.end(n, r); ev != nil {
+		c.d.tell(ev)
+	}
+	c.d.settle(c)
+}
+
+// end takes an attempt out and returns its event; nil if it had ended before.
+// A stream's end is the client's final answer.
+func (c *Call) end(n int, r engine.Result) gannethook.Event {
+	if n < 0 || n >= len(c.attempts) || !c.attempts[n].out {
+		return nil
+	}
+	a := c.attempts[n]
+	a.out, a.end = false, r.Detail
+	c.out--
+	a.cancel()
+	ev := gannethook.Ended{ID: c.id, Attempt: n, Server: a.server, Outcome: r.Outcome, NoState: r.NoState,
+		Reported: r.Reported, Memory: r.Memory}
+	switch {
+	case r.Outcome == gannethook.ReadDone:
+		c.params = r.Params
+	case !a.reads && r.Outcome == gannethook.Served:
+		c.answer(Answer{Kind: Served, Tokens: r.Tokens})
+		ev.Done = true
+	case !a.reads && c.streaming:
+		c.answer(Answer{Kind: Failed, Tokens: r.Tokens, Reason: "the stream broke: " + r.Detail})
+		ev.Done = true
+	}
+	return ev
+}
+
+// timedOut ends an attempt whose time has run out before its first token.
+func (c *Call) timedOut(n int) {
+	if n < len(c.attempts) && c.attempts[n].out && !c.streaming {
+		c.finish(n, engine.Result{Outcome: gannethook.TimedOut, Detail: "time-out"})
+	}
+}
+
+// hold asks for a place on a goroutine of its own. A grant that comes after all
+// was let go is let go as well.
+func (c *Call) hold(w gannethook.ServerID) {
+	n := len(c.attempts) - 1
+	if n < 0 || c.key == "" {
+		return
+	}
+	call := &engine.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
+		Class: c.job.ClassName}
+	reader, epoch := string(c.reader), c.releases
+	c.held = append(c.held, heldAt{w, c.key})
+	go func() {
+		ok := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
+		c.d.post(func() {
+			if c.forgotten || epoch != c.releases && !(c.streaming && c.writer == w) {
+				go c.letGo([]heldAt{{w, call.Key}})
+				return
+			}
+			if c.attempts[n].out {
+				c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: ok})
+				c.d.settle(c)
+			}
+		})
+	}()
+}
+
+// release lets go of all that may be held, but at the server that streams.
+func (c *Call) release(keep gannethook.ServerID) {
+	go c.letGo(slices.DeleteFunc(c.held, func(h heldAt) bool { return h.server == keep }))
+	c.held = nil
+	c.releases++
+}
+
+// letGo tells the servers, each twice if need be: an engine that can't be
+// reached lets go by itself, when it dies or by its own limit.
+func (c *Call) letGo(list []heldAt) {
+	for _, h := range list {
+		go func() {
+			for range 2 {
+				if c.d.cfg.Engines.Release(c.d.ctx, string(h.server), h.key) == nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func (c *Call) summary() Summary {
+	s := Summary{ID: uint64(c.id), Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
+		Writer: string(c.writer), Attempts: len(c.attempts), Tokens: c.final.Tokens, Outcome: c.final.Kind,
+		Reason: c.final.Reason, Whole: c.ended.Sub(c.came), RetryAfter: c.final.RetryAfter, PromptSz: c.job.PromptSize}
+	if !c.first.IsZero() {
+		s.FirstToken = c.first.Sub(c.came)
+	}
+	for _, a := range c.attempts {
+		s.Ends = append(s.Ends, a.end)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/driver/driver.go
@@ -0,0 +1,360 @@
+// Package driver connects the decision module to the world. One goroutine owns
+// a gannethook.Router, its clock, timers and request ids: connections hand it
+// what happened, it tells the module, and carries out the module's actions in
+// order. Nothing here decides; docs/architecture.md has what each bound does.
+package driver
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/engine"
+)
+
+// ErrBusy tells that a request was not taken: nothing of it has run.
+var ErrBusy = errors.New("the router is full")
+
+// ErrStopped tells that the driver has ended.
+var ErrStopped = errors.New("the router has stopped")
+
+// Engines makes attempts; engine.Client does.
+type Engines interface {
+	Read(ctx context.Context, call *engine.Call) engine.Result
+	Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result
+	Hold(ctx context.Context, call *engine.Call, reader string) bool
+	Release(ctx context.Context, addr, key string) error
+}
+
+// Job is a request as a client's front hands it over.
+type Job struct {
+	Class, Tenant         int
+	ClassName, TenantName string
+	SessionID             string
+	Session, Prefix       gannethook.Key
+	PrefixName            string
+	GiveUp                time.Duration
+	PromptSize, Kept      float64 // tokens of the prompt, and of these the shared beginning's
+	MaxTokens             int
+	Model, Prompt         string
+	Idempotency           string
+}
+
+// Kind tells how a request ended.
+type Kind int
+
+// The final answers, and Cancelled for a request that its client took back.
+const (
+	Served Kind = iota + 1
+	Refused
+	Failed
+	Cancelled
+)
+
+func (k Kind) String() string {
+	return [...]string{"none", "served", "refused", "failed", "cancelled"}[k]
+}
+
+// Answer is the final answer.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // of a refusal
+	Tokens     int
+	Reason     string
+}
+
+// Sink receives a request's answer. Token comes from the attempt's goroutine,
+// as a raw JSON string that is valid during the call; it returns false once
+// nobody reads. Final comes once, last. Neither may wait.
+type Sink interface {
+	Token(text []byte) bool
+	Final(Answer)
+}
+
+// Summary is what is logged of one request.
+type Summary struct {
+	ID                        uint64
+	Session, Class            string
+	Reader, Writer            string
+	Attempts, Tokens          int
+	Outcome                   Kind
+	Reason                    string
+	FirstToken, Whole         time.Duration
+	Ends                      []string // of the attempts, in order
+	RetryAfter                time.Duration
+	TokensPerSecond, PromptSz float64
+}
+
+// Config sets a driver up.
+type Config struct {
+	Settings gannethook.Settings
+	Name     string // of this router, in the engines' logs
+	Seed     uint64
+	Inbox    int // events that may wait
+	MaxOpen  int // requests that may be open
+	Engines  Engines
+	Done     func(Summary) // called on the driver's goroutine
+	Took     func(time.Duration)
+}
+
+// Driver runs one router.
+type Driver struct {
+	cfg     Config
+	router  *gannethook.Router
+	inbox   chan func()
+	stopped chan struct{}
+	start   time.Time
+	startMS float64
+	boot    string
+	open    atomic.Int64
+
+	// Of the goroutine alone:
+	ctx    context.Context
+	lastID uint64
+	calls  map[gannethook.RequestID]*Call
+	roles  map[gannethook.ServerID]gannethook.Role
+	timers timers
+	turn   uint64
+}
+
+// New returns a driver; Run starts it.
+func New(cfg Config) (*Driver, error) {
+	router, err := gannethook.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
+		start: now, startMS: float64(now.UnixMicro()) / 1000,
+		boot:  cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36),
+		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}, nil
+}
+
+// now is the module's clock: wall time at the start, so that servers' start
+// times mean something, and monotonic from there on.
+func (d *Driver) now() gannethook.Millis {
+	return gannethook.Millis(d.startMS + float64(time.Since(d.start).Microseconds())/1000)
+}
+
+// Run drives until the context ends; then every open request is failed.
+func (d *Driver) Run(ctx context.Context) {
+	defer close(d.stopped)
+	var cancel context.CancelFunc
+	d.ctx, cancel = context.WithCancel(ctx)
+	defer cancel()
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		d.fireDue()
+		alarm.Reset(d.nextAlarm())
+		select {
+		case f := <-d.inbox:
+			d.run(f)
+		case <-alarm.C:
+		case <-ctx.Done():
+			d.failAll()
+			return
+		}
+	}
+}
+
+func (d *Driver) run(f func()) {
+	if d.cfg.Took == nil {
+		f()
+		return
+	}
+	from := time.Now()
+	f()
+	d.cfg.Took(time.Since(from))
+}
+
+// failAll ends what is open when the router stops; a failure promises nothing.
+func (d *Driver) failAll() {
+	for _, c := range d.calls {
+		c.answer(Answer{Kind: Failed, Reason: "the router stops"})
+		for _, a := range c.attempts {
+			a.cancel()
+		}
+	}
+}
+
+// post hands the goroutine something to do; it waits while the inbox is full.
+func (d *Driver) post(f func()) bool {
+	select {
+	case d.inbox <- f:
+		return true
+	case <-d.stopped:
+		return false
+	}
+}
+
+// Open is how many requests are open.
+func (d *Driver) Open() int { return int(d.open.Load()) }
+
+// Submit takes a request in. ErrBusy tells that the inbox or the table is full:
+// nothing has run, so the client may be refused.
+func (d *Driver) Submit(job Job, sink Sink) (*Call, error) {
+	if d.open.Add(1) > int64(d.cfg.MaxOpen) {
+		d.open.Add(-1)
+		return nil, ErrBusy
+	}
+	c := &Call{d: d, job: job, sink: sink, came: time.Now()}
+	select {
+	case d.inbox <- func() { d.take(c) }:
+		return c, nil
+	case <-d.stopped:
+		d.open.Add(-1)
+		return nil, ErrStopped
+	default:
+		d.open.Add(-1)
+		return nil, ErrBusy
+	}
+}
+
+// Update brings news of the list of servers.
+func (d *Driver) Update(m gannethook.Membership) {
+	d.post(func() {
+		for _, s := range m.Servers {
+			if s.Kind >= 0 && s.Kind < len(d.cfg.Settings.Kinds) {
+				d.roles[s.ID] = d.cfg.Settings.Kinds[s.Kind].Role
+			}
+		}
+		d.tell(m)
+	})
+}
+
+func (d *Driver) take(c *Call) {
+	d.lastID++
+	c.id = gannethook.RequestID(d.lastID)
+	d.calls[c.id] = c
+	budget := c.job.GiveUp - time.Since(c.came) // it has waited in the inbox
+	d.tell(gannethook.Request{ID: c.id, Class: c.job.Class, Tenant: c.job.Tenant, Session: c.job.Session,
+		Prefix: c.job.Prefix, Budget: gannethook.Millis(max(budget, 0).Seconds() * 1000),
+		Prompt: c.job.PromptSize, PrefixLen: c.job.Kept, MaxOut: float64(c.job.MaxTokens)})
+	d.settle(c)
+}
+
+// tell hands the module one event and carries out what it wants. An action may
+// cause an event of its own (a cancelled attempt ends); it follows in its turn.
+func (d *Driver) tell(ev gannethook.Event) {
+	queue := []gannethook.Event{ev}
+	for len(queue) > 0 {
+		ev, queue = queue[0], queue[1:]
+		for _, act := range d.router.Handle(d.now(), ev) {
+			if next := d.carryOut(act); next != nil {
+				queue = append(queue, next)
+			}
+		}
+	}
+}
+
+// carryOut does one action.
+func (d *Driver) carryOut(act gannethook.Action) gannethook.Event {
+	switch a := act.(type) {
+	case gannethook.Send:
+		if c := d.calls[a.ID]; c != nil {
+			return c.send(a)
+		}
+	case gannethook.Cancel:
+		if c := d.calls[a.ID]; c != nil {
+			return c.end(a.Attempt, engine.Result{Outcome: gannethook.Cancelled, Detail: "called off"})
+		}
+	case gannethook.Hold:
+		if c := d.calls[a.ID]; c != nil {
+			c.hold(a.Server)
+		}
+	case gannethook.Release:
+		if c := d.calls[a.ID]; c != nil {
+			c.release("")
+		}
+	case gannethook.Refuse:
+		if c := d.calls[a.ID]; c != nil {
+			c.answer(Answer{Kind: Refused, RetryAfter: time.Duration(float64(a.RetryAfter) * 1e6)})
+		}
+	case gannethook.Fail:
+		if c := d.calls[a.ID]; c != nil {
+			c.answer(Answer{Kind: Failed})
+		}
+	case gannethook.Wake:
+		d.after(time.Duration(float64(a.In)*1e6), timer{ref: a.Ref})
+	case gannethook.Subscribe: // news of the list come by themselves
+	default:
+		panic(fmt.Sprintf("driver: unknown action %T", act))
+	}
+	return nil
+}
+
+// timer is a wake-up of the module's, or an attempt's time-out.
+type timer struct {
+	at   time.Time
+	turn uint64 // equal times go off in the order of setting
+	ref  uint64
+	call *Call
+	n    int
+}
+
+type timers []timer
+
+func (t timers) Len() int      { return len(t) }
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t timers) Less(i, j int) bool {
+	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].turn < t[j].turn
+}
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return last
+}
+
+func (d *Driver) after(in time.Duration, t timer) {
+	d.turn++
+	t.at, t.turn = time.Now().Add(max(in, 0)), d.turn
+	heap.Push(&d.timers, t)
+}
+
+func (d *Driver) nextAlarm() time.Duration {
+	if len(d.timers) == 0 {
+		return time.Hour
+	}
+	return max(time.Until(d.timers[0].at), 0)
+}
+
+// fireDue lets due timers go off. They go before what waits in the inbox: a
+// deadline is kept although much has come in.
+func (d *Driver) fireDue() {
+	now := time.Now()
+	for len(d.timers) > 0 && !d.timers[0].at.After(now) {
+		t := heap.Pop(&d.timers).(timer)
+		if t.call != nil {
+			t.call.timedOut(t.n)
+			continue
+		}
+		id := gannethook.RequestID(t.ref / 4)
+		c := d.calls[id]
+		d.tell(gannethook.Wakeup{Ref: t.ref})
+		if c != nil {
+			d.settle(c)
+		}
+	}
+}
+
+// settle forgets a request that is answered and has no attempt out.
+func (d *Driver) settle(c *Call) {
+	if !c.answered || c.forgotten || c.out > 0 {
+		return
+	}
+	c.forgotten = true
+	delete(d.calls, c.id)
+	d.open.Add(-1)
+	if d.cfg.Done != nil {
+		d.cfg.Done(c.summary())
+	}
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,336 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/http1"
+	"gannethook/internal/jsonscan"
+)
+
+// Paths of the engines' API; the last two are the extension.
+const (
+	CompletionsPath = "/v1/completions"
+	PlacesPath      = "/v1/x-gannethook/places"
+	StatesPath      = "/v1/x-gannethook/states/" // and the key
+)
+
+// Codes of error bodies that tell a missing state from a full engine.
+const (
+	CodeNoState = "no_state"
+	CodeFull    = "full"
+)
+
+// Call is one attempt at an engine.
+type Call struct {
+	Addr        string
+	Key         string // names the read and its state; engines know it as X-Request-Id
+	Model       string
+	Class       string
+	Tenant      string
+	Idempotency string
+	Prompt      string
+	MaxTokens   int
+	PromptSize  float64 // tokens, as the router counts them
+	KeptKey     string  // the shared beginning, for engines that keep text by it
+	Params      json.RawMessage
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Outcome  gannethook.Outcome
+	NoState  bool
+	Reported bool
+	Memory   float64
+	Params   json.RawMessage // of a read that is done
+	Tokens   int
+	Detail   string // why, for the log
+}
+
+// Client makes attempts. It is safe for concurrent use.
+type Client struct {
+	pool pool
+	lim  Limits
+	stop chan struct{}
+	wg   sync.WaitGroup
+}
+
+// NewClient returns a client; Close ends it.
+func NewClient(lim Limits) *Client {
+	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, stop: make(chan struct{})}
+	c.wg.Go(func() {
+		tick := time.NewTicker(max(lim.Idle/4, time.Second))
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				c.pool.sweep(false)
+			case <-c.stop:
+				return
+			}
+		}
+	})
+	return c
+}
+
+// Close closes unused connections; those in use close when their attempts end.
+func (c *Client) Close() {
+	close(c.stop)
+	c.wg.Wait()
+	c.pool.sweep(true)
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	c    *Client
+	addr string
+	conn *conn
+	res  *http1.Response
+	body *http1.Body
+	stop func() bool
+}
+
+// open sends a request and reads the answer's head.
+func (c *Client) open(ctx context.Context, method, path string, call *Call, body []byte) (*exchange, error) {
+	cn, err := c.pool.get(ctx, call.Addr)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{c: c, addr: call.Addr, conn: cn}
+	x.stop = context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
+	h := http1.Header{{Name: "Host", Value: call.Addr}, {Name: "Content-Type", Value: "application/json"},
+		{Name: "Content-Length", Value: strconv.Itoa(len(body))}, {Name: "X-Request-Id", Value: call.Key}}
+	for _, f := range []http1.Field{{Name: "Idempotency-Key", Value: call.Idempotency},
+		{Name: "X-Request-Class", Value: call.Class}, {Name: "X-Tenant", Value: call.Tenant}} {
+		if f.Value != "" {
+			h = append(h, f)
+		}
+	}
+	http1.WriteHead(cn.bw, method+" "+path+" HTTP/1.1", h)
+	cn.bw.Write(body)
+	if err = cn.bw.Flush(); err == nil {
+		err = x.head()
+	}
+	if err != nil {
+		x.close(false)
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *exchange) head() (err error) {
+	for {
+		if x.res, err = http1.ReadResponse(x.conn.br); err != nil {
+			return err
+		}
+		if x.res.Status >= 200 {
+			break
+		}
+	}
+	x.body, err = http1.ResponseBody(x.conn.br, x.res)
+	return err
+}
+
+// close gives the connection back if the exchange is whole, else cuts it, which calls the engine's work off.
+func (x *exchange) close(whole bool) {
+	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
+		x.c.pool.put(x.addr, x.conn)
+		return
+	}
+	x.conn.Close()
+}
+
+// all reads the whole body.
+func (x *exchange) all() ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(x.body, int64(x.c.lim.ResponseMax)+1))
+	if err == nil && len(b) > x.c.lim.ResponseMax {
+		err = http1.ErrTooLarge
+	}
+	if err == nil {
+		// The end of a chunked body is one read further.
+		var one [1]byte
+		x.body.Read(one[:])
+	}
+	return b, err
+}
+
+// failed maps an error of the connection to an outcome.
+func failed(ctx context.Context, err error) Result {
+	var dial errDial
+	switch {
+	case errors.As(err, &dial):
+		return Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
+	case ctx.Err() != nil:
+		return Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
+	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge), errors.Is(err, jsonscan.ErrBad):
+		return Result{Outcome: gannethook.Failed, Detail: err.Error()}
+	}
+	return Result{Outcome: gannethook.Broken, Detail: err.Error()}
+}
+
+// turned maps an answer that is not 200 to an outcome.
+func (x *exchange) turned() Result {
+	body, err := x.all()
+	x.close(err == nil)
+	r := Result{Outcome: gannethook.Failed, Detail: fmt.Sprintf("status %d", x.res.Status)}
+	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
+	raw, _, _ := jsonscan.Find(body, "error", "code")
+	code := strings.Trim(string(raw), `"`)
+	switch {
+	case x.res.Status == 409 && code == CodeNoState:
+		r.Outcome, r.NoState = gannethook.Full, true
+	case x.res.Status == 429 || x.res.Status == 503:
+		r.Outcome = gannethook.Full
+	}
+	return r
+}
+
+// completion is the body of /v1/completions.
+type completion struct {
+	Model     string          `json:"model,omitempty"`
+	Prompt    string          `json:"prompt"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+	CacheSalt string          `json:"cache_salt,omitempty"`
+	Params    json.RawMessage `json:"kv_transfer_params,omitempty"`
+	Size      int             `json:"x_prompt_tokens,omitempty"`
+	KeptKey   string          `json:"x_prefix_key,omitempty"`
+}
+
+// readParams ask a prefill engine to keep its state for another engine (vLLM's NIXL connector).
+var readParams = json.RawMessage(`{"do_remote_decode":true,"do_remote_prefill":false,` +
+	`"remote_engine_id":null,"remote_block_ids":null,"remote_host":null,"remote_port":null}`)
+
+func (call *Call) body(maxTokens int, stream bool, params json.RawMessage) []byte {
+	b, _ := json.Marshal(completion{Model: call.Model, Prompt: call.Prompt, MaxTokens: maxTokens, Stream: stream,
+		Params: params, Size: int(call.PromptSize), KeptKey: call.KeptKey})
+	return b
+}
+
+// Read has a prompt read by a reader, whose state then waits there.
+func (c *Client) Read(ctx context.Context, call *Call) Result {
+	x, err := c.open(ctx, "POST", CompletionsPath, call, call.body(1, false, readParams))
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if x.res.Status != 200 {
+		return x.turned()
+	}
+	body, err := x.all()
+	x.close(err == nil)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	r := Result{Outcome: gannethook.ReadDone}
+	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
+	params, found, err := jsonscan.Find(body, "kv_transfer_params")
+	if err != nil || !found || bytes.Equal(params, []byte("null")) {
+		return Result{Outcome: gannethook.Failed, Detail: "the reader returned no kv_transfer_params"}
+	}
+	r.Params = json.RawMessage(params)
+	return r
+}
+
+// Write streams an answer. started is called at the first token; where it says
+// no, the attempt is over. token gets each token's text as raw JSON string,
+// valid during the call, and may say no as well.
+func (c *Client) Write(ctx context.Context, call *Call, started func() bool, token func([]byte) bool) Result {
+	x, err := c.open(ctx, "POST", CompletionsPath, call, call.body(call.MaxTokens, true, call.Params))
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if x.res.Status != 200 {
+		return x.turned()
+	}
+	r := x.stream(ctx, started, token)
+	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
+	x.close(r.Outcome == gannethook.Served)
+	return r
+}
+
+// stream reads tokens to the end. Only "[DONE]" makes an answer whole.
+func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) Result {
+	events := http1.NewEvents(x.body)
+	for n := 0; ; {
+		data, err := events.Next()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			r := failed(ctx, err)
+			r.Tokens = n
+			return r
+		}
+		if string(data) == "[DONE]" {
+			if x.conn.br.Buffered() > 0 {
+				var one [1]byte
+				x.body.Read(one[:]) // the end of a chunked body; not waited for
+			}
+			return Result{Outcome: gannethook.Served, Tokens: n}
+		}
+		text, found, err := jsonscan.Find(data, "choices", "0", "text")
+		if err != nil || !found || len(text) < 2 || text[0] != '"' {
+			return Result{Outcome: gannethook.Failed, Tokens: n, Detail: "an event of the stream has no text"}
+		}
+		if len(text) == 2 {
+			continue // the event that only tells why the answer ended
+		}
+		if n == 0 && !started() {
+			return Result{Outcome: gannethook.Cancelled, Detail: "ended before its first token"}
+		}
+		n++
+		if !token(text) {
+			return Result{Outcome: gannethook.Cancelled, Tokens: n, Detail: "the client is gone"}
+		}
+		x.conn.SetReadDeadline(time.Now().Add(x.c.lim.StreamIdle))
+		if ctx.Err() != nil { // called off meanwhile: its deadline must stand
+			x.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// place is the body that asks for a place.
+type place struct {
+	Key    string `json:"request_id"`
+	Reader string `json:"reader"`
+	Tokens int    `json:"tokens"`
+}
+
+// Hold asks a writer for a place for the state that a reader is about to have.
+func (c *Client) Hold(ctx context.Context, call *Call, reader string) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
+	defer cancel()
+	body, _ := json.Marshal(place{call.Key, reader, int(call.PromptSize) + call.MaxTokens})
+	status, _ := c.extension(ctx, "POST", PlacesPath, call, body)
+	return status == 201
+}
+
+// Release lets an engine's state and place of a read go. Unknown ones count as let go.
+func (c *Client) Release(ctx context.Context, addr, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
+	defer cancel()
+	status, err := c.extension(ctx, "DELETE", StatesPath+key, &Call{Addr: addr, Key: key}, nil)
+	if err == nil && status/100 != 2 && status != 404 {
+		err = fmt.Errorf("release: status %d", status)
+	}
+	return err
+}
+
+func (c *Client) extension(ctx context.Context, method, path string, call *Call, body []byte) (int, error) {
+	x, err := c.open(ctx, method, path, call, body)
+	if err != nil {
+		return 0, err
+	}
+	_, err = x.all()
+	x.close(err == nil)
+	return x.res.Status, err
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,147 @@
+// Package engine is the HTTP/1.1 client of the engines: completions with
+// server-sent events, the kv_transfer_params exchange of disaggregated vLLM,
+// ORCA load reports, and the extension of docs/engine-protocol.md for places
+// and releases. It carries out one attempt and tells how it ended; it decides
+// nothing and tries nothing again.
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Limits bound the connections to one engine.
+type Limits struct {
+	Dial        time.Duration // a connection not made by then has failed to connect
+	Idle        time.Duration // an unused connection closes; keep it under the engine's own
+	IdleConns   int           // unused connections kept
+	StreamIdle  time.Duration // a stream without a token for so long is broken
+	Extension   time.Duration // a place or release not answered by then is taken as refused
+	ResponseMax int           // bytes of an answer that is not streamed
+}
+
+// DefaultLimits suit engines on a data centre's network.
+func DefaultLimits() Limits {
+	return Limits{Dial: 250 * time.Millisecond, Idle: 25 * time.Second, IdleConns: 64,
+		StreamIdle: 10 * time.Second, Extension: 400 * time.Millisecond, ResponseMax: 1 << 20}
+}
+
+// conn is one connection, owned by one exchange at a time.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	used time.Time
+}
+
+// pool keeps the unused connections, newest last.
+type pool struct {
+	lim  Limits
+	mu   sync.Mutex
+	idle map[string][]*conn
+	shut bool
+}
+
+// errDial marks that no connection was made, so that nothing can have run.
+type errDial struct{ error }
+
+func (e errDial) Unwrap() error { return e.error }
+
+// get gives a connection: an unused one that still stands, else a new one.
+func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			break
+		}
+		if time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, p.lim.Dial)
+	defer cancel()
+	var d net.Dialer
+	nc, err := d.DialContext(dialCtx, "tcp", addr)
+	if err != nil {
+		return nil, errDial{err}
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096), bw: bufio.NewWriterSize(nc, 4096)}, nil
+}
+
+func (p *pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	if p.idle[addr] = list[:len(list)-1]; len(list) == 1 {
+		delete(p.idle, addr)
+	}
+	return c
+}
+
+// put takes a connection back after a whole exchange.
+func (p *pool) put(addr string, c *conn) {
+	c.used = time.Now()
+	if c.SetDeadline(time.Time{}) != nil || c.br.Buffered() > 0 {
+		c.Close() // cut meanwhile, or it talks out of turn
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shut || len(p.idle[addr]) >= p.lim.IdleConns {
+		c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// sweep closes what has been unused for too long, or all.
+func (p *pool) sweep(all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shut = p.shut || all
+	for addr, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if !all && time.Since(c.used) < p.lim.Idle {
+				keep = append(keep, c)
+			} else {
+				c.Close()
+			}
+		}
+		if p.idle[addr] = keep; len(keep) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// stands tells whether the peer has not closed an unused connection. Without
+// the look, a request written into a closed one would count as one that may
+// have run, and an unsafe one could not go again.
+func stands(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/sexp/parse.go
@@ -0,0 +1,216 @@
+// Package sexp reads gannethook's files: S-expressions of words, quoted strings
+// and lists, with ';' comments. Every node knows its line and column, so that
+// whatever is wrong is told by place. Decode binds a file to Go structs.
+package sexp
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Bounds of a file; beyond them Parse gives an error.
+const (
+	MaxBytes = 1 << 20
+	MaxDepth = 32
+)
+
+// Pos is a place in a file; lines and columns count from 1, columns in characters.
+type Pos struct {
+	File      string
+	Line, Col int
+}
+
+func (p Pos) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Col) }
+
+// Error is a fault with its place.
+type Error struct {
+	Pos Pos
+	Msg string
+}
+
+func (e *Error) Error() string { return e.Pos.String() + ": " + e.Msg }
+
+func errorAt(p Pos, format string, args ...any) error {
+	return &Error{Pos: p, Msg: fmt.Sprintf(format, args...)}
+}
+
+// Node is a list, a word or a quoted string.
+type Node struct {
+	Pos    Pos
+	List   bool
+	Quoted bool
+	Text   string  // of a word or string
+	Items  []*Node // of a list
+}
+
+// Head is the word that a list starts with, or "".
+func (n *Node) Head() string {
+	if n.List && len(n.Items) > 0 && !n.Items[0].List && !n.Items[0].Quoted {
+		return n.Items[0].Text
+	}
+	return ""
+}
+
+// ParseFile reads a whole file.
+func ParseFile(path string) ([]*Node, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, MaxBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return Parse(path, string(text))
+}
+
+// Parse reads the forms of a text; file names it in errors.
+func Parse(file, text string) ([]*Node, error) {
+	p := &parser{text: text, pos: Pos{file, 1, 1}}
+	if len(text) > MaxBytes {
+		return nil, errorAt(p.pos, "the file has over %d bytes", MaxBytes)
+	}
+	var forms []*Node
+	for {
+		n, err := p.node(0)
+		if errors.Is(err, io.EOF) {
+			return forms, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		forms = append(forms, n)
+	}
+}
+
+type parser struct {
+	text string
+	pos  Pos
+}
+
+// peek is the next character, or -1 at the end.
+func (p *parser) peek() rune {
+	if p.text == "" {
+		return -1
+	}
+	c, _ := utf8.DecodeRuneInString(p.text)
+	return c
+}
+
+func (p *parser) next() rune {
+	c, size := utf8.DecodeRuneInString(p.text)
+	p.text = p.text[size:]
+	if c == '\n' {
+		p.pos.Line, p.pos.Col = p.pos.Line+1, 1
+	} else {
+		p.pos.Col++
+	}
+	return c
+}
+
+func (p *parser) skipSpace() {
+	for {
+		c := p.peek()
+		switch {
+		case c == ';':
+			for c := p.peek(); c != '\n' && c != -1; c = p.peek() {
+				p.next()
+			}
+		case c != -1 && unicode.IsSpace(c):
+			p.next()
+		default:
+			return
+		}
+	}
+}
+
+// node reads one form; io.EOF tells that there is none.
+func (p *parser) node(depth int) (*Node, error) {
+	p.skipSpace()
+	start := p.pos
+	switch c := p.peek(); {
+	case c == -1:
+		return nil, io.EOF
+	case c == '(':
+		return p.list(depth)
+	case c == ')':
+		return nil, errorAt(start, "this ')' closes nothing")
+	case c == '"':
+		return p.quoted()
+	default:
+		return p.word()
+	}
+}
+
+func (p *parser) list(depth int) (*Node, error) {
+	n := &Node{Pos: p.pos, List: true}
+	if depth >= MaxDepth {
+		return nil, errorAt(p.pos, "lists are nested more than %d deep", MaxDepth)
+	}
+	p.next()
+	for {
+		p.skipSpace()
+		if p.peek() == ')' {
+			p.next()
+			return n, nil
+		}
+		item, err := p.node(depth + 1)
+		if errors.Is(err, io.EOF) {
+			return nil, errorAt(n.Pos, "this '(' is never closed")
+		}
+		if err != nil {
+			return nil, err
+		}
+		n.Items = append(n.Items, item)
+	}
+}
+
+func (p *parser) quoted() (*Node, error) {
+	n := &Node{Pos: p.pos, Quoted: true}
+	rest := p.text
+	p.next()
+	for {
+		switch c := p.peek(); c {
+		case -1, '\n':
+			return nil, errorAt(n.Pos, "this string is never closed on its line")
+		case '\\':
+			p.next()
+			if p.peek() != -1 {
+				p.next()
+			}
+		case '"':
+			p.next()
+			text, err := strconv.Unquote(rest[:len(rest)-len(p.text)])
+			if err != nil {
+				return nil, errorAt(n.Pos, "this string has an unknown escape")
+			}
+			n.Text = text
+			return n, nil
+		default:
+			p.next()
+		}
+	}
+}
+
+func (p *parser) word() (*Node, error) {
+	n := &Node{Pos: p.pos}
+	var b strings.Builder
+	for {
+		c := p.peek()
+		if c == -1 || unicode.IsSpace(c) || strings.ContainsRune(`();"`, c) {
+			n.Text = b.String()
+			return n, nil
+		}
+		if c == utf8.RuneError || unicode.IsControl(c) {
+			return nil, errorAt(p.pos, "this character is not text")
+		}
+		b.WriteRune(p.next())
+	}
+}
