gannethook demo: a prompt goes through one reader and one writer over a WebSocket session

The thin whole path: Realtime events in, the module decides, engines by HTTP/1.1 and server-sent events, roster by EndpointSlice watch, stand-ins for both.

--- /dev/null
+++ b/cmd/gannethook/main.go
@@ -0,0 +1,51 @@
+// Command gannethook is the router and what goes with it: see gannethook help.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "gannethook:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "gannethook",
+		Short:         "A router for model services whose readers take in prompts and whose writers stream answers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), engineCommand(), rosterCommand())
+	return cmd
+}
+
+// logger writes JSON lines to standard error, or nowhere for level "off".
+func logger(level string) (*zap.Logger, error) {
+	if level == "off" {
+		return zap.NewNop(), nil
+	}
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("--log: %w", err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(at)
+	cfg.Sampling = nil // every request has its line
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncoderConfig.EncodeDuration = zapcore.MillisDurationEncoder
+	return cfg.Build()
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,158 @@
+// Package client opens sessions at a router and asks for answers. The chat
+// command, the demo and the days use it.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"gannethook/internal/front"
+	"gannethook/internal/realtime"
+	"gannethook/internal/ws"
+)
+
+// Session is one open session. One goroutine uses it at a time.
+type Session struct {
+	conn *ws.Conn
+	Info realtime.Session
+}
+
+// Answer is how a response ended.
+type Answer struct {
+	Status     string // completed, failed or cancelled
+	Code       string // of a failed one: refused or failed
+	Reason     string
+	RetryAfter time.Duration
+	Text       string
+	Tokens     int
+	First      time.Duration // until the first token; 0: none
+	Whole      time.Duration
+}
+
+// ErrClosed tells that the session ended without a final answer.
+var ErrClosed = errors.New("the session ended without a final answer")
+
+// Open dials a router.
+func Open(ctx context.Context, addr, model string) (*Session, error) {
+	path := front.Path
+	if model != "" {
+		path += "?model=" + model
+	}
+	conn, err := ws.Dial(ctx, addr, path, "realtime", ws.DefaultLimits())
+	if err != nil {
+		return nil, err
+	}
+	s := &Session{conn: conn}
+	ev, err := s.next()
+	if err == nil && (ev.Type != realtime.SessionCreated || ev.Session == nil) {
+		err = fmt.Errorf("the router began with %q", ev.Type)
+	}
+	if err != nil {
+		conn.Cut()
+		return nil, err
+	}
+	s.Info = *ev.Session
+	return s, nil
+}
+
+// Close ends the session politely; Cut ends it at once.
+func (s *Session) Close() {
+	s.conn.Close(ws.CloseNormal, "")
+	for {
+		if _, _, err := s.conn.Read(); err != nil {
+			return
+		}
+	}
+}
+
+// Cut ends the connection without a word.
+func (s *Session) Cut() { s.conn.Cut() }
+
+func (s *Session) next() (*realtime.Server, error) {
+	_, msg, err := s.conn.Read()
+	if err != nil {
+		return nil, err
+	}
+	var ev realtime.Server
+	if err := json.Unmarshal(msg, &ev); err != nil {
+		return nil, fmt.Errorf("the router's event: %w", err)
+	}
+	return &ev, nil
+}
+
+func (s *Session) send(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.conn.Send(b)
+}
+
+// Say adds a message of the user to the conversation.
+func (s *Session) Say(text string) error {
+	return s.send(map[string]any{"type": realtime.ItemCreate, "item": realtime.Item{Type: "message", Role: "user",
+		Content: []realtime.Part{{Type: "input_text", Text: text}}}})
+}
+
+// Request starts a response without waiting for it.
+func (s *Session) Request(metadata map[string]string, maxTokens int) error {
+	response := map[string]any{"metadata": maps.Clone(metadata)}
+	if maxTokens > 0 {
+		response["max_output_tokens"] = maxTokens
+	}
+	return s.send(map[string]any{"type": realtime.ResponseCreate, "response": response})
+}
+
+// Cancel takes the open response back.
+func (s *Session) Cancel() error { return s.send(map[string]any{"type": realtime.ResponseCancel}) }
+
+// Wait reads to the final answer; token is called with each part of the text.
+// An error event is an error here: the response was not taken.
+func (s *Session) Wait(token func(text string)) (*Answer, error) {
+	from := time.Now()
+	a := &Answer{}
+	for {
+		ev, err := s.next()
+		if err != nil {
+			return a, fmt.Errorf("%w: %w", ErrClosed, err)
+		}
+		switch ev.Type {
+		case realtime.TextDelta:
+			if a.Tokens++; a.Tokens == 1 {
+				a.First = time.Since(from)
+			}
+			a.Text += ev.Delta
+			if token != nil {
+				token(ev.Delta)
+			}
+		case realtime.ErrorType:
+			return a, fmt.Errorf("the router: %s: %s", ev.Error.Code, ev.Error.Message)
+		case realtime.ResponseDone:
+			a.Whole, a.Status = time.Since(from), ev.Response.Status
+			if d := ev.Response.Details; d != nil && d.Error != nil {
+				a.Code, a.Reason = d.Error.Code, d.Error.Message
+				if d.Error.RetryAfterMS != nil {
+					a.RetryAfter = time.Duration(*d.Error.RetryAfterMS) * time.Millisecond
+				}
+			}
+			return a, nil
+		}
+	}
+}
+
+// Kind is the answer in the project's words.
+func (a *Answer) Kind() string {
+	switch {
+	case a.Status == "completed":
+		return "served"
+	case a.Status == "cancelled":
+		return "cancelled"
+	case a.Code == realtime.CodeRefused:
+		return "refused"
+	}
+	return "failed"
+}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -51,7 +51,9 @@
 	reads  bool
 	out    bool
 	cancel context.CancelFunc
-	end    string
+	// Once it has ended:
+	outcome gannethook.Outcome
+	detail  string
 }
 
 // Abandon tells that the client took the request back or left. The final answer
@@ -69,7 +71,6 @@
 				c.finish(a.n, engine.Result{Outcome: gannethook.Cancelled, Detail: "its client left"})
 			}
 		}
-		c.d.settle(c)
 	})
 }
 
@@ -78,11 +79,21 @@
 	if c.answered {
 		return
 	}
+	a.MayHaveRun = c.mayHaveRun()
 	c.answered, c.final, c.ended = true, a, time.Now()
 	c.gone.Store(true)
+	c.d.loose = append(c.d.loose, c)
 	c.sink.Final(a)
 }
 
+// mayHaveRun tells whether an attempt at a writer is not proven not to have run.
+func (c *Call) mayHaveRun() bool {
+	return slices.ContainsFunc(c.attempts, func(a *attempt) bool {
+		return !a.reads && (a.out || a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed &&
+			a.outcome != gannethook.Moot)
+	})
+}
+
 // send starts an attempt. One for a request that is answered, or whose stream
 // has begun, is moot.
 func (c *Call) send(s gannethook.Send) gannethook.Event {
@@ -113,7 +124,7 @@
 	if s.Timeout > 0 {
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
-	go c.attempt(ctx, a, call)
+	c.d.work.Go(func() { c.attempt(ctx, a, call) })
 	return nil
 }
 
@@ -153,8 +164,7 @@
 	}
 	c.streaming, c.first, c.writer = true, time.Now(), a.server
 	c.d.tell(gannethook.Streaming{ID: c.id, Attempt: a.n, Server: a.server})
-	c.release(a.server)
-	c.d.settle(c)
+	c.releaseRest()
 	return true
 }
 
@@ -163,7 +173,6 @@
 	if ev := c.end(n, r); ev != nil {
 		c.d.tell(ev)
 	}
-	c.d.settle(c)
 }
 
 // end takes an attempt out and returns its event; nil if it had ended before.
@@ -173,8 +182,9 @@
 		return nil
 	}
 	a := c.attempts[n]
-	a.out, a.end = false, r.Detail
+	a.out, a.outcome, a.detail = false, r.Outcome, r.Detail
 	c.out--
+	c.d.loose = append(c.d.loose, c)
 	a.cancel()
 	ev := gannethook.Ended{ID: c.id, Attempt: n, Server: a.server, Outcome: r.Outcome, NoState: r.NoState,
 		Reported: r.Reported, Memory: r.Memory}
@@ -209,51 +219,66 @@
 		Class: c.job.ClassName}
 	reader, epoch := string(c.reader), c.releases
 	c.held = append(c.held, heldAt{w, c.key})
-	go func() {
+	c.d.work.Go(func() {
 		ok := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
-		c.d.post(func() {
-			if c.forgotten || epoch != c.releases && !(c.streaming && c.writer == w) {
-				go c.letGo([]heldAt{{w, call.Key}})
-				return
-			}
-			if c.attempts[n].out {
-				c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: ok})
-				c.d.settle(c)
-			}
-		})
-	}()
+		if !c.d.post(func() { c.granted(w, call.Key, n, epoch, ok) }) {
+			c.letGo([]heldAt{{w, call.Key}})
+		}
+	})
 }
 
-// release lets go of all that may be held, but at the server that streams.
-func (c *Call) release(keep gannethook.ServerID) {
-	go c.letGo(slices.DeleteFunc(c.held, func(h heldAt) bool { return h.server == keep }))
+// granted takes the answer to a hold that was asked for during attempt n.
+func (c *Call) granted(w gannethook.ServerID, key string, n, epoch int, ok bool) {
+	taken := c.streaming && c.writer == w && c.key == key
+	if c.forgotten || epoch != c.releases && !taken {
+		c.letGo([]heldAt{{w, key}})
+		return
+	}
+	if c.attempts[n].out {
+		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: ok})
+	}
+}
+
+// release lets go of all that may be held.
+func (c *Call) release() {
+	c.letGo(c.held)
 	c.held = nil
 	c.releases++
 }
 
+// releaseRest lets go, as a stream begins, of what it did not take: the state
+// has left its reader, and the place is the stream's.
+func (c *Call) releaseRest() {
+	c.held = slices.DeleteFunc(c.held, func(h heldAt) bool {
+		return h.key == c.key && (h.server == c.writer || h.server == c.reader)
+	})
+	c.release()
+}
+
 // letGo tells the servers, each twice if need be: an engine that can't be
 // reached lets go by itself, when it dies or by its own limit.
 func (c *Call) letGo(list []heldAt) {
 	for _, h := range list {
-		go func() {
+		c.d.work.Go(func() {
+			ctx := context.WithoutCancel(c.d.ctx) // the engines' client bounds its time
 			for range 2 {
-				if c.d.cfg.Engines.Release(c.d.ctx, string(h.server), h.key) == nil {
+				if c.d.cfg.Engines.Release(ctx, string(h.server), h.key) == nil {
 					return
 				}
 			}
-		}()
+		})
 	}
 }
 
 func (c *Call) summary() Summary {
 	s := Summary{ID: uint64(c.id), Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
 		Writer: string(c.writer), Attempts: len(c.attempts), Tokens: c.final.Tokens, Outcome: c.final.Kind,
-		Reason: c.final.Reason, Whole: c.ended.Sub(c.came), RetryAfter: c.final.RetryAfter, PromptSz: c.job.PromptSize}
+		Reason: c.final.Reason, Whole: c.ended.Sub(c.came), RetryAfter: c.final.RetryAfter, PromptSize: c.job.PromptSize}
 	if !c.first.IsZero() {
 		s.FirstToken = c.first.Sub(c.came)
 	}
 	for _, a := range c.attempts {
-		s.Ends = append(s.Ends, a.end)
+		s.Ends = append(s.Ends, a.detail)
 	}
 	return s
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,7 @@
 	RetryAfter time.Duration // of a refusal
 	Tokens     int
 	Reason     string
+	MayHaveRun bool // an attempt at a writer is not known not to have run
 }
 
 // Sink receives a request's answer. Token comes from the attempt's goroutine,
@@ -78,16 +80,16 @@
 
 // Summary is what is logged of one request.
 type Summary struct {
-	ID                        uint64
-	Session, Class            string
-	Reader, Writer            string
-	Attempts, Tokens          int
-	Outcome                   Kind
-	Reason                    string
-	FirstToken, Whole         time.Duration
-	Ends                      []string // of the attempts, in order
-	RetryAfter                time.Duration
-	TokensPerSecond, PromptSz float64
+	ID                uint64
+	Session, Class    string
+	Reader, Writer    string
+	Attempts, Tokens  int
+	Outcome           Kind
+	Reason            string
+	FirstToken, Whole time.Duration
+	Ends              []string // of the attempts, in order
+	RetryAfter        time.Duration
+	PromptSize        float64
 }
 
 // Config sets a driver up.
@@ -112,10 +114,12 @@
 	startMS float64
 	boot    string
 	open    atomic.Int64
+	work    sync.WaitGroup // attempts, holds and releases on their way
 
 	// Of the goroutine alone:
 	ctx    context.Context
 	lastID uint64
+	loose  []*Call // answered, or an attempt ended: perhaps to be forgotten
 	calls  map[gannethook.RequestID]*Call
 	roles  map[gannethook.ServerID]gannethook.Role
 	timers timers
@@ -141,8 +145,10 @@
 	return gannethook.Millis(d.startMS + float64(time.Since(d.start).Microseconds())/1000)
 }
 
-// Run drives until the context ends; then every open request is failed.
+// Run drives until the context ends; then every open request is failed, and Run
+// waits for the attempts to be cut and for what is held to be let go.
 func (d *Driver) Run(ctx context.Context) {
+	defer d.work.Wait()
 	defer close(d.stopped)
 	var cancel context.CancelFunc
 	d.ctx, cancel = context.WithCancel(ctx)
@@ -178,9 +184,11 @@
 	for _, c := range d.calls {
 		c.answer(Answer{Kind: Failed, Reason: "the router stops"})
 		for _, a := range c.attempts {
-			a.cancel()
+			c.end(a.n, engine.Result{Outcome: gannethook.Cancelled, Detail: "the router stops"})
 		}
+		c.release()
 	}
+	d.settle()
 }
 
 // post hands the goroutine something to do; it waits while the inbox is full.
@@ -236,7 +244,6 @@
 	d.tell(gannethook.Request{ID: c.id, Class: c.job.Class, Tenant: c.job.Tenant, Session: c.job.Session,
 		Prefix: c.job.Prefix, Budget: gannethook.Millis(max(budget, 0).Seconds() * 1000),
 		Prompt: c.job.PromptSize, PrefixLen: c.job.Kept, MaxOut: float64(c.job.MaxTokens)})
-	d.settle(c)
 }
 
 // tell hands the module one event and carries out what it wants. An action may
@@ -251,6 +258,7 @@
 			}
 		}
 	}
+	d.settle()
 }
 
 // carryOut does one action.
@@ -270,7 +278,7 @@
 		}
 	case gannethook.Release:
 		if c := d.calls[a.ID]; c != nil {
-			c.release("")
+			c.release()
 		}
 	case gannethook.Refuse:
 		if c := d.calls[a.ID]; c != nil {
@@ -337,24 +345,23 @@
 			t.call.timedOut(t.n)
 			continue
 		}
-		id := gannethook.RequestID(t.ref / 4)
-		c := d.calls[id]
 		d.tell(gannethook.Wakeup{Ref: t.ref})
-		if c != nil {
-			d.settle(c)
-		}
 	}
 }
 
-// settle forgets a request that is answered and has no attempt out.
-func (d *Driver) settle(c *Call) {
-	if !c.answered || c.forgotten || c.out > 0 {
-		return
-	}
-	c.forgotten = true
-	delete(d.calls, c.id)
-	d.open.Add(-1)
-	if d.cfg.Done != nil {
-		d.cfg.Done(c.summary())
+// settle forgets the requests that are answered and have no attempt out.
+func (d *Driver) settle() {
+	for _, c := range d.loose {
+		if !c.answered || c.forgotten || c.out > 0 {
+			continue
+		}
+		c.forgotten = true
+		delete(d.calls, c.id)
+		d.open.Add(-1)
+		if d.cfg.Done != nil {
+			d.cfg.Done(c.summary())
+		}
 	}
+	clear(d.loose)
+	d.loose = d.loose[:0]
 }
--- /dev/null
+++ b/internal/front/response.go
@@ -0,0 +1,348 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gannethook"
+	"gannethook/internal/driver"
+	"gannethook/internal/keys"
+	"gannethook/internal/realtime"
+	"gannethook/internal/settings"
+	"gannethook/internal/ws"
+)
+
+// response is one open response; it is the driver's sink.
+type response struct {
+	c        *session
+	id, item string
+	metadata map[string]string
+	input    int // tokens
+	key      keys.Name
+	apart    bool // outside the default conversation
+	call     *driver.Call
+
+	// Under the session's mu:
+	begun bool
+	done  bool
+	text  []byte // of the answer, a JSON string without its quotes
+	event []byte // kept from token to token
+}
+
+// badField is an error of one field of a client's event.
+type badField struct{ param, msg string }
+
+func (b *badField) Error() string { return b.param + ": " + b.msg }
+
+// respond starts a response.
+func (c *session) respond(ev *realtime.Client) {
+	c.takeAnswers()
+	p := ev.Response
+	if p == nil {
+		p = &realtime.Params{}
+	}
+	job, retry, err := c.job(p)
+	if err != nil {
+		var bad *badField
+		errors.As(err, &bad)
+		c.fail(ev.EventID, "invalid_request_error", "invalid_value", bad.msg, bad.param)
+		return
+	}
+	r := &response{c: c, id: c.name("resp"), item: c.name("item"), metadata: p.Metadata, input: int(job.PromptSize),
+		apart: p.Conversation == "none", key: keys.Name{Tenant: job.Tenant, Class: job.Class, Key: job.Idempotency}}
+	if code, msg := c.enter(r); code != "" {
+		c.fail(ev.EventID, "invalid_request_error", code, msg, "")
+		return
+	}
+	// What is answered here has not been handed to the driver: nothing of it has run.
+	switch v := c.srv.guard.begin(r.key, retry); v {
+	case keys.Go:
+		r.call, err = c.srv.drv.Submit(job, r)
+		if err != nil {
+			c.srv.guard.end(r.key, false)
+			r.close(driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: err.Error()})
+		}
+	case keys.Full:
+		r.close(driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: "too many keys are remembered"})
+	default:
+		r.close(driver.Answer{Kind: driver.Failed, Reason: "an earlier try with this key: " + v.String()})
+	}
+}
+
+// enter opens a response, if the session may have one more.
+func (c *session) enter(r *response) (code, msg string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.going:
+		return "going_away", "the router stops; open a session elsewhere"
+	case !r.apart && c.main != nil:
+		return "conversation_already_has_active_response", "the conversation has an open response"
+	case len(c.open) >= c.srv.cfg.Sessions.Responses:
+		return "too_many_responses", "the session has too many open responses"
+	}
+	if c.open == nil {
+		c.open = map[string]*response{}
+	}
+	c.open[r.id] = r
+	if !r.apart {
+		c.main = r
+	}
+	c.sendLocked(&realtime.Server{Type: realtime.ResponseCreated, Response: r.describe("in_progress")})
+	return "", ""
+}
+
+func (r *response) describe(status string) *realtime.Response {
+	return &realtime.Response{Object: "realtime.response", ID: r.id, Status: status, Output: []realtime.Item{},
+		Metadata: r.metadata}
+}
+
+// Token passes a token on. Only the attempt that streams calls it.
+func (r *response) Token(text []byte) bool {
+	c := r.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.done {
+		return false
+	}
+	if !r.begun {
+		r.begin()
+	}
+	r.text = append(r.text, text[1:len(text)-1]...)
+	c.events++
+	r.event = realtime.AppendDelta(r.event[:0], c.events, r.id, r.item, text)
+	return c.conn.Send(r.event) == nil
+}
+
+func (r *response) begin() {
+	r.begun = true
+	item := realtime.Item{ID: r.item, Object: "realtime.item", Type: "message", Status: "in_progress",
+		Role: "assistant", Content: []realtime.Part{}}
+	r.c.sendLocked(&realtime.Server{Type: realtime.OutputItemAdded, ResponseID: r.id, Item: &item})
+	r.c.sendLocked(&realtime.Server{Type: realtime.PartAdded, ResponseID: r.id, ItemID: r.item})
+}
+
+// Final writes the final answer, once, and nothing of the response after it.
+func (r *response) Final(a driver.Answer) {
+	r.c.srv.guard.end(r.key, a.MayHaveRun)
+	r.close(a)
+}
+
+func (r *response) close(a driver.Answer) {
+	c := r.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.done {
+		return
+	}
+	r.done = true
+	status, details := verdict(a)
+	res := r.describe(status)
+	res.Details = details
+	res.Usage = &realtime.Usage{Total: r.input + a.Tokens, Input: r.input, Output: a.Tokens}
+	if r.begun {
+		res.Output = append(res.Output, r.finishItem(status))
+	}
+	c.sendLocked(&realtime.Server{Type: realtime.ResponseDone, Response: res})
+	delete(c.open, r.id)
+	if c.main == r {
+		c.main = nil
+	}
+	if c.going && len(c.open) == 0 {
+		c.conn.Close(ws.CloseGoingAway, "the router stops")
+	}
+}
+
+// finishItem ends the answer's item; a partial one is told as such.
+func (r *response) finishItem(status string) realtime.Item {
+	var text string
+	json.Unmarshal(slices.Concat([]byte{'"'}, r.text, []byte{'"'}), &text) // checked token by token
+	item := realtime.Item{ID: r.item, Object: "realtime.item", Type: "message", Status: "completed",
+		Role: "assistant", Content: []realtime.Part{{Type: "output_text", Text: text}}}
+	if status != "completed" {
+		item.Status = "incomplete"
+	}
+	c := r.c
+	c.sendLocked(&realtime.Server{Type: realtime.TextDone, ResponseID: r.id, ItemID: r.item, Text: text})
+	c.sendLocked(&realtime.Server{Type: realtime.PartDone, ResponseID: r.id, ItemID: r.item})
+	c.sendLocked(&realtime.Server{Type: realtime.OutputItemDone, ResponseID: r.id, Item: &item})
+	if !r.apart {
+		c.answers = append(c.answers, item)
+	}
+	r.text, r.event = nil, nil
+	return item
+}
+
+// verdict words an answer as the API does.
+func verdict(a driver.Answer) (status string, d *realtime.Details) {
+	switch a.Kind {
+	case driver.Served:
+		return "completed", nil
+	case driver.Cancelled:
+		return "cancelled", &realtime.Details{Type: "cancelled", Reason: "client_cancelled"}
+	case driver.Refused:
+		ms := a.RetryAfter.Milliseconds()
+		return "failed", &realtime.Details{Type: "failed", Error: &realtime.Reason{Type: "server_overloaded",
+			Code: realtime.CodeRefused, Message: a.Reason, RetryAfterMS: &ms}}
+	}
+	return "failed", &realtime.Details{Type: "failed", Error: &realtime.Reason{Type: "server_error",
+		Code: realtime.CodeFailed, Message: a.Reason}}
+}
+
+// takeAnswers adds the answers that ended meanwhile to the conversation, oldest
+// items going first where it would grow too long.
+func (c *session) takeAnswers() {
+	c.mu.Lock()
+	answers := c.answers
+	c.answers = nil
+	c.mu.Unlock()
+	for _, item := range answers {
+		text, _ := item.Text()
+		c.size += len(text)
+		c.items = append(c.items, item)
+	}
+	for c.size > int(c.srv.cfg.Sessions.Conversation) && len(c.items) > 0 {
+		text, _ := c.items[0].Text()
+		c.size -= len(text)
+		c.items = c.items[1:]
+	}
+}
+
+// job reads what is asked for; its error is a *badField.
+func (c *session) job(p *realtime.Params) (driver.Job, bool, error) {
+	cfg := c.srv.cfg
+	if err := checkParams(p); err != nil {
+		return driver.Job{}, false, err
+	}
+	m := p.Metadata
+	class, err := c.class(m)
+	if err != nil {
+		return driver.Job{}, false, err
+	}
+	job := driver.Job{Class: class, ClassName: cfg.Classes[class].Name, SessionID: c.id, Session: key(c.id),
+		GiveUp: cfg.Classes[class].GiveUp, MaxTokens: cfg.Classes[class].MaxTokens, Model: c.model,
+		Prefix: key(m[realtime.MetaPrefix]), PrefixName: m[realtime.MetaPrefix], Idempotency: m[realtime.MetaIdempotency]}
+	if name := m[realtime.MetaSession]; name != "" {
+		job.Session = key(name)
+	}
+	if name := m[realtime.MetaTenant]; name != "" {
+		job.TenantName = name
+		job.Tenant = slices.IndexFunc(cfg.Tenants, func(t settings.Tenant) bool { return t.Name == name })
+		if job.Tenant < 0 {
+			return job, false, &badField{"response.metadata.tenant", "no tenant has this name"}
+		}
+	}
+	for _, limit := range []*realtime.Limit{p.MaxTokens, (*realtime.Limit)(&c.maxTokens)} {
+		if limit != nil && *limit > 0 {
+			job.MaxTokens = min(job.MaxTokens, int(*limit))
+			break
+		}
+	}
+	if job.Prompt, err = c.prompt(p); err != nil {
+		return job, false, err
+	}
+	return job, m[realtime.MetaRetry] == "true", c.sizes(&job, m)
+}
+
+func checkParams(p *realtime.Params) error {
+	switch {
+	case !textOnly(p.Modalities):
+		return &badField{"response.output_modalities", "this router speaks text"}
+	case p.Conversation != "" && p.Conversation != "auto" && p.Conversation != "none":
+		return &badField{"response.conversation", "a conversation is auto or none"}
+	case len(p.Metadata) > realtime.MaxMetadata:
+		return &badField{"response.metadata", "metadata has 16 entries at most"}
+	}
+	for k, v := range p.Metadata {
+		if len(k) > realtime.MaxMetaKey || len(v) > realtime.MaxMetaText {
+			return &badField{"response.metadata", "keys have 64 bytes and values 512 at most"}
+		}
+	}
+	for _, k := range []string{realtime.MetaIdempotency, realtime.MetaTenant, realtime.MetaPrefix} {
+		if strings.ContainsFunc(p.Metadata[k], func(r rune) bool { return r <= ' ' || r > '~' }) {
+			return &badField{"response.metadata." + k, "printable ASCII without spaces expected"} // it becomes a header
+		}
+	}
+	return nil
+}
+
+func (c *session) class(m map[string]string) (int, error) {
+	name, ok := m[realtime.MetaClass]
+	if !ok {
+		return 0, nil
+	}
+	for i, class := range c.srv.cfg.Classes {
+		if class.Name == name {
+			return i, nil
+		}
+	}
+	return 0, &badField{"response.metadata.class", "no class has this name"}
+}
+
+func key(name string) gannethook.Key {
+	if name == "" {
+		return 0
+	}
+	return gannethook.Key(max(xxhash.Sum64String(name), 1))
+}
+
+// prompt is the instructions and the conversation, or the response's own input.
+func (c *session) prompt(p *realtime.Params) (string, error) {
+	var b strings.Builder
+	instructions := c.instructions
+	if p.Instructions != nil {
+		instructions = *p.Instructions
+	}
+	if instructions != "" {
+		fmt.Fprintf(&b, "system: %s\n", instructions)
+	}
+	items := c.items
+	if p.Input != nil {
+		items = p.Input
+	}
+	for i := range items {
+		text, ok := items[i].Text()
+		if !ok {
+			return "", &badField{"response.input", "an item's parts are texts"}
+		}
+		fmt.Fprintf(&b, "%s: %s\n", items[i].Role, text)
+	}
+	if b.Len() == 0 {
+		return "", &badField{"response", "there is nothing to answer: the conversation is empty"}
+	}
+	b.WriteString("assistant:")
+	return b.String(), nil
+}
+
+// sizes reads the numbers among the metadata; sizes that are not told are guessed from the text's length.
+func (c *session) sizes(job *driver.Job, m map[string]string) error {
+	job.PromptSize = math.Ceil(float64(len(job.Prompt)) / c.srv.cfg.Sessions.TokenBytes)
+	giveUp := 0.0
+	for _, f := range []struct {
+		name string
+		to   *float64
+	}{{realtime.MetaPromptSize, &job.PromptSize}, {realtime.MetaPrefixSize, &job.Kept}, {realtime.MetaGiveUp, &giveUp}} {
+		text, ok := m[f.name]
+		if !ok {
+			continue
+		}
+		x, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(x > 0 && x <= 1e7) {
+			return &badField{"response.metadata." + f.name, "a number above 0 expected"}
+		}
+		*f.to = x
+	}
+	job.Kept = min(job.Kept, job.PromptSize)
+	if d := time.Duration(giveUp * 1e6); d > 0 {
+		job.GiveUp = min(job.GiveUp, d)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,123 @@
+// Package keys decides what becomes of a request whose client names it by an
+// idempotency key: whether an attempt may start, or whether an earlier one may
+// have run. It guards rule 2 where the module can't see it: a client that tries
+// again on another session, here or at another router, is a new request to the
+// module. It has no I/O and no clock.
+package keys
+
+import (
+	"container/list"
+	"time"
+
+	"gannethook"
+)
+
+// Verdict tells what to do with a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Go      Verdict = iota + 1 // nothing of it can have run, or a repeat is dropped
+	Open                       // an earlier try is still open here: it gets the answer, this one fails
+	Ran                        // an earlier try was served, or may have run: this one fails
+	Unknown                    // a repeat of a try at another router, or one from before a restart: fails
+	Full                       // too many keys are remembered: refused, nothing has run
+)
+
+func (v Verdict) String() string {
+	return [...]string{"", "go", "open", "ran", "unknown", "full"}[v]
+}
+
+// Name is a key within its tenant and class: clients of one can't touch another's.
+type Name struct {
+	Tenant, Class int
+	Key           string
+}
+
+type entry struct {
+	name Name
+	open bool
+	ran  bool
+	at   time.Duration // when it ended
+}
+
+// Table remembers the keys of open requests and, for a time, of those that may
+// have run. A request that is known not to have run is forgotten at once.
+type Table struct {
+	remember time.Duration
+	most     int
+	entries  map[Name]*list.Element
+	ended    *list.List // oldest first
+	open     int
+}
+
+// New returns an empty table that remembers what may have run for a time, and so many keys at most.
+func New(remember time.Duration, most int) *Table {
+	return &Table{remember: remember, most: most, entries: map[Name]*list.Element{}, ended: list.New()}
+}
+
+// Len is how many keys are remembered.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Begin decides for a request of a class with this effect. On Go the key is
+// open until End. retry tells that the client marks it as a repeat of a try
+// whose end it does not know. Times only increase.
+func (t *Table) Begin(now time.Duration, n Name, effect gannethook.Effect, group gannethook.Group, retry bool) Verdict {
+	if effect == gannethook.Safe || n.Key == "" && !retry {
+		return Go
+	}
+	t.expire(now)
+	// Guards rule 2: the engines of the group drop repeats, wherever they come from, so a repeat may pass. A
+	// narrower group may not hold the server that the module will choose now. Harms nothing: it fails, and
+	// promises nothing.
+	dropped := effect == gannethook.Keyed && group == gannethook.GroupAll && n.Key != ""
+	el := t.entries[n]
+	switch {
+	case n.Key == "":
+		return Unknown // a repeat without a name can't be told from a first try
+	case el != nil && el.Value.(*entry).open:
+		return Open
+	case el != nil && !dropped:
+		return Ran
+	case el == nil && retry && !dropped:
+		return Unknown
+	case el == nil && len(t.entries) >= t.most:
+		// Guards rule 2 with a bounded table: to forget a key that may have run would let it run again.
+		// Harms clients in a flood of failing keyed requests: they are refused until keys expire.
+		return Full
+	}
+	if el != nil {
+		t.ended.Remove(el)
+	}
+	t.entries[n] = &list.Element{Value: &entry{name: n, open: true}}
+	t.open++
+	return Go
+}
+
+// End closes an open key. mayHaveRun tells whether an attempt may have had its effect.
+func (t *Table) End(now time.Duration, n Name, mayHaveRun bool) {
+	el := t.entries[n]
+	if el == nil || !el.Value.(*entry).open {
+		return
+	}
+	t.open--
+	if !mayHaveRun {
+		delete(t.entries, n)
+		return
+	}
+	e := el.Value.(*entry)
+	e.open, e.ran, e.at = false, true, now
+	t.entries[n] = t.ended.PushBack(e)
+}
+
+// expire forgets what ended too long ago for its client to come back.
+func (t *Table) expire(now time.Duration) {
+	for el := t.ended.Front(); el != nil; el = t.ended.Front() {
+		e := el.Value.(*entry)
+		if now-e.at < t.remember {
+			return
+		}
+		t.ended.Remove(el)
+		delete(t.entries, e.name)
+	}
+}
--- /dev/null
+++ b/internal/roster/file.go
@@ -0,0 +1,169 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/sexp"
+)
+
+// File follows a roster file (docs/settings.md): (server "host:port" (kind K)
+// (zone Z) (cell N) (state ready|draining) (started TIME)) forms.
+type File struct {
+	Path    string
+	Every   time.Duration // between two looks
+	Names   Names
+	Publish func(gannethook.Membership)
+	Report  func(error)
+}
+
+type fileEntry struct {
+	At      sexp.Pos
+	Addr    string    `gann:"#,need"`
+	Kind    string    `gann:"kind,need"`
+	Zone    string    `gann:"zone"`
+	Cell    int       `gann:"cell"`
+	State   fileState `gann:"state"`
+	Started startTime `gann:"started"`
+}
+
+type fileState gannethook.ServerState
+
+func (s *fileState) UnmarshalText(t []byte) error {
+	switch string(t) {
+	case "ready":
+		*s = fileState(gannethook.Ready)
+	case "draining":
+		*s = fileState(gannethook.Draining)
+	default:
+		return fmt.Errorf("%q is not ready or draining", t)
+	}
+	return nil
+}
+
+// startTime is in Unix milliseconds.
+type startTime float64
+
+func (s *startTime) UnmarshalText(t []byte) error {
+	at, err := time.Parse(time.RFC3339Nano, string(t))
+	if err != nil {
+		return fmt.Errorf("%q is not a time; write 2026-01-31T03:00:00Z", t)
+	}
+	*s = startTime(at.UnixMicro()) / 1000
+	return nil
+}
+
+// ParseFile reads a roster's text; path names it in errors.
+func ParseFile(path, text string, names Names) ([]gannethook.Server, error) {
+	forms, err := sexp.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	var f struct {
+		Servers []fileEntry `gann:"server"`
+	}
+	if err := sexp.Decode(sexp.Pos{File: path, Line: 1, Col: 1}, forms, &f); err != nil {
+		return nil, err
+	}
+	var list []gannethook.Server
+	seen := map[string]bool{}
+	for _, e := range f.Servers {
+		s, err := e.server(names)
+		if err == nil && seen[e.Addr] {
+			err = fmt.Errorf("server %q is given twice", e.Addr)
+		}
+		if err != nil {
+			return nil, &sexp.Error{Pos: e.At, Msg: err.Error()}
+		}
+		seen[e.Addr] = true
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+func (e *fileEntry) server(names Names) (gannethook.Server, error) {
+	s := gannethook.Server{ID: gannethook.ServerID(e.Addr), Kind: slices.Index(names.Kinds, e.Kind), Cell: e.Cell,
+		State: gannethook.ServerState(e.State), Since: gannethook.Millis(e.Started)}
+	if _, _, err := net.SplitHostPort(e.Addr); err != nil {
+		return s, fmt.Errorf("%q is not host:port", e.Addr)
+	}
+	if s.Kind < 0 {
+		return s, fmt.Errorf("kind %q is not one of %q", e.Kind, names.Kinds)
+	}
+	if e.Zone != "" {
+		if s.Zone = slices.Index(names.Zones, e.Zone); s.Zone < 0 {
+			return s, fmt.Errorf("zone %q is not one of %q", e.Zone, names.Zones)
+		}
+	}
+	if s.State == 0 {
+		s.State = gannethook.Ready
+	}
+	return s, nil
+}
+
+// Run looks at the file until the context ends. A bad file changes nothing and is reported once.
+func (f *File) Run(ctx context.Context) {
+	table := NewTable(f.Names)
+	last, failed := "", ""
+	for ctx.Err() == nil {
+		text, err := os.ReadFile(f.Path)
+		if err == nil && string(text) != last {
+			var list []gannethook.Server
+			if list, err = ParseFile(f.Path, string(text), f.Names); err == nil {
+				last, failed = string(text), ""
+				f.Publish(table.Set(list))
+			}
+		}
+		if err != nil && err.Error() != failed {
+			failed = err.Error()
+			f.Report(err)
+		}
+		pause(ctx, f.Every)
+	}
+}
+
+// SaveCache keeps a list for the next life: written whole beside the file, then put in its place.
+func SaveCache(path string, list []gannethook.Server) error {
+	text, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name())
+	_, err = tmp.Write(text)
+	if err2 := tmp.Close(); err == nil {
+		err = err2
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), path)
+}
+
+// LoadCache reads a kept list; none is no error. A damaged one is.
+func LoadCache(path string, names Names) ([]gannethook.Server, error) {
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) || path == "" {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var list []gannethook.Server
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return slices.DeleteFunc(list, func(s gannethook.Server) bool {
+		return s.Kind < 0 || s.Kind >= len(names.Kinds) || s.State == gannethook.Gone
+	}), nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,297 @@
+// Package settings reads a router's settings file (docs/settings.md) and tells
+// what in it makes no sense, by line and column.
+package settings
+
+import (
+	_ "embed"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/engine"
+	"gannethook/internal/sexp"
+	"gannethook/internal/ws"
+)
+
+// Default is the settings that the demo runs on.
+//
+//go:embed default.gann
+var Default string
+
+// File is a settings file.
+type File struct {
+	At       sexp.Pos
+	Name     string   `gann:"name,need"`
+	Routers  int      `gann:"routers"`
+	Seed     uint64   `gann:"seed"`
+	Listen   string   `gann:"listen,need"`
+	Zones    []string `gann:"zones"`
+	Classes  []Class  `gann:"class,need"`
+	Kinds    []Kind   `gann:"kind,need"`
+	Tenants  []Tenant `gann:"tenant"`
+	Rules    Rules    `gann:"rules"`
+	Limits   Limits   `gann:"limits"`
+	Sessions Sessions `gann:"sessions"`
+	Engines  Engines  `gann:"engines"`
+	Roster   Roster   `gann:"roster,need"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	At         sexp.Pos
+	Name       string        `gann:"#,need"`
+	Aim        time.Duration `gann:"aim,need"`
+	AimPer1000 time.Duration `gann:"aim-per-1000"`
+	GiveUp     time.Duration `gann:"give-up,need"`
+	Worth      float64       `gann:"worth"`
+	Effect     Effect        `gann:"effect,need"`
+	Group      Group         `gann:"group"`
+	Window     time.Duration `gann:"window"`
+	MaxTokens  int           `gann:"max-tokens"`
+}
+
+// Kind is a kind of engine.
+type Kind struct {
+	At     sexp.Pos
+	Name   string      `gann:"#,need"`
+	Role   Role        `gann:"role,need"`
+	Memory sexp.Tokens `gann:"memory"`
+}
+
+// Tenant is one tenant's share.
+type Tenant struct {
+	At    sexp.Pos
+	Name  string         `gann:"#,need"`
+	Quota sexp.PerSecond `gann:"quota"`
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	ColdFrom  float64       `gann:"cold-from"`
+	WarmAfter time.Duration `gann:"warm-after"`
+	Overload  float64       `gann:"overload"`
+	PinLimit  time.Duration `gann:"pin-limit"`
+}
+
+// Limits bound the router's own work.
+type Limits struct {
+	Attempts   int           `gann:"attempts"`
+	RetryAfter time.Duration `gann:"retry-after"`
+	Quantum    time.Duration `gann:"quantum"`
+	Open       int           `gann:"open"`
+	Inbox      int           `gann:"inbox"`
+	Remember   time.Duration `gann:"remember-keys"`
+	Keys       int           `gann:"keys"`
+}
+
+// Sessions bound the clients' side.
+type Sessions struct {
+	Most         int           `gann:"most"`
+	Responses    int           `gann:"responses"`
+	Message      sexp.Bytes    `gann:"message"`
+	Conversation sexp.Bytes    `gann:"conversation"`
+	Pending      sexp.Bytes    `gann:"pending"`
+	Idle         time.Duration `gann:"idle"`
+	Handshake    time.Duration `gann:"handshake"`
+	TokenBytes   float64       `gann:"bytes-per-token"`
+	Drain        time.Duration `gann:"drain"`
+}
+
+// Engines bound the engines' side.
+type Engines struct {
+	Holds       bool          `gann:"holds"`
+	Cancel      bool          `gann:"cancel"`
+	WritersRead bool          `gann:"writers-read"`
+	Dial        time.Duration `gann:"dial"`
+	Idle        time.Duration `gann:"idle"`
+	IdleConns   int           `gann:"idle-conns"`
+	StreamIdle  time.Duration `gann:"stream-idle"`
+	Extension   time.Duration `gann:"extension"`
+}
+
+// Roster tells where the list of servers comes from: one of the two.
+type Roster struct {
+	At        sexp.Pos
+	Watch     string        `gann:"watch"` // host:port of a Kubernetes API
+	Namespace string        `gann:"namespace"`
+	Service   string        `gann:"service"`
+	File      string        `gann:"file"`
+	Every     time.Duration `gann:"every"` // between two looks at the file
+	Cache     string        `gann:"cache"` // keeps the last list over a restart
+	Silence   time.Duration `gann:"silence"`
+}
+
+// Effect, Group and Role are the module's, by name.
+type (
+	Effect gannethook.Effect
+	Group  gannethook.Group
+	Role   gannethook.Role
+)
+
+func oneOf[T ~int](v *T, text []byte, what string, names ...string) error {
+	i := slices.Index(names, string(text))
+	if i < 0 {
+		return fmt.Errorf("%q is not %s; known are %q", text, what, names)
+	}
+	*v = T(i + 1)
+	return nil
+}
+
+// UnmarshalText reads safe, keyed or unsafe.
+func (e *Effect) UnmarshalText(t []byte) error {
+	return oneOf(e, t, "an effect", "safe", "keyed", "unsafe")
+}
+
+// UnmarshalText reads all, zone or cell.
+func (g *Group) UnmarshalText(t []byte) error { return oneOf(g, t, "a group", "all", "zone", "cell") }
+
+// UnmarshalText reads reader, writer or mixed.
+func (r *Role) UnmarshalText(t []byte) error {
+	return oneOf(r, t, "a role", "reader", "writer", "mixed")
+}
+
+// Load reads and checks a file.
+func Load(path string) (*File, error) {
+	forms, err := sexp.ParseFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return decode(path, forms)
+}
+
+// Parse reads and checks a text; name stands for it in errors.
+func Parse(name, text string) (*File, error) {
+	forms, err := sexp.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	return decode(name, forms)
+}
+
+// defaults hold where the file is silent.
+func defaults() *File {
+	e, w := engine.DefaultLimits(), ws.DefaultLimits()
+	return &File{
+		Routers: 1, Seed: 1,
+		Rules: Rules{ColdFrom: 0.25, WarmAfter: 10 * time.Second, Overload: 3, PinLimit: 500 * time.Millisecond},
+		Limits: Limits{Attempts: 4, RetryAfter: 500 * time.Millisecond, Quantum: 10 * time.Millisecond, Open: 30000,
+			Inbox: 4096, Remember: 10 * time.Minute, Keys: 200000},
+		Sessions: Sessions{Most: 20000, Responses: 16, Message: sexp.Bytes(w.Message), Conversation: 4 << 20,
+			Pending: sexp.Bytes(w.Pending), Idle: w.Idle, Handshake: 5 * time.Second, TokenBytes: 4,
+			Drain: 30 * time.Second},
+		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns,
+			StreamIdle: e.StreamIdle, Extension: e.Extension},
+		Roster: Roster{Namespace: "default", Every: time.Second, Silence: time.Minute},
+	}
+}
+
+func decode(name string, forms []*sexp.Node) (*File, error) {
+	f := defaults()
+	if err := sexp.Decode(sexp.Pos{File: name, Line: 1, Col: 1}, forms, f); err != nil {
+		return nil, err
+	}
+	return f, f.check()
+}
+
+func wrong(at sexp.Pos, format string, args ...any) error {
+	return &sexp.Error{Pos: at, Msg: fmt.Sprintf(format, args...)}
+}
+
+// check tells what can't work, though each value is one.
+func (f *File) check() error {
+	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
+		return wrong(f.At, "(listen ...): %q is not host:port", f.Listen)
+	}
+	if (f.Roster.Watch == "") == (f.Roster.File == "") {
+		return wrong(f.Roster.At, "a roster comes from one of (watch ...) and (file ...)")
+	}
+	if f.Routers < 1 || f.Limits.Open < 1 || f.Limits.Inbox < 1 || f.Sessions.Responses < 1 {
+		return wrong(f.At, "routers, open, inbox and responses are 1 at the least")
+	}
+	if f.Sessions.TokenBytes <= 0 || f.Limits.Quantum <= 0 {
+		return wrong(f.At, "bytes-per-token and quantum are above 0")
+	}
+	if err := f.checkClasses(); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	reads, writes := false, false
+	for _, k := range f.Kinds {
+		if seen[k.Name] {
+			return wrong(k.At, "kind %q is given twice", k.Name)
+		}
+		seen[k.Name] = true
+		reads = reads || Role(gannethook.Writer) != k.Role
+		writes = writes || Role(gannethook.Reader) != k.Role
+	}
+	if !writes || !reads && !f.Engines.WritersRead {
+		return wrong(f.At, "there is no kind that reads, or none that writes")
+	}
+	return nil
+}
+
+func (f *File) checkClasses() error {
+	seen := map[string]bool{}
+	for i := range f.Classes {
+		c := &f.Classes[i]
+		switch {
+		case seen[c.Name]:
+			return wrong(c.At, "class %q is given twice", c.Name)
+		case c.GiveUp < c.Aim:
+			return wrong(c.At, "class %q gives up before its aim", c.Name)
+		case Effect(gannethook.Keyed) == c.Effect && (c.Group == 0 || c.Window == 0):
+			return wrong(c.At, "class %q is keyed: it needs (group ...) and (window ...)", c.Name)
+		case Effect(gannethook.Keyed) != c.Effect && (c.Group != 0 || c.Window != 0):
+			return wrong(c.At, "class %q is not keyed: (group ...) and (window ...) have no meaning", c.Name)
+		}
+		seen[c.Name] = true
+		if c.Worth == 0 {
+			c.Worth = 1
+		}
+		if c.MaxTokens == 0 {
+			c.MaxTokens = 1024
+		}
+	}
+	return nil
+}
+
+func millis(d time.Duration) gannethook.Millis { return gannethook.Millis(d.Seconds() * 1000) }
+
+// Module is what the decision module is told.
+func (f *File) Module() gannethook.Settings {
+	s := gannethook.Settings{
+		Routers: f.Routers, ColdFrom: f.Rules.ColdFrom, WarmAfter: millis(f.Rules.WarmAfter),
+		OverloadFactor: f.Rules.Overload, PinLimit: millis(f.Rules.PinLimit), ConnIdle: millis(f.Engines.Idle),
+		MaxAttempts: f.Limits.Attempts, MaxRetryAfter: millis(f.Limits.RetryAfter), Quantum: millis(f.Limits.Quantum),
+		Cancel: f.Engines.Cancel, Holds: f.Engines.Holds, WritersRead: f.Engines.WritersRead,
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, gannethook.Class{Aim: millis(c.Aim), AimPer1000: millis(c.AimPer1000),
+			Worth: c.Worth, Effect: gannethook.Effect(c.Effect), Group: gannethook.Group(c.Group),
+			Window: millis(c.Window), Streamed: true})
+	}
+	for _, k := range f.Kinds {
+		s.Kinds = append(s.Kinds, gannethook.Kind{Role: gannethook.Role(k.Role), Memory: float64(k.Memory)})
+	}
+	for _, t := range f.Tenants {
+		s.Tenants = append(s.Tenants, gannethook.Tenant{QuotaPerS: float64(t.Quota)})
+	}
+	return s
+}
+
+// EngineLimits bound the engines' client.
+func (f *File) EngineLimits() engine.Limits {
+	l := engine.DefaultLimits()
+	l.Dial, l.Idle, l.IdleConns = f.Engines.Dial, f.Engines.Idle, f.Engines.IdleConns
+	l.StreamIdle, l.Extension = f.Engines.StreamIdle, f.Engines.Extension
+	return l
+}
+
+// SessionLimits bound the clients' connections.
+func (f *File) SessionLimits() ws.Limits {
+	l := ws.DefaultLimits()
+	l.Message, l.Pending, l.Idle = int(f.Sessions.Message), int(f.Sessions.Pending), f.Sessions.Idle
+	return l
+}
