--- a/cmd/gannethook/demo.go
+++ b/cmd/gannethook/demo.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	cfg.Roster.Watch = addr
-	d, err := daemon.Start(cfg, log)
+	d, err := daemon.Start(cfg, "", log)
 	if err != nil {
 		return err
 	}
--- a/cmd/gannethook/serve.go
+++ b/cmd/gannethook/serve.go
@@ -16,7 +16,7 @@
 )
 
 func serveCommand() *cobra.Command {
-	var config, level string
+	var config, level, policy string
 	cmd := &cobra.Command{
 		Use:   "serve --config FILE",
 		Short: "Run a router",
@@ -31,7 +31,7 @@
 				return err
 			}
 			defer log.Sync()
-			d, err := daemon.Start(cfg, log)
+			d, err := daemon.Start(cfg, policy, log)
 			if err != nil {
 				return err
 			}
@@ -42,6 +42,7 @@
 	}
 	cmd.Flags().StringVarP(&config, "config", "c", "", "settings file")
 	cmd.Flags().StringVar(&level, "log", "info", "level of the log: debug, info, warn, error or off")
+	cmd.Flags().StringVar(&policy, "policy", "module", "module, or a baseline for comparisons: random or round-robin")
 	cmd.MarkFlagRequired("config")
 	return cmd
 }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	s := &Session{conn: conn}
-	ev, err := s.next()
+	ev, err := s.Next()
 	if err == nil && (ev.Type != realtime.SessionCreated || ev.Session == nil) {
 		err = fmt.Errorf("the router began with %q", ev.Type)
 	}
@@ -60,19 +60,25 @@
 }
 
 // Close ends the session politely; Cut ends it at once.
-func (s *Session) Close() {
+func (s *Session) Close() { s.CloseWith(func(*realtime.Server) {}) }
+
+// CloseWith is Close; what the router still sends goes to seen.
+func (s *Session) CloseWith(seen func(*realtime.Server)) {
 	s.conn.Close(ws.CloseNormal, "")
 	for {
-		if _, _, err := s.conn.Read(); err != nil {
+		ev, err := s.Next()
+		if err != nil {
 			return
 		}
+		seen(ev)
 	}
 }
 
 // Cut ends the connection without a word.
 func (s *Session) Cut() { s.conn.Cut() }
 
-func (s *Session) next() (*realtime.Server, error) {
+// Next is the router's next event.
+func (s *Session) Next() (*realtime.Server, error) {
 	_, msg, err := s.conn.Read()
 	if err != nil {
 		return nil, err
@@ -116,7 +122,7 @@
 	from := time.Now()
 	a := &Answer{}
 	for {
-		ev, err := s.next()
+		ev, err := s.Next()
 		if err != nil {
 			return a, fmt.Errorf("%w: %w", ErrClosed, err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"gannethook"
+	"gannethook/internal/baseline"
 	"gannethook/internal/driver"
 	"gannethook/internal/engine"
 	"gannethook/internal/front"
@@ -37,10 +38,14 @@
 
 // Start starts a router on its settings. It serves at once; requests that come
 // before the first list wait as the module has them wait.
-func Start(cfg *settings.File, log *zap.Logger) (*Daemon, error) {
+// policy names a baseline in place of the module, for comparisons; "" is the module.
+func Start(cfg *settings.File, policy string, log *zap.Logger) (*Daemon, error) {
+	decider, err := decider(cfg, policy)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{cfg: cfg, log: log, client: engine.NewClient(cfg.EngineLimits()), listed: make(chan struct{})}
-	var err error
-	d.driver, err = driver.New(driver.Config{Settings: cfg.Module(), Name: cfg.Name, Seed: cfg.Seed,
+	d.driver, err = driver.New(driver.Config{Settings: cfg.Module(), Decider: decider, Name: cfg.Name, Seed: cfg.Seed,
 		Inbox: cfg.Limits.Inbox, MaxOpen: cfg.Limits.Open, Engines: d.client, Done: d.done})
 	if err == nil {
 		d.ln, err = net.Listen("tcp", cfg.Listen)
@@ -65,6 +70,13 @@
 	return d, nil
 }
 
+func decider(cfg *settings.File, policy string) (driver.Decider, error) {
+	if policy == "" || policy == "module" {
+		return nil, nil
+	}
+	return baseline.New(policy, cfg.Module(), cfg.Seed)
+}
+
 // follow starts to follow the roster.
 func (d *Daemon) follow(ctx context.Context) error {
 	names := roster.Names{Zones: d.cfg.Zones}
--- /dev/null
+++ b/internal/day/clients.go
@@ -0,0 +1,294 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"gannethook/internal/client"
+	"gannethook/internal/realtime"
+	"gannethook/internal/record"
+	"gannethook/internal/ws"
+)
+
+// outcome is how a request ended, over all its tries.
+type outcome struct {
+	class  int
+	at     time.Duration
+	kind   string // served, refused, failed, or lost
+	inTime bool
+	tries  int
+	first  time.Duration // from the first try's start to the first token
+}
+
+// crowd is all clients of a day.
+type crowd struct {
+	f    *fleet
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	ends []outcome
+}
+
+// run plays the plan to its end.
+func (c *crowd) run(ctx context.Context, plan []visit) {
+	for _, v := range plan {
+		if !sleep(ctx, time.Until(c.f.start.Add(v.at))) {
+			break
+		}
+		c.wg.Go(func() { c.visit(ctx, v) })
+	}
+	c.wg.Wait()
+}
+
+// guest is one client in its session.
+type guest struct {
+	c       *crowd
+	name    string
+	rnd     *rand.Rand
+	router  *router
+	session *client.Session
+	current string // response that is open
+	done    bool   // it had its final answer
+}
+
+func (c *crowd) visit(ctx context.Context, v visit) {
+	g := &guest{c: c, name: v.name, router: c.f.routers[v.first], rnd: rand.New(rand.NewPCG(v.asks[0].seed, 1))}
+	defer g.leave()
+	for i, a := range v.asks {
+		if i > 0 && !sleep(ctx, a.think) {
+			return
+		}
+		end := g.request(ctx, a)
+		c.mu.Lock()
+		c.ends = append(c.ends, end)
+		c.mu.Unlock()
+	}
+}
+
+func (g *guest) note(a *ask, try int, kind, note string, n float64) {
+	g.c.f.log.Add(record.Event{Who: g.name, Kind: kind, Req: a.name, Try: try, Router: g.router.name,
+		Class: g.c.f.s.Classes[a.class].Name, N: n, Note: note})
+}
+
+// leave ends the session; what still comes for an answered request breaks rule 1.
+func (g *guest) leave() {
+	if g.session == nil {
+		return
+	}
+	g.session.CloseWith(g.late)
+	g.session = nil
+}
+
+// late records an event of a response that had its final answer.
+func (g *guest) late(ev *realtime.Server) {
+	if ev.ResponseID == g.current && g.done || ev.Type == realtime.ResponseDone {
+		g.c.f.log.Add(record.Event{Who: g.name, Kind: record.After, Router: g.router.name, Note: ev.Type})
+	}
+}
+
+// connect opens a session, at a router that the front takes to be up.
+func (g *guest) connect(ctx context.Context) error {
+	if g.session != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	s, err := client.Open(ctx, g.router.addr, "day")
+	g.session = s
+	if err != nil {
+		g.session = nil
+	}
+	return err
+}
+
+// elsewhere draws another router; the front knows a dead one only after a while.
+func (g *guest) elsewhere() {
+	list := g.c.f.routers
+	for range 8 {
+		r := list[g.rnd.IntN(len(list))]
+		r.mu.Lock()
+		known := !r.lost.IsZero() && time.Since(r.lost) > g.c.f.s.Clients.Detect && exited(r.done)
+		r.mu.Unlock()
+		if !known {
+			g.router = r
+			return
+		}
+	}
+}
+
+func exited(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// request makes one request with its tries.
+func (g *guest) request(ctx context.Context, a ask) outcome {
+	s := g.c.f.s
+	class := &s.Classes[a.class]
+	begun := time.Now()
+	end := outcome{class: a.class, at: begun.Sub(g.c.f.start), kind: "lost"}
+	retries := s.Clients.Retries
+	eagerly, eager := s.eager(end.at)
+	if eager {
+		retries = eagerly
+	}
+	mayHaveRun := false
+	for try := 1; ctx.Err() == nil; {
+		t := g.try(ctx, &a, try, mayHaveRun)
+		if t.unreachable { // no byte of it was sent
+			if time.Since(begun) > class.GiveUp {
+				return end
+			}
+			g.elsewhere()
+			if !sleep(ctx, 20*time.Millisecond) {
+				return end
+			}
+			continue
+		}
+		end.tries, end.kind = try, t.kind
+		mayHaveRun = mayHaveRun || t.kind == "failed" || t.kind == "lost"
+		if t.kind == "served" {
+			end.first = time.Since(begun) - t.afterFirst
+			aim := class.Aim + class.PerKilo*time.Duration(a.prompt)/1000
+			end.inTime = end.first <= aim
+			return end
+		}
+		again := t.kind == "refused" || class.Effect == "safe" || t.left
+		if !again || try > retries || time.Since(begun) > class.GiveUp {
+			return end
+		}
+		if t.kind != "refused" {
+			g.elsewhere()
+		}
+		wait := max(s.Clients.Backoff, t.retryAfter)
+		if eager {
+			wait = 0
+		}
+		if !sleep(ctx, wait) {
+			return end
+		}
+		a.drop = false
+		try++
+	}
+	return end
+}
+
+// tried is how one try ended.
+type tried struct {
+	kind        string
+	unreachable bool
+	left        bool // the client cut its own socket
+	retryAfter  time.Duration
+	afterFirst  time.Duration // from the first token to the end
+}
+
+// try sends a request once and waits for its final answer.
+func (g *guest) try(ctx context.Context, a *ask, n int, again bool) tried {
+	class := &g.c.f.s.Classes[a.class]
+	if err := g.connect(ctx); err != nil {
+		return tried{unreachable: true}
+	}
+	meta := map[string]string{realtime.MetaClass: class.Name, realtime.MetaIdempotency: a.name,
+		realtime.MetaPromptSize: strconv.Itoa(a.prompt), realtime.MetaSession: g.name}
+	if a.prefix != "" {
+		meta[realtime.MetaPrefix], meta[realtime.MetaPrefixSize] = a.prefix, strconv.Itoa(a.prompt/2)
+	}
+	if again {
+		meta[realtime.MetaRetry] = "true"
+	}
+	g.current, g.done = "", false
+	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
+	if n == 1 && g.session.Say("question "+a.name) != nil || g.session.Request(meta, class.Out) != nil {
+		return g.gone(a, n, "unreachable")
+	}
+	return g.wait(a, n, class)
+}
+
+// gone records a try without a final answer, and drops the session.
+func (g *guest) gone(a *ask, n int, why string) tried {
+	g.note(a, n, record.Lost, why, 0)
+	g.session.Cut()
+	g.session = nil
+	return tried{kind: "lost", left: why == "left", unreachable: why == "unreachable" || why == "not taken"}
+}
+
+// wait reads to the final answer. A client that hears nothing in its time gives up, and tells the checker.
+func (g *guest) wait(a *ask, n int, class *Class) tried {
+	s := g.session
+	gaveUp := time.AfterFunc(class.GiveUp+2*time.Second, s.Cut)
+	defer gaveUp.Stop()
+	if a.drop {
+		drop := time.AfterFunc(a.dropAt, s.Cut)
+		defer drop.Stop()
+	}
+	from, first := time.Now(), time.Time{}
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			return g.gone(a, n, g.why(a, err, time.Since(from), !first.IsZero(), class))
+		}
+		switch ev.Type {
+		case realtime.ResponseCreated:
+			g.current = ev.Response.ID
+		case realtime.TextDelta:
+			if ev.ResponseID != g.current {
+				g.note(a, n, record.After, ev.Type, 0)
+			} else if first.IsZero() {
+				first = time.Now()
+				gaveUp.Stop()
+				g.note(a, n, record.Token, "", 0)
+			}
+		case realtime.ErrorType:
+			if ev.Error.Code == "going_away" {
+				return g.gone(a, n, "not taken")
+			}
+			return g.gone(a, n, "error "+ev.Error.Code)
+		case realtime.ResponseDone:
+			if ev.Response.ID != g.current {
+				g.note(a, n, record.After, ev.Type, 0)
+				continue
+			}
+			g.done = true
+			return g.final(a, n, ev.Response, first)
+		}
+	}
+}
+
+// why tells why a session ended under an open try.
+func (g *guest) why(a *ask, err error, took time.Duration, streaming bool, class *Class) string {
+	var ce *ws.CloseError
+	switch {
+	case a.drop && took >= a.dropAt:
+		return "left"
+	case errors.As(err, &ce) && ce.Code == ws.CloseGoingAway && g.current == "":
+		return "not taken" // the router closed in order, and had not said that it took the response
+	case !streaming && took >= class.GiveUp+2*time.Second:
+		return "gave up"
+	}
+	return "connection"
+}
+
+func (g *guest) final(a *ask, n int, r *realtime.Response, first time.Time) tried {
+	t := tried{kind: "served"}
+	if r.Status != "completed" {
+		t.kind = "failed"
+		if d := r.Details; d != nil && d.Error != nil && d.Error.Code == realtime.CodeRefused {
+			t.kind = "refused"
+			if d.Error.RetryAfterMS != nil {
+				t.retryAfter = time.Duration(*d.Error.RetryAfterMS) * time.Millisecond
+			}
+		}
+	}
+	if !first.IsZero() {
+		t.afterFirst = time.Since(first)
+	}
+	g.note(a, n, record.Final, t.kind, float64(t.retryAfter.Milliseconds()))
+	return t
+}
--- /dev/null
+++ b/internal/day/script.go
@@ -0,0 +1,183 @@
+// Package day plays a scripted day: routers as processes of their own, stand-in
+// engines and a roster, clients at a rate, and faults at their times. What
+// passed on the sockets is recorded and judged by package rules.
+package day
+
+import (
+	_ "embed"
+	"fmt"
+	"slices"
+	"time"
+
+	"gannethook/internal/sexp"
+)
+
+// Script is a day's file; docs/days.md has its forms.
+type Script struct {
+	At       sexp.Pos
+	Name     string        `gann:"name,need"`
+	Seed     uint64        `gann:"seed"`
+	Length   time.Duration `gann:"length,need"`
+	Rate     float64       `gann:"rate,need"` // requests a second, without tries again
+	Routers  int           `gann:"routers"`
+	Readers  int           `gann:"readers"`
+	Writers  int           `gann:"writers"`
+	Reader   Engine        `gann:"reader"`
+	Writer   Engine        `gann:"writer"`
+	Clients  Clients       `gann:"clients"`
+	Classes  []Class       `gann:"class,need"`
+	Notice   time.Duration `gann:"notice"` // the roster tells of a death so late, on average
+	Faults   []Fault       `gann:"fault"`
+	Settings Settings      `gann:"router"`
+}
+
+// Engine sizes stand-ins.
+type Engine struct {
+	Slots     int           `gann:"slots"`
+	Queue     int           `gann:"queue"`
+	Memory    sexp.Tokens   `gann:"memory"`
+	ReadRate  sexp.Tokens   `gann:"read-rate"`
+	FetchRate sexp.Tokens   `gann:"fetch-rate"`
+	TokenGap  time.Duration `gann:"token-gap"`
+	WarmAfter time.Duration `gann:"warm-after"`
+	ColdFrom  float64       `gann:"cold-from"`
+}
+
+// Clients tell how clients behave.
+type Clients struct {
+	Retries   int           `gann:"retries"`
+	Backoff   time.Duration `gann:"backoff"`
+	Drop      float64       `gann:"drop"`  // part of the requests whose client cuts its socket and comes again
+	TurnsMost int           `gann:"turns"` // of a session, at the most
+	Think     time.Duration `gann:"think"`
+	Detect    time.Duration `gann:"front-notice"` // the front goes on sending to a dead router for so long
+}
+
+// Class is a class of the day's requests.
+type Class struct {
+	At      sexp.Pos
+	Name    string        `gann:"#,need"`
+	Effect  string        `gann:"effect,need"`
+	Part    float64       `gann:"part,need"`
+	Prompt  []sexp.Tokens `gann:"prompt,need"` // least and most
+	Out     int           `gann:"out,need"`    // most tokens
+	Aim     time.Duration `gann:"aim,need"`
+	GiveUp  time.Duration `gann:"give-up,need"`
+	Worth   float64       `gann:"worth"`
+	Prefix  int           `gann:"beginnings"` // shared beginnings
+	Group   string        `gann:"group"`
+	Window  time.Duration `gann:"window"`
+	PerKilo time.Duration `gann:"aim-per-1000"`
+}
+
+// Settings of the routers that a day may change.
+type Settings struct {
+	PinLimit time.Duration `gann:"pin-limit"`
+	Grace    time.Duration `gann:"drain-grace"`
+	Holds    bool          `gann:"holds"`
+	Drain    time.Duration `gann:"drain"`
+}
+
+// Fault is one trouble of a day.
+type Fault struct {
+	At   sexp.Pos
+	Kind string        `gann:"#,need"`
+	From time.Duration `gann:"at,need"`
+	For  time.Duration `gann:"for,need"`
+	Part float64       `gann:"part"` // of the engines, or of the routers
+	Size float64       `gann:"size"` // times slower, part of errors, times the traffic, ...
+	On   string        `gann:"on"`   // readers, writers or both
+	Note string        `gann:"class"`
+}
+
+// Kinds of faults, every kind of trouble that a bench day brings.
+var Kinds = []string{"crash", "vanish", "slow", "hang", "fast-errors", "late-reports", "burst", "deploy",
+	"router-crash", "router-roll", "shared-slow", "ageing", "slow-handshakes", "throttle", "eager-retries",
+	"break-streams", "stall-streams", "roster-cut"}
+
+// Parse reads a script; name stands for it in errors.
+func Parse(name, text string) (*Script, error) {
+	forms, err := sexp.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	return decode(name, forms)
+}
+
+// Load reads a script's file.
+func Load(path string) (*Script, error) {
+	forms, err := sexp.ParseFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return decode(path, forms)
+}
+
+func decode(name string, forms []*sexp.Node) (*Script, error) {
+	s := &Script{Seed: 1, Routers: 2, Readers: 2, Writers: 2, Notice: 1500 * time.Millisecond,
+		Clients: Clients{Retries: 1, Backoff: 200 * time.Millisecond, TurnsMost: 3, Think: time.Second,
+			Detect: 2 * time.Second},
+		Reader: Engine{Slots: 8, Queue: 40, Memory: 200000, ReadRate: 20000, FetchRate: 250000, ColdFrom: 0.3,
+			WarmAfter: 8 * time.Second},
+		Writer: Engine{Slots: 80, Queue: 25, Memory: 160000, ReadRate: 7000, FetchRate: 250000, ColdFrom: 0.3,
+			WarmAfter: 8 * time.Second, TokenGap: 25 * time.Millisecond},
+		Settings: Settings{PinLimit: 500 * time.Millisecond, Grace: 2 * time.Second, Holds: true, Drain: 10 * time.Second}}
+	if err := sexp.Decode(sexp.Pos{File: name, Line: 1, Col: 1}, forms, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func wrong(at sexp.Pos, format string, args ...any) error {
+	return &sexp.Error{Pos: at, Msg: fmt.Sprintf(format, args...)}
+}
+
+func (s *Script) check() error {
+	if s.Routers < 1 || s.Readers < 1 || s.Writers < 1 || s.Rate <= 0 || s.Length <= 0 || s.Clients.TurnsMost < 1 {
+		return wrong(s.At, "routers, readers, writers, turns, rate and length are above 0")
+	}
+	for _, c := range s.Classes {
+		switch {
+		case !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect):
+			return wrong(c.At, "effect %q is not safe, keyed or unsafe", c.Effect)
+		case len(c.Prompt) != 2 || c.Prompt[0] > c.Prompt[1] || c.Prompt[0] < 1:
+			return wrong(c.At, "(prompt LEAST MOST) takes two sizes, the least first")
+		case c.Out < 1 || c.Part <= 0:
+			return wrong(c.At, "out and part are above 0")
+		}
+	}
+	for _, f := range s.Faults {
+		if !slices.Contains(Kinds, f.Kind) {
+			return wrong(f.At, "trouble %q is not known; known are %q", f.Kind, Kinds)
+		}
+		if f.Part > 1 {
+			return wrong(f.At, "a part is 1 at the most")
+		}
+		if !slices.Contains([]string{"", "readers", "writers", "both"}, f.On) {
+			return wrong(f.At, "(on ...) takes readers, writers or both")
+		}
+		if f.From+f.For > s.Length {
+			return wrong(f.At, "the trouble ends after the day")
+		}
+	}
+	return nil
+}
+
+// Stretch makes all times of a day longer or shorter by a factor, its rate
+// staying: a short day for CI has the same troubles in the same order.
+func (s *Script) Stretch(by float64) {
+	if by == 1 || by <= 0 {
+		return
+	}
+	stretch := func(d *time.Duration) { *d = time.Duration(float64(*d) * by) }
+	stretch(&s.Length)
+	for i := range s.Faults {
+		stretch(&s.Faults[i].From)
+		stretch(&s.Faults[i].For)
+	}
+}
+
+// Bad is the embedded bad day.
+//
+//go:embed bad.gann
+var Bad string
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -32,6 +32,11 @@
 	Release(ctx context.Context, addr, key string) error
 }
 
+// Decider decides; gannethook.Router does. A baseline may stand in for it in comparisons.
+type Decider interface {
+	Handle(now gannethook.Millis, ev gannethook.Event) []gannethook.Action
+}
+
 // Job is a request as a client's front hands it over.
 type Job struct {
 	Class, Tenant         int
@@ -95,7 +100,8 @@
 // Config sets a driver up.
 type Config struct {
 	Settings gannethook.Settings
-	Name     string // of this router, in the engines' logs
+	Decider  Decider // nil: the module
+	Name     string  // of this router, in the engines' logs
 	Seed     uint64
 	Inbox    int // events that may wait
 	MaxOpen  int // requests that may be open
@@ -107,7 +113,7 @@
 // Driver runs one router.
 type Driver struct {
 	cfg     Config
-	router  *gannethook.Router
+	router  Decider
 	inbox   chan func()
 	stopped chan struct{}
 	start   time.Time
@@ -128,9 +134,13 @@
 
 // New returns a driver; Run starts it.
 func New(cfg Config) (*Driver, error) {
-	router, err := gannethook.New(cfg.Settings, cfg.Seed)
-	if err != nil {
-		return nil, err
+	router := cfg.Decider
+	if router == nil {
+		module, err := gannethook.New(cfg.Settings, cfg.Seed)
+		if err != nil {
+			return nil, err
+		}
+		router = module
 	}
 	now := time.Now()
 	return &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -86,6 +86,7 @@
 	class string
 	write bool
 	cut   bool // the connection is to break
+	ended bool // the end is recorded
 }
 
 func (j *job) note(kind, note string) {
@@ -106,7 +107,9 @@
 	}
 	j.note(record.Arrive, kind)
 	how := j.run()
-	j.note(record.End, how)
+	if !j.ended {
+		j.note(record.End, how)
+	}
 	if j.cut {
 		panic(http.ErrAbortHandler) // net/http cuts the connection
 	}
@@ -146,6 +149,8 @@
 }
 
 func (j *job) turned(status int, code string) string {
+	j.note(record.End, code) // before the answer: the router may act on it at once
+	j.ended = true
 	j.w.Header().Set("endpoint-load-metrics", j.l.loadReport())
 	turn(j.w, status, code, code)
 	return code
