Places lapse by themselves; places and releases go by connections of their own

Control exchanges now keep connections apart from streams, late grants are always let go, and a place carries the time after which it lapses.

--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -153,9 +153,13 @@
 	ln.Close()
 	r := &router{name: fmt.Sprintf("r%d", i), addr: addr, f: f, dir: f.dir}
 	r.config = filepath.Join(f.dir, r.name+".gann")
+	os.Remove(r.list()) // of an earlier day in the same folder
 	return r, os.WriteFile(r.config, []byte(f.s.settings(r, f.api, i)), 0o644)
 }
 
+// list is where the router keeps its last list.
+func (r *router) list() string { return filepath.Join(r.dir, r.name+".list") }
+
 // settings are a router's, as text.
 func (s *Script) settings(r *router, api string, i int) string {
 	var b strings.Builder
@@ -178,7 +182,7 @@
 	fmt.Fprintf(&b, "(rules (cold-from %g) (warm-after %v) (overload 3) (pin-limit %v))\n", s.Writer.ColdFrom,
 		s.Writer.WarmAfter, s.Settings.PinLimit)
 	fmt.Fprintf(&b, "(engines (holds %s) (stream-idle 3s))\n(sessions (drain %v))\n", holds, s.Settings.Drain)
-	fmt.Fprintf(&b, "(roster (watch %q) (service engines) (cache %q))\n", api, filepath.Join(r.dir, r.name+".list"))
+	fmt.Fprintf(&b, "(roster (watch %q) (service engines) (cache %q))\n", api, r.list())
 	return b.String()
 }
 
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -39,6 +39,8 @@
 	releases int      // how often all was let go: tells late grants
 }
 
+const releaseTries = 4 // each bounded by the engines' client
+
 // heldAt is a state or place that may be held for the request.
 type heldAt struct {
 	server gannethook.ServerID
@@ -227,10 +229,11 @@
 	})
 }
 
-// granted takes the answer to a hold that was asked for during attempt n.
+// granted takes the answer to a hold that was asked for during attempt n. One
+// that is late is let go, also where the answer streams: it may have been
+// granted after the stream had come in without it.
 func (c *Call) granted(w gannethook.ServerID, key string, n, epoch int, ok bool) {
-	taken := c.streaming && c.writer == w && c.key == key
-	if c.forgotten || epoch != c.releases && !taken {
+	if c.forgotten || epoch != c.releases {
 		c.letGo([]heldAt{{w, key}})
 		return
 	}
@@ -255,13 +258,13 @@
 	c.release()
 }
 
-// letGo tells the servers, each twice if need be: an engine that can't be
-// reached lets go by itself, when it dies or by its own limit.
+// letGo tells the servers, several times if need be: an engine that can't be
+// reached at all lets go by itself, when it dies or by its own limit.
 func (c *Call) letGo(list []heldAt) {
 	for _, h := range list {
 		c.d.work.Go(func() {
 			ctx := context.WithoutCancel(c.d.ctx) // the engines' client bounds its time
-			for range 2 {
+			for range releaseTries {
 				if c.d.cfg.Engines.Release(ctx, string(h.server), h.key) == nil {
 					return
 				}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -96,16 +96,18 @@
 	conn *conn
 	res  *http1.Response
 	body *http1.Body
+	ctl  bool
 	stop func() bool
 }
 
 // open sends a request and reads the answer's head.
 func (c *Client) open(ctx context.Context, method, path string, call *Call, body []byte) (*exchange, error) {
-	cn, err := c.pool.get(ctx, call.Addr)
+	ctl := path != CompletionsPath
+	cn, err := c.pool.get(ctx, call.Addr, ctl)
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{c: c, addr: call.Addr, conn: cn}
+	x := &exchange{c: c, addr: call.Addr, conn: cn, ctl: ctl}
 	x.stop = context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
 	h := http1.Header{{Name: "Host", Value: call.Addr}, {Name: "Content-Type", Value: "application/json"},
 		{Name: "Content-Length", Value: strconv.Itoa(len(body))}, {Name: "X-Request-Id", Value: call.Key}}
@@ -143,7 +145,7 @@
 // close gives the connection back if the exchange is whole, else cuts it, which calls the engine's work off.
 func (x *exchange) close(whole bool) {
 	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
-		x.c.pool.put(x.addr, x.conn)
+		x.c.pool.put(x.addr, x.ctl, x.conn)
 		return
 	}
 	x.conn.Close()
@@ -303,13 +305,15 @@
 	Key    string `json:"request_id"`
 	Reader string `json:"reader"`
 	Tokens int    `json:"tokens"`
+	Idle   int64  `json:"idle_ms"` // the place lapses by itself so long after its state came or failed to
 }
 
 // Hold asks a writer for a place for the state that a reader is about to have.
 func (c *Client) Hold(ctx context.Context, call *Call, reader string) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
 	defer cancel()
-	body, _ := json.Marshal(place{call.Key, reader, int(call.PromptSize) + call.MaxTokens})
+	body, _ := json.Marshal(place{call.Key, reader, int(call.PromptSize) + call.MaxTokens,
+		c.lim.PlaceIdle.Milliseconds()})
 	status, _ := c.extension(ctx, "POST", PlacesPath, call, body)
 	return status == 201
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -22,13 +22,15 @@
 	IdleConns   int           // unused connections kept
 	StreamIdle  time.Duration // a stream without a token for so long is broken
 	Extension   time.Duration // a place or release not answered by then is taken as refused
+	PlaceIdle   time.Duration // a place lapses by itself when it has waited for its answer for so long
 	ResponseMax int           // bytes of an answer that is not streamed
 }
 
 // DefaultLimits suit engines on a data centre's network.
 func DefaultLimits() Limits {
 	return Limits{Dial: 250 * time.Millisecond, Idle: 25 * time.Second, IdleConns: 64,
-		StreamIdle: 10 * time.Second, Extension: 400 * time.Millisecond, ResponseMax: 1 << 20}
+		StreamIdle: 10 * time.Second, Extension: 400 * time.Millisecond,
+		PlaceIdle: 500 * time.Millisecond, ResponseMax: 1 << 20}
 }
 
 // conn is one connection, owned by one exchange at a time.
@@ -39,6 +41,11 @@
 	used time.Time
 }
 
+// control marks the connections that places and releases go by. They are apart
+// from those of attempts, which streams hold for long: what a place came by is
+// free again when the place is to be let go, also while new connections fail.
+const control = "control "
+
 // pool keeps the unused connections, newest last.
 type pool struct {
 	lim  Limits
@@ -52,10 +59,17 @@
 
 func (e errDial) Unwrap() error { return e.error }
 
-// get gives a connection: an unused one that still stands, else a new one.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+// get gives a connection: an unused one that still stands, else a new one. Those
+// for control may be an attempt's, not the other way round.
+func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		var c *conn
+		if ctl {
+			c = p.pop(control + addr)
+		}
+		if c == nil {
+			c = p.pop(addr)
+		}
 		if c == nil {
 			break
 		}
@@ -89,7 +103,10 @@
 }
 
 // put takes a connection back after a whole exchange.
-func (p *pool) put(addr string, c *conn) {
+func (p *pool) put(addr string, ctl bool, c *conn) {
+	if ctl {
+		addr = control + addr
+	}
 	c.used = time.Now()
 	if c.SetDeadline(time.Time{}) != nil || c.br.Buffered() > 0 {
 		c.Close() // cut meanwhile, or it talks out of turn
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -14,6 +14,7 @@
 // Kinds of events. Who is a client's name, an engine's address or "roster".
 const (
 	// Clients'.
+	Open  = "open"  // a session is open at Router
 	Offer = "offer" // a try is sent: Req, Try, Router, Class; N is the ms until it is given up
 	Token = "token" // the first one alone
 	Final = "final" // Note is served, refused, failed or cancelled; N is the retry-after in ms
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -133,13 +133,13 @@
 	return gannethook.Membership{Servers: t.apply(now)}, nil
 }
 
-// Set takes a whole list that is not made of slices: a file's, or a cache's.
+// Set takes a whole list that is not made of slices: a file's, or a cache's. It
+// does not count as an earlier list: what a router slept through is not news.
 func (t *Table) Set(servers []gannethook.Server) gannethook.Membership {
 	clear(t.known)
 	for _, s := range servers {
 		t.known[s.ID] = entry{Server: s}
 	}
-	t.listed = true
 	return t.Whole()
 }
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -77,6 +77,12 @@
 	return n
 }
 
+// offered names a try.
+type offered struct {
+	req string
+	try int
+}
+
 // checker holds the records in the orders that the rules ask for.
 type checker struct {
 	cfg    Config
@@ -85,6 +91,7 @@
 	byRead map[string][]record.Event // by what names a request at the engines
 	reqOf  map[string]string         // from that to the client's request
 	killed map[string][]float64      // router: when
+	opened map[offered]float64       // when the session of a try was opened
 	last   float64
 	v      *Verdict
 }
@@ -92,7 +99,7 @@
 // Check judges a whole recording.
 func Check(cfg Config, events []record.Event) *Verdict {
 	c := &checker{cfg: cfg, events: events, byReq: map[string][]record.Event{}, byRead: map[string][]record.Event{},
-		reqOf: map[string]string{}, killed: map[string][]float64{}, v: &Verdict{}}
+		reqOf: map[string]string{}, killed: map[string][]float64{}, opened: map[offered]float64{}, v: &Verdict{}}
 	c.sort()
 	for _, req := range sorted(c.byReq) {
 		c.ruleOne(req, c.byReq[req])
@@ -130,6 +137,7 @@
 }
 
 func (c *checker) sort() {
+	sessions := map[string]float64{}
 	for _, e := range c.events {
 		c.last = max(c.last, e.T)
 		if e.Req != "" {
@@ -143,6 +151,10 @@
 			}
 		}
 		switch e.Kind {
+		case record.Open:
+			sessions[e.Who] = e.T
+		case record.Offer:
+			c.opened[offered{e.Req, e.Try}] = sessions[e.Who]
 		case record.Killed:
 			c.killed[e.Router] = append(c.killed[e.Router], e.T)
 		case record.Arrive:
@@ -173,6 +185,7 @@
 
 // try is one try of a request, as its client saw it.
 type try struct {
+	opened float64 // when its session was
 	offer  record.Event
 	token  float64
 	finals []record.Event
@@ -180,7 +193,7 @@
 	after  *record.Event
 }
 
-func tries(events []record.Event) []*try {
+func (c *checker) tries(events []record.Event) []*try {
 	var list []*try
 	find := func(n int) *try {
 		for _, t := range list {
@@ -192,7 +205,7 @@
 	}
 	for _, e := range events {
 		if e.Kind == record.Offer {
-			list = append(list, &try{offer: e, token: -1})
+			list = append(list, &try{offer: e, token: -1, opened: c.opened[offered{e.Req, e.Try}]})
 			continue
 		}
 		t := find(e.Try)
@@ -224,7 +237,7 @@
 
 // ruleOne: each try at a running router has exactly one final answer, in time, and nothing after it.
 func (c *checker) ruleOne(req string, events []record.Event) {
-	list := tries(events)
+	list := c.tries(events)
 	if len(list) > 0 {
 		c.v.Requests++
 	}
@@ -234,7 +247,7 @@
 		if t.lost != nil {
 			end = t.lost.T
 		}
-		excused := t.lost != nil && excuses[t.lost.Note] || c.died(t.offer.Router, t.offer.T, end)
+		excused := t.lost != nil && excuses[t.lost.Note] || c.died(t.offer.Router, t.opened, end)
 		switch {
 		case len(t.finals) > 1:
 			c.broken(1, req, "try %d has %d final answers", t.offer.Try, len(t.finals))
@@ -300,7 +313,7 @@
 			}
 		}
 	}
-	for _, t := range tries(events) {
+	for _, t := range c.tries(events) {
 		for _, f := range t.finals {
 			if f.Note == "refused" && slices.ContainsFunc(events, func(e record.Event) bool {
 				return e.Kind == record.Apply && e.T >= t.offer.T && e.T <= f.T
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -285,7 +285,7 @@
 func (f *File) EngineLimits() engine.Limits {
 	l := engine.DefaultLimits()
 	l.Dial, l.Idle, l.IdleConns = f.Engines.Dial, f.Engines.Idle, f.Engines.IdleConns
-	l.StreamIdle, l.Extension = f.Engines.StreamIdle, f.Engines.Extension
+	l.StreamIdle, l.Extension, l.PlaceIdle = f.Engines.StreamIdle, f.Engines.Extension, f.Rules.PinLimit
 	return l
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -92,17 +92,18 @@
 	wg      sync.WaitGroup
 	dieOnce sync.Once
 
-	mu       sync.Mutex
-	faults   Faults
-	queued   int
-	used     float64 // memory in tokens
-	room     chan struct{}
-	states   map[string]*state
-	places   map[string]*place
-	pushed   []push
-	kept     map[string]bool // shared beginnings whose text is kept
-	report   float64
-	released map[string]bool // reads that were called off before they were done
+	mu     sync.Mutex
+	faults Faults
+	queued int
+	used   float64 // memory in tokens
+	room   chan struct{}
+	states map[string]*state
+	places map[string]*place
+	pushed []push
+	kept   map[string]bool // shared beginnings whose text is kept
+	report float64
+	over   map[string]bool // reads whose state is gone
+	news   chan struct{}   // closed when a read begins
 }
 
 type push struct {
@@ -152,7 +153,7 @@
 	e.addr = ln.Addr().String()
 	l := &life{e: e, ln: ln, began: time.Now(), cold: cold, dead: make(chan struct{}),
 		slots: make(chan struct{}, e.cfg.Slots), room: make(chan struct{}), states: map[string]*state{},
-		places: map[string]*place{}, kept: map[string]bool{}, released: map[string]bool{},
+		places: map[string]*place{}, kept: map[string]bool{}, over: map[string]bool{}, news: make(chan struct{}),
 		rnd: rand.New(rand.NewPCG(e.cfg.Seed, uint64(len(e.addr))))}
 	l.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 250 * time.Millisecond}).DialContext,
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
