--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -116,6 +116,9 @@
 		known := !r.lost.IsZero() && time.Since(r.lost) > g.c.f.s.Clients.Detect && exited(r.done)
 		r.mu.Unlock()
 		if !known {
+			if r != g.router {
+				g.leave()
+			}
 			g.router = r
 			return
 		}
