--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,224 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func reader(s string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(s), 64) }
+
+func TestReadRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		want     error
+	}{
+		{"plain", "GET /a?b HTTP/1.1\r\nHost: x\r\nA:  b \r\n\r\n", nil},
+		{"bare newlines", "GET / HTTP/1.1\nHost: x\n\n", nil},
+		{"nothing", "", io.EOF},
+		{"cut in the line", "GET / HT", io.ErrUnexpectedEOF},
+		{"cut in the head", "GET / HTTP/1.1\r\nHost: x\r\n", io.ErrUnexpectedEOF},
+		{"no version", "GET /\r\n\r\n", ErrMalformed},
+		{"version 2", "GET / HTTP/2.0\r\n\r\n", ErrMalformed},
+		{"two spaces", "GET  / HTTP/1.1\r\n\r\n", ErrMalformed},
+		{"bad method", "G{T / HTTP/1.1\r\n\r\n", ErrMalformed},
+		{"space before the colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", ErrMalformed},
+		{"folded line", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", ErrMalformed},
+		{"control character", "GET / HTTP/1.1\r\nA: \x00\r\n\r\n", ErrMalformed},
+		{"long line", "GET /" + strings.Repeat("a", MaxLine) + " HTTP/1.1\r\n\r\n", ErrTooLarge},
+		{"flood of headers", "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxHeaders+1) + "\r\n", ErrTooLarge},
+		{"large head", "GET / HTTP/1.1\r\n" + strings.Repeat("A: "+strings.Repeat("b", 4000)+"\r\n", 10) + "\r\n", ErrTooLarge},
+	} {
+		req, err := ReadRequest(reader(c.in))
+		if !errors.Is(err, c.want) || c.want == nil && (err != nil || req.Method != "GET" || req.Header.Get("host") != "x") {
+			t.Errorf("%s: %+v, %v; want %v", c.name, req, err, c.want)
+		}
+	}
+}
+
+func TestBodies(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, in, want string
+		err            error
+		whole          bool
+	}{
+		{"length", head + "Content-Length: 3\r\n\r\nabcrest", "abc", nil, true},
+		{"no bytes", head + "Content-Length: 0\r\n\r\n", "", nil, true},
+		{"cut", head + "Content-Length: 5\r\n\r\nabc", "abc", io.ErrUnexpectedEOF, false},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nT: v\r\n\r\n", "abc0123456789", nil, true},
+		{"chunks cut", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nab", "ab", io.ErrUnexpectedEOF, false},
+		{"chunks without end", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "abc", io.ErrUnexpectedEOF, false},
+		{"chunk of no size", head + "Transfer-Encoding: chunked\r\n\r\nx\r\n", "", ErrMalformed, false},
+		{"chunk too long", head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffff\r\n", "", ErrMalformed, false},
+		{"chunk longer than told", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", "a", ErrMalformed, false},
+		{"to the close", head + "\r\nabc", "abc", nil, false},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", "", nil, true},
+		{"both at once", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", "", ErrMalformed, false},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "", ErrMalformed, false},
+		{"negative length", head + "Content-Length: -3\r\n\r\nabc", "", ErrMalformed, false},
+		{"unknown coding", head + "Transfer-Encoding: gzip\r\n\r\nabc", "", ErrMalformed, false},
+	} {
+		r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(c.in)))
+		res, err := ReadResponse(r)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		body, err := ResponseBody(r, res)
+		var got []byte
+		if err == nil {
+			got, err = io.ReadAll(body)
+		}
+		if string(got) != c.want || !errors.Is(err, c.err) || c.err == nil && (err != nil || body.Whole() != c.whole) {
+			t.Errorf("%s: %q, %v; want %q, %v", c.name, got, err, c.want, c.err)
+		}
+	}
+}
+
+// What the standard library writes in chunks reads the same here.
+func TestChunksOfPeer(t *testing.T) {
+	want := strings.Repeat("some text; ", 1000)
+	var wire bytes.Buffer
+	res := &http.Response{StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, ContentLength: -1,
+		TransferEncoding: []string{"chunked"}, Body: io.NopCloser(strings.NewReader(want))}
+	if err := res.Write(&wire); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReaderSize(&wire, 100)
+	head, err := ReadResponse(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := ResponseBody(r, head)
+	if got, err := io.ReadAll(body); err != nil || string(got) != want {
+		t.Fatalf("%d bytes, %v", len(got), err)
+	}
+	var out bytes.Buffer
+	w := bufio.NewWriter(&out)
+	WriteHead(w, "HTTP/1.1 200 OK", Header{{"Transfer-Encoding", "chunked"}})
+	WriteChunk(w, []byte(want))
+	WriteChunk(w, nil)
+	peer, err := http.ReadResponse(bufio.NewReader(&out), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(peer.Body); err != nil || string(got) != want {
+		t.Fatalf("the peer reads %d bytes, %v", len(got), err)
+	}
+}
+
+func TestEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, in, want string
+		err            error
+	}{
+		{"two", "data: a\n\ndata: b\n\n", "a|b|", io.EOF},
+		{"carriage returns", "data: a\r\n\r\n", "a|", io.EOF},
+		{"comments and fields", ": hi\nevent: x\nid: 3\ndata: a\nretry: 1\n\n", "a|", io.EOF},
+		{"lines of one event", "data: a\ndata: b\n\n", "a\nb|", io.EOF},
+		{"no space", "data:a\n\n", "a|", io.EOF},
+		{"no colon", "data\n\n", "|", io.EOF},
+		{"other field", "database: a\n\ndata: b\n\n", "b|", io.EOF},
+		{"cut inside an event", "data: a\n\ndata: b\n", "a|", io.ErrUnexpectedEOF},
+		{"cut inside a line", "data: a\n\ndata: b", "a|", io.ErrUnexpectedEOF},
+		{"long", "data: " + strings.Repeat("x", 5000) + "\n\n", strings.Repeat("x", 5000) + "|", io.EOF},
+		{"too long", "data: " + strings.Repeat("x", MaxEvent+10) + "\n\n", "", ErrTooLarge},
+		{"too many lines", strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 300), "", ErrTooLarge},
+	} {
+		ev := NewEvents(strings.NewReader(c.in))
+		got := ""
+		for {
+			data, err := ev.Next()
+			if err != nil {
+				if got != c.want || !errors.Is(err, c.err) {
+					t.Errorf("%s: %.60q, %v; want %.60q, %v", c.name, got, err, c.want, c.err)
+				}
+				break
+			}
+			got += string(data) + "|"
+		}
+	}
+}
+
+// A head that is read and written again reads the same.
+func FuzzRequest(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		req, err := ReadRequest(reader(in))
+		if err != nil {
+			return
+		}
+		var out bytes.Buffer
+		w := bufio.NewWriter(&out)
+		WriteHead(w, fmt.Sprintf("%s %s HTTP/1.%d", req.Method, req.Target, req.Minor), req.Header)
+		w.Flush()
+		again, err := ReadRequest(bufio.NewReader(&out))
+		if err != nil || fmt.Sprint(again) != fmt.Sprint(req) {
+			t.Fatalf("%v became %v, %v", req, again, err)
+		}
+	})
+}
+
+// Chunked bodies read as the standard library reads them, or are refused.
+func FuzzChunks(f *testing.F) {
+	f.Add("3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		body, err := RequestBody(reader(in), Header{{"Transfer-Encoding", "chunked"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(body)
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + in)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want, err := io.ReadAll(req.Body); err == nil && !bytes.Equal(got, want) {
+			t.Fatalf("%q, the peer reads %q", got, want)
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("data: a\n\n: c\ndata: b\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		ev := NewEvents(strings.NewReader(in))
+		for range 10000 {
+			if data, err := ev.Next(); err != nil {
+				return
+			} else if len(data) > MaxEvent {
+				t.Fatalf("an event of %d bytes", len(data))
+			}
+		}
+	})
+}
+
+func BenchmarkEvents(b *testing.B) {
+	one := "data: {\"choices\":[{\"index\":0,\"text\":\" token\",\"finish_reason\":null}]}\n\n"
+	ev := NewEvents(&endless{text: one})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ev.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+type endless struct {
+	text string
+	at   int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.text[e.at:])
+	e.at = (e.at + n) % len(e.text)
+	return n, nil
+}
