Tests of engine client, driver on a fake clock, key table and rule checker

The lower layers had no tests. Tables of outcomes, a fake clock, a model of the keys, a made-up break of each rule.

--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,444 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/engine"
+)
+
+const ms = time.Millisecond
+
+// fake are engines whose steps take as long as told, on the test's clock.
+type fake struct {
+	read, first, hold time.Duration
+	tokens            int
+	gap               time.Duration
+	holdOK            bool
+	writeEnds         engine.Result // in place of a stream, if it has an outcome
+	readEnds          engine.Result
+	stall             bool // the stream never goes on after its first token
+	mu                sync.Mutex
+	writes, reads     int
+	held, let         map[string]int // places and states by server and read
+}
+
+func newFake() *fake {
+	return &fake{read: 20 * ms, first: 10 * ms, hold: ms, tokens: 5, gap: 10 * ms, holdOK: true,
+		held: map[string]int{}, let: map[string]int{}}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+var calledOff = engine.Result{Outcome: gannethook.Cancelled}
+
+func (f *fake) count(m map[string]int, server, key string) {
+	f.mu.Lock()
+	m[server+" "+key]++
+	f.mu.Unlock()
+}
+
+func (f *fake) Read(ctx context.Context, call *engine.Call) engine.Result {
+	f.mu.Lock()
+	f.reads++
+	f.mu.Unlock()
+	if !wait(ctx, f.read) {
+		return calledOff
+	}
+	if f.readEnds.Outcome != 0 {
+		return f.readEnds
+	}
+	f.count(f.held, call.Addr, call.Key)
+	return engine.Result{Outcome: gannethook.ReadDone, Params: json.RawMessage(`{}`)}
+}
+
+func (f *fake) Write(ctx context.Context, _ *engine.Call, started func() bool, token func([]byte) bool) engine.Result {
+	f.mu.Lock()
+	f.writes++
+	f.mu.Unlock()
+	if !wait(ctx, f.first) {
+		return calledOff
+	}
+	if f.writeEnds.Outcome != 0 {
+		return f.writeEnds
+	}
+	for i := range f.tokens {
+		if i == 0 && !started() || !token([]byte(`"t"`)) {
+			return calledOff
+		}
+		if f.stall {
+			<-ctx.Done()
+		}
+		if !wait(ctx, f.gap) {
+			return calledOff
+		}
+	}
+	return engine.Result{Outcome: gannethook.Served, Tokens: f.tokens}
+}
+
+func (f *fake) Hold(ctx context.Context, call *engine.Call, _ string) bool {
+	if wait(ctx, f.hold); f.holdOK {
+		f.count(f.held, call.Addr, call.Key)
+	}
+	return f.holdOK
+}
+
+func (f *fake) Release(_ context.Context, addr, key string) error {
+	f.count(f.let, addr, key)
+	return nil
+}
+
+// sink records what a client would get.
+type sink struct {
+	t      *testing.T
+	mu     sync.Mutex
+	tokens int
+	finals []Answer
+	at     time.Time
+	done   chan struct{}
+}
+
+func newSink(t *testing.T) *sink { return &sink{t: t, done: make(chan struct{})} }
+
+func (s *sink) Token([]byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.finals) > 0 {
+		s.t.Error("a token after the final answer")
+	}
+	s.tokens++
+	return true
+}
+
+func (s *sink) Final(a Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.finals = append(s.finals, a); len(s.finals) > 1 {
+		s.t.Errorf("final answers %v", s.finals)
+		return
+	}
+	s.at = time.Now()
+	close(s.done)
+}
+
+func testSettings() gannethook.Settings {
+	class := func(e gannethook.Effect) gannethook.Class {
+		return gannethook.Class{Aim: 1500, Worth: 1, Effect: e, Streamed: true}
+	}
+	return gannethook.Settings{Routers: 1, Classes: []gannethook.Class{class(gannethook.Safe), class(gannethook.Unsafe)},
+		Kinds:    []gannethook.Kind{{Role: gannethook.Reader, Memory: 1e5}, {Role: gannethook.Writer, Memory: 1e5}},
+		ColdFrom: 0.3, WarmAfter: 10000, OverloadFactor: 3, PinLimit: 500, MaxAttempts: 4, MaxRetryAfter: 500,
+		Quantum: 10, Cancel: true, Holds: true}
+}
+
+// run starts a driver on the test's clock with two readers and two writers.
+func run(t *testing.T, f *fake, do func(d *Driver)) {
+	synctest.Test(t, func(t *testing.T) {
+		d, err := New(Config{Settings: testSettings(), Name: "r", Seed: 1, Inbox: 100, MaxOpen: 50, Engines: f})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { d.Run(ctx) })
+		m := gannethook.Membership{Whole: true}
+		for i := range 4 {
+			m.Servers = append(m.Servers, gannethook.Server{ID: gannethook.ServerID(fmt.Sprintf("s%d", i)), Kind: i / 2,
+				State: gannethook.Ready})
+		}
+		d.Update(m)
+		do(d)
+		cancel()
+		wg.Wait()
+		if n := d.Open(); n != 0 {
+			t.Errorf("%d requests are open at the end", n)
+		}
+	})
+}
+
+func job(class int) Job {
+	return Job{Class: class, ClassName: "c", GiveUp: 3 * time.Second, PromptSize: 100, MaxTokens: 50, Prompt: "p"}
+}
+
+// ask submits a request and waits for its answer.
+func ask(t *testing.T, d *Driver, class int) (*sink, Answer) {
+	s := newSink(t)
+	if _, err := d.Submit(job(class), s); err != nil {
+		t.Fatal(err)
+	}
+	<-s.done
+	return s, s.finals[0]
+}
+
+// leftOver are what is held and was never let go, but for what the served answer took.
+func (f *fake) leftOver() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for k := range f.held {
+		if f.let[k] == 0 {
+			list = append(list, k)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func TestServed(t *testing.T) {
+	f := newFake()
+	run(t, f, func(d *Driver) {
+		s, a := ask(t, d, 1)
+		if a.Kind != Served || a.Tokens != 5 || s.tokens != 5 || !a.MayHaveRun {
+			t.Errorf("%+v, %d tokens", a, s.tokens)
+		}
+		synctest.Wait()
+		if left := f.leftOver(); len(left) != 2 { // the state that was fetched and the place that the stream took
+			t.Errorf("held: %v", left)
+		}
+	})
+}
+
+// The final answer comes before the client's time is up, whatever is out.
+func TestDeadline(t *testing.T) {
+	for name, slow := range map[string]func(*fake){
+		"a reader hangs":     func(f *fake) { f.read = time.Hour },
+		"a writer hangs":     func(f *fake) { f.first = time.Hour },
+		"holds hang as well": func(f *fake) { f.first, f.hold = time.Hour, time.Hour },
+	} {
+		f := newFake()
+		slow(f)
+		run(t, f, func(d *Driver) {
+			from := time.Now()
+			s, a := ask(t, d, 1)
+			if took := s.at.Sub(from); took > 3*time.Second || a.Kind == Served {
+				t.Errorf("%s: %v after %v", name, a.Kind, took)
+			}
+			if a.Kind == Refused && a.MayHaveRun {
+				t.Errorf("%s: refused although it may have run", name)
+			}
+		})
+		if left := f.leftOver(); len(left) != 0 {
+			t.Errorf("%s: still held: %v", name, left)
+		}
+	}
+}
+
+// An unsafe request that may have run is failed and does not go again; a safe one does.
+func TestMayHaveRun(t *testing.T) {
+	for _, o := range []gannethook.Outcome{gannethook.Failed, gannethook.Broken} {
+		f := newFake()
+		f.writeEnds = engine.Result{Outcome: o}
+		run(t, f, func(d *Driver) {
+			if _, a := ask(t, d, 1); a.Kind != Failed || !a.MayHaveRun || f.writes != 1 {
+				t.Errorf("unsafe after %v: %+v, %d writes", o, a, f.writes)
+			}
+			f.writes = 0
+			if ask(t, d, 0); f.writes < 2 {
+				t.Errorf("safe after %v: %d writes", o, f.writes)
+			}
+		})
+	}
+	f := newFake()
+	f.writeEnds = engine.Result{Outcome: gannethook.Full}
+	run(t, f, func(d *Driver) {
+		if _, a := ask(t, d, 1); a.Kind != Refused || a.MayHaveRun || a.RetryAfter <= 0 || f.writes < 2 {
+			t.Errorf("unsafe after being turned away: %+v, %d writes", a, f.writes)
+		}
+	})
+}
+
+// A place that is granted after its request has ended is let go.
+func TestLateGrant(t *testing.T) {
+	f := newFake()
+	f.hold = 5 * time.Second
+	run(t, f, func(d *Driver) {
+		s := newSink(t)
+		c, err := d.Submit(job(0), s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * ms)
+		c.Abandon()
+		<-s.done
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if len(f.held) == 0 || len(f.leftOver()) != 0 {
+			t.Errorf("held %v, left %v", f.held, f.leftOver())
+		}
+	})
+}
+
+// A client that leaves gets no more, and its attempt is called off at once.
+func TestAbandonStream(t *testing.T) {
+	f := newFake()
+	f.stall = true
+	run(t, f, func(d *Driver) {
+		s := newSink(t)
+		c, _ := d.Submit(job(1), s)
+		time.Sleep(time.Second)
+		c.Abandon()
+		c.Abandon()
+		<-s.done
+		synctest.Wait()
+		if s.finals[0].Kind != Cancelled || !s.finals[0].MayHaveRun || s.tokens != 1 || d.Open() != 0 {
+			t.Errorf("%+v, %d tokens, %d open", s.finals, s.tokens, d.Open())
+		}
+	})
+}
+
+// The final answer and the client's leaving may cross at any moment: one final answer.
+func TestAbandonAtAnyMoment(t *testing.T) {
+	for at := time.Duration(0); at < 100*ms; at += ms {
+		f := newFake()
+		run(t, f, func(d *Driver) {
+			s := newSink(t)
+			c, _ := d.Submit(job(1), s)
+			time.Sleep(at)
+			go c.Abandon()
+			<-s.done
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if len(s.finals) != 1 || d.Open() != 0 {
+				t.Errorf("left after %v: %v, %d open", at, s.finals, d.Open())
+			}
+		})
+	}
+}
+
+// Too many open requests are turned away before the module, with nothing run.
+func TestBusy(t *testing.T) {
+	f := newFake()
+	f.read = time.Hour
+	run(t, f, func(d *Driver) {
+		busy := 0
+		for range 60 {
+			if _, err := d.Submit(job(0), newSink(t)); err == ErrBusy {
+				busy++
+			}
+			synctest.Wait()
+		}
+		if busy != 10 || f.reads > 50 {
+			t.Errorf("%d turned away, %d read", busy, f.reads)
+		}
+		time.Sleep(time.Minute)
+		if d.Open() != 0 {
+			t.Errorf("%d open after their time", d.Open())
+		}
+	})
+}
+
+// A stopping driver answers all that is open.
+func TestStopAnswersAll(t *testing.T) {
+	f := newFake()
+	f.first = time.Hour
+	var sinks []*sink
+	run(t, f, func(d *Driver) {
+		for i := range 20 {
+			s := newSink(t)
+			if _, err := d.Submit(job(i%2), s); err != nil {
+				t.Fatal(err)
+			}
+			sinks = append(sinks, s)
+		}
+		time.Sleep(50 * ms)
+	})
+	for i, s := range sinks {
+		if len(s.finals) != 1 {
+			t.Errorf("request %d: %v", i, s.finals)
+		}
+	}
+	if left := f.leftOver(); len(left) != 0 {
+		t.Errorf("still held: %v", left)
+	}
+}
+
+// An attempt that outlasts its time-out ends, and what it brings later counts for nothing.
+func TestTimeout(t *testing.T) {
+	f := newFake()
+	synctest.Test(t, func(t *testing.T) {
+		var told []gannethook.Event
+		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+			Decider: decide(func(ev gannethook.Event) []gannethook.Action {
+				told = append(told, ev)
+				switch ev := ev.(type) {
+				case gannethook.Request:
+					return []gannethook.Action{gannethook.Send{ID: ev.ID, Server: "s2", Timeout: 5}}
+				case gannethook.Ended:
+					return []gannethook.Action{gannethook.Fail{ID: ev.ID}, gannethook.Release{ID: ev.ID}}
+				}
+				return nil
+			})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { d.Run(ctx) })
+		d.Update(gannethook.Membership{Servers: []gannethook.Server{{ID: "s2", Kind: 1, State: gannethook.Ready}}})
+		if _, a := ask(t, d, 1); a.Kind != Failed {
+			t.Errorf("%+v", a)
+		}
+		time.Sleep(time.Second)
+		cancel()
+		wg.Wait()
+		ends := 0
+		for _, ev := range told {
+			if e, ok := ev.(gannethook.Ended); ok {
+				if ends++; e.Outcome != gannethook.TimedOut {
+					t.Errorf("ended with %v", e.Outcome)
+				}
+			}
+		}
+		if ends != 1 {
+			t.Errorf("%d ends", ends)
+		}
+	})
+}
+
+type decide func(gannethook.Event) []gannethook.Action
+
+func (f decide) Handle(_ gannethook.Millis, ev gannethook.Event) []gannethook.Action { return f(ev) }
+
+func BenchmarkDecisions(b *testing.B) {
+	f := newFake()
+	f.read, f.first, f.gap, f.hold, f.tokens = 0, 0, 0, 0, 1
+	events := 0 // on the driver's goroutine alone
+	d, _ := New(Config{Settings: testSettings(), Inbox: 1000, MaxOpen: 1000, Engines: f,
+		Took: func(time.Duration) { events++ }})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { d.Run(ctx) })
+	m := gannethook.Membership{Whole: true}
+	for i := range 64 {
+		m.Servers = append(m.Servers, gannethook.Server{ID: gannethook.ServerID(fmt.Sprintf("s%d", i)), Kind: i / 32, State: gannethook.Ready})
+	}
+	d.Update(m)
+	b.ReportAllocs()
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s := newSink(nil)
+			if _, err := d.Submit(job(0), s); err == nil {
+				<-s.done
+			}
+		}
+	})
+	took := b.Elapsed().Seconds()
+	cancel()
+	wg.Wait()
+	b.ReportMetric(float64(events)/took, "events/s")
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,317 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"gannethook"
+	"gannethook/internal/http1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer is a scripted engine: it answers each request of a connection with the
+// next text; "CUT" ends the connection, "HANG" waits for the client to.
+type peer struct {
+	addr  string
+	conns atomic.Int32
+	mu    sync.Mutex
+	heads []*http1.Request
+	body  []string
+}
+
+func script(t testing.TB, answers ...string) *peer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{addr: ln.Addr().String()}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			wg.Go(func() { p.serve(nc, answers) })
+		}
+	})
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	return p
+}
+
+func (p *peer) serve(nc net.Conn, answers []string) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		req, err := http1.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, _ := http1.RequestBody(br, req.Header)
+		text, _ := io.ReadAll(body)
+		p.mu.Lock()
+		n := len(p.heads)
+		p.heads, p.body = append(p.heads, req), append(p.body, string(text))
+		p.mu.Unlock()
+		answer := answers[min(n, len(answers)-1)]
+		cut, hang := strings.HasSuffix(answer, "CUT"), strings.HasSuffix(answer, "HANG")
+		io.WriteString(nc, strings.TrimSuffix(strings.TrimSuffix(answer, "CUT"), "HANG"))
+		if hang {
+			io.Copy(io.Discard, br)
+		}
+		if cut || hang {
+			return
+		}
+	}
+}
+
+func answer(status, headers, body string) string {
+	return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
+func stream(events ...string) string {
+	s := "HTTP/1.1 200 OK\r\nendpoint-load-metrics: TEXT mem_utilization=0.25\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, e := range events {
+		if e == "CUT" || e == "HANG" {
+			return s + e
+		}
+		e = "data: " + e + "\n\n"
+		s += strings.ToLower(hex(len(e))) + "\r\n" + e + "\r\n"
+	}
+	return s + "0\r\n\r\n"
+}
+
+func hex(n int) string {
+	const digits = "0123456789abcdef"
+	if n < 16 {
+		return digits[n : n+1]
+	}
+	return hex(n/16) + digits[n%16:n%16+1]
+}
+
+const tok = `{"choices":[{"index":0,"text":" a"}]}`
+
+func limits() Limits {
+	l := DefaultLimits()
+	l.Dial, l.StreamIdle, l.Extension = 100*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
+	return l
+}
+
+func newClient(t testing.TB) *Client {
+	c := NewClient(limits())
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Each way in which an engine may answer maps to one outcome.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		write        bool
+		want         gannethook.Outcome
+		noState      bool
+		tokens       int
+	}{
+		{"a read", answer("200 OK", "", `{"kv_transfer_params":{"remote_host":"h"}}`), false, gannethook.ReadDone, false, 0},
+		{"a read without params", answer("200 OK", "", `{"kv_transfer_params":null}`), false, gannethook.Failed, false, 0},
+		{"a read that is no JSON", answer("200 OK", "", `{`), false, gannethook.Failed, false, 0},
+		{"an answer", stream(tok, tok, `{"choices":[{"text":""}]}`, "[DONE]"), true, gannethook.Served, false, 2},
+		{"429", answer("429 Too Many", "", ""), true, gannethook.Full, false, 0},
+		{"503", answer("503 Unavailable", "", ""), true, gannethook.Full, false, 0},
+		{"no state", answer("409 Conflict", "", `{"error":{"code":"no_state"}}`), true, gannethook.Full, true, 0},
+		{"another conflict", answer("409 Conflict", "", `{"error":{"code":"x"}}`), true, gannethook.Failed, false, 0},
+		{"500", answer("500 Error", "", ""), true, gannethook.Failed, false, 0},
+		{"400", answer("400 Bad", "", ""), false, gannethook.Failed, false, 0},
+		{"interim answers are skipped", "HTTP/1.1 100 Continue\r\n\r\n" + stream(tok, "[DONE]"), true, gannethook.Served, false, 1},
+		{"closed without a word", "CUT", true, gannethook.Broken, false, 0},
+		{"closed in the head", "HTTP/1.1 200 OK\r\nA: CUT", true, gannethook.Broken, false, 0},
+		{"not HTTP", "hello\r\n\r\n", true, gannethook.Failed, false, 0},
+		{"a head too large", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 9000) + "\r\n\r\n", true, gannethook.Failed, false, 0},
+		{"a half answer", stream(tok, tok, "CUT"), true, gannethook.Broken, false, 2},
+		{"an answer that ends without its mark", stream(tok), true, gannethook.Broken, false, 1},
+		{"a stream that stalls", stream(tok, "HANG"), true, gannethook.Broken, false, 1},
+		{"an error in the stream", stream(tok, `{"error":{"message":"x"}}`), true, gannethook.Failed, false, 1},
+		{"an event that is no JSON", stream(`{"choices":`), true, gannethook.Failed, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p, cl := script(t, c.answer), newClient(t)
+			call := &Call{Addr: p.addr, Key: "k", Prompt: "p", MaxTokens: 5, Idempotency: "i", Class: "c"}
+			var r Result
+			n := 0
+			if c.write {
+				r = cl.Write(context.Background(), call, func() bool { return true }, func(text []byte) bool {
+					n++
+					return string(text) == `" a"`
+				})
+			} else {
+				r = cl.Read(context.Background(), call)
+			}
+			if r.Outcome != c.want || r.NoState != c.noState || n != c.tokens || r.Tokens != c.tokens {
+				t.Errorf("%+v with %d tokens, want %v, %v, %d", r, n, c.want, c.noState, c.tokens)
+			}
+			if c.want == gannethook.Served && (!r.Reported || r.Memory != 0.25) {
+				t.Errorf("report %v, %v", r.Memory, r.Reported)
+			}
+			if h := p.heads[0].Header; h.Get("X-Request-Id") != "k" || h.Get("Idempotency-Key") != "i" || h.Get("X-Request-Class") != "c" {
+				t.Errorf("head %v", h)
+			}
+		})
+	}
+}
+
+func TestDialFailures(t *testing.T) {
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	addr := ln.Addr().String()
+	ln.Close()
+	r := newClient(t).Write(context.Background(), &Call{Addr: addr}, nil, nil)
+	if r.Outcome != gannethook.ConnectFailed {
+		t.Errorf("a closed port: %+v", r)
+	}
+}
+
+// A cancel ends an attempt at once, wherever it is, and its connection with it.
+func TestCancel(t *testing.T) {
+	for name, text := range map[string]string{"before the head": "HANG", "in the stream": stream(tok, "HANG")} {
+		p := script(t, text)
+		lim := limits()
+		lim.StreamIdle = time.Minute
+		c := NewClient(lim)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		if r := c.Write(ctx, &Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }); r.Outcome != gannethook.Cancelled {
+			t.Errorf("%s: %+v", name, r)
+		}
+		c.Close()
+	}
+}
+
+// A first token that may not pass ends the attempt.
+func TestNotStarted(t *testing.T) {
+	p, c := script(t, stream(tok, "[DONE]")), newClient(t)
+	r := c.Write(context.Background(), &Call{Addr: p.addr}, func() bool { return false }, func([]byte) bool {
+		t.Error("a token passed")
+		return true
+	})
+	if r.Outcome != gannethook.Cancelled {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Whole exchanges share a connection; a broken one is not used again, and one
+// that the engine has closed meanwhile is not written to: what goes into it
+// would count as what may have run.
+func TestConnections(t *testing.T) {
+	done := stream(tok, "[DONE]")
+	write := func(c *Client, p *peer) gannethook.Outcome {
+		return c.Write(context.Background(), &Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }).Outcome
+	}
+	p, c := script(t, done), newClient(t)
+	for range 5 {
+		if o := write(c, p); o != gannethook.Served {
+			t.Fatal(o)
+		}
+	}
+	if n := p.conns.Load(); n != 1 {
+		t.Errorf("five answers took %d connections", n)
+	}
+	p = script(t, done+"CUT", done)
+	write(c, p)
+	for i := 0; !closedByPeer(c, p.addr) && i < 1000; i++ {
+		time.Sleep(time.Millisecond)
+	}
+	if o := write(c, p); o != gannethook.Served || p.conns.Load() != 2 {
+		t.Errorf("after the engine closed: %v on %d connections", o, p.conns.Load())
+	}
+}
+
+func closedByPeer(c *Client, addr string) bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	list := c.pool.idle[addr]
+	return len(list) == 1 && !stands(list[0].Conn)
+}
+
+// A release finds the connection that the place came by, while streams hold all others.
+func TestControlApart(t *testing.T) {
+	p, c := script(t, answer("201 Created", "", "")), newClient(t)
+	call := &Call{Addr: p.addr, Key: "k", PromptSize: 10, MaxTokens: 5}
+	if !c.Hold(context.Background(), call, "reader:1") {
+		t.Fatal("no place")
+	}
+	if cn := c.pool.pop(p.addr); cn != nil {
+		t.Fatal("an attempt could take the connection")
+	}
+	if err := c.Release(context.Background(), p.addr, "k"); err != nil || p.conns.Load() != 1 {
+		t.Errorf("release: %v on %d connections", err, p.conns.Load())
+	}
+	if want := `{"request_id":"k","reader":"reader:1","tokens":15,"idle_ms":500}`; p.body[0] != want {
+		t.Errorf("asked for %s", p.body[0])
+	}
+	if p.heads[1].Method != "DELETE" || p.heads[1].Target != StatesPath+"k" {
+		t.Errorf("released by %s %s", p.heads[1].Method, p.heads[1].Target)
+	}
+}
+
+func TestHoldTimesOut(t *testing.T) {
+	p, c := script(t, "HANG"), newClient(t)
+	if c.Hold(context.Background(), &Call{Addr: p.addr, Key: "k"}, "r") {
+		t.Error("a place without an answer")
+	}
+	if err := c.Release(context.Background(), p.addr, "k"); err == nil || errors.Is(err, context.Canceled) {
+		t.Errorf("release: %v", err)
+	}
+}
+
+func TestReport(t *testing.T) {
+	for in, want := range map[string]float64{
+		"TEXT mem_utilization=0.5": 0.5,
+		"TEXT cpu_utilization=0.1, named_metrics.kv_cache_usage_perc=0.75": 0.75,
+		`JSON {"mem_utilization":0.3,"cpu_utilization":0.1}`:               0.3,
+		`JSON {"named_metrics":{"kv_cache_usage_perc":1}}`:                 1,
+		"text mem_utilization=0":                                           0,
+		"TEXT mem_utilization=1.5":                                         -1,
+		"TEXT mem_utilization=-1":                                          -1,
+		"TEXT mem_utilization=NaN":                                         -1,
+		"TEXT":                                                             -1,
+		`JSON {`:                                                           -1,
+		"BIN AAAA":                                                         -1,
+		"":                                                                 -1,
+	} {
+		got, ok := Report(in)
+		if !ok {
+			got = -1
+		}
+		if got != want {
+			t.Errorf("%q: %v, want %v", in, got, want)
+		}
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add("TEXT mem_utilization=0.5")
+	f.Fuzz(func(t *testing.T, in string) {
+		if m, ok := Report(in); ok && !(m >= 0 && m <= 1) {
+			t.Fatalf("%q: %v", in, m)
+		}
+	})
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,117 @@
+package keys
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gannethook"
+)
+
+var unsafeName = Name{Key: "k"}
+
+func TestVerdicts(t *testing.T) {
+	const s = time.Second
+	begin := func(tb *Table, at time.Duration, retry bool) Verdict {
+		return tb.Begin(at, unsafeName, gannethook.Unsafe, 0, retry)
+	}
+	for _, c := range []struct {
+		name string
+		do   func(*Table) Verdict
+		want Verdict
+	}{
+		{"a first try", func(tb *Table) Verdict { return begin(tb, 0, false) }, Go},
+		{"a second while the first is open", func(tb *Table) Verdict {
+			begin(tb, 0, false)
+			return begin(tb, s, true)
+		}, Open},
+		{"after one that may have run", func(tb *Table) Verdict {
+			begin(tb, 0, false)
+			tb.End(s, unsafeName, true)
+			return begin(tb, 2*s, false)
+		}, Ran},
+		{"after one that did not run", func(tb *Table) Verdict {
+			begin(tb, 0, false)
+			tb.End(s, unsafeName, false)
+			return begin(tb, 2*s, false)
+		}, Go},
+		{"a repeat of a try at another router", func(tb *Table) Verdict { return begin(tb, 0, true) }, Unknown},
+		{"a repeat without a key", func(tb *Table) Verdict {
+			return tb.Begin(0, Name{}, gannethook.Unsafe, 0, true)
+		}, Unknown},
+		{"a first try without a key", func(tb *Table) Verdict {
+			return tb.Begin(0, Name{}, gannethook.Unsafe, 0, false)
+		}, Go},
+		{"the window is over", func(tb *Table) Verdict {
+			begin(tb, 0, false)
+			tb.End(s, unsafeName, true)
+			return begin(tb, 12*s, false)
+		}, Go},
+		{"another tenant's key", func(tb *Table) Verdict {
+			begin(tb, 0, false)
+			return tb.Begin(s, Name{Tenant: 1, Key: "k"}, gannethook.Unsafe, 0, false)
+		}, Go},
+		{"the table is full", func(tb *Table) Verdict {
+			for _, k := range []string{"a", "b", "c"} {
+				tb.Begin(0, Name{Key: k}, gannethook.Unsafe, 0, false)
+			}
+			return begin(tb, s, false)
+		}, Full},
+		{"safe is never held up", func(tb *Table) Verdict {
+			tb.Begin(0, unsafeName, gannethook.Safe, 0, false)
+			return tb.Begin(0, unsafeName, gannethook.Safe, 0, true)
+		}, Go},
+		{"keyed everywhere: the engines drop the repeat", func(tb *Table) Verdict {
+			tb.Begin(0, unsafeName, gannethook.Keyed, gannethook.GroupAll, false)
+			tb.End(s, unsafeName, true)
+			return tb.Begin(2*s, unsafeName, gannethook.Keyed, gannethook.GroupAll, true)
+		}, Go},
+		{"keyed in a zone: the next server may be outside", func(tb *Table) Verdict {
+			tb.Begin(0, unsafeName, gannethook.Keyed, gannethook.GroupZone, false)
+			tb.End(s, unsafeName, true)
+			return tb.Begin(2*s, unsafeName, gannethook.Keyed, gannethook.GroupZone, false)
+		}, Ran},
+	} {
+		if got := c.do(New(10*s, 3)); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Whatever clients do, an unsafe key that may have run never goes again within
+// its window, and the table keeps its bound.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const remember, most = 10 * time.Second, 4
+		tb := New(remember, most)
+		open, ranAt := map[string]bool{}, map[string]time.Duration{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "key")
+			n := Name{Key: key}
+			if rapid.Bool().Draw(t, "end") {
+				ran := rapid.Bool().Draw(t, "ran")
+				if tb.End(now, n, ran); open[key] {
+					if delete(open, key); ran {
+						ranAt[key] = now
+					}
+				}
+				continue
+			}
+			v := tb.Begin(now, n, gannethook.Unsafe, 0, rapid.Bool().Draw(t, "retry"))
+			at, ran := ranAt[key]
+			if v == Go && (open[key] || ran && now-at < remember) {
+				t.Fatalf("%s goes again at %v: open %v, ran at %v", key, now, open[key], at)
+			}
+			if v == Go {
+				open[key] = true
+				delete(ranAt, key)
+			}
+			if tb.Len() > most {
+				t.Fatalf("%d keys are remembered", tb.Len())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rules/rules_test.go
@@ -0,0 +1,112 @@
+package rules
+
+import (
+	"strings"
+	"testing"
+
+	"gannethook/internal/record"
+)
+
+var cfg = Config{
+	Classes: map[string]Class{"q": {Effect: Safe}, "a": {Effect: Unsafe}, "k": {Effect: Keyed, Group: "zone", Window: 1000}},
+	Engines: map[string]Place{"w1": {Zone: "n"}, "w2": {Zone: "s"}, "w3": {Zone: "n", Cell: 1}},
+	Slack:   100, Grace: 2000, Pin: 500, PinSlop: 100,
+}
+
+func offer(at float64, class string, try int) record.Event {
+	return record.Event{T: at, Who: "c", Kind: record.Offer, Req: "x", Try: try, Router: "r0", Class: class, N: 1000}
+}
+
+func client(at float64, kind, note string, try int) record.Event {
+	return record.Event{T: at, Who: "c", Kind: kind, Req: "x", Try: try, Router: "r0", Note: note}
+}
+
+func engine(at float64, who, kind, note string) record.Event {
+	return record.Event{T: at, Who: who, Kind: kind, Req: "x", Key: "r0-boot-1-0", Note: note}
+}
+
+// served is a whole answer of a class.
+func served(class string) []record.Event {
+	return []record.Event{offer(0, class, 1), engine(1, "rd", record.Arrive, "read"), engine(10, "rd", record.Held, "state"),
+		engine(10, "rd", record.End, "read"), engine(11, "w1", record.Arrive, "write"), engine(12, "rd", record.Freed, "state taken"),
+		engine(13, "w1", record.Apply, ""), client(14, record.Token, "", 1), engine(50, "w1", record.End, "served"),
+		client(51, record.Final, "served", 1)}
+}
+
+// Every rule has made-up breaks, which the checker must find, and cases that
+// look like one, which it must let pass.
+func TestBreaks(t *testing.T) {
+	quiet := record.Event{T: 9000, Kind: record.Fault}
+	for _, c := range []struct {
+		name   string
+		rule   int // 0: none is broken
+		events []record.Event
+	}{
+		{"a served request", 0, served("a")},
+		{"no final answer", 1, []record.Event{offer(0, "q", 1), quiet}},
+		{"the connection broke at a running router", 1, []record.Event{offer(0, "q", 1), client(5, record.Lost, "connection", 1)}},
+		{"its router was killed", 0, []record.Event{offer(0, "q", 1), {T: 4, Kind: record.Killed, Router: "r0"}, client(5, record.Lost, "connection", 1)}},
+		{"another router was killed", 1, []record.Event{offer(0, "q", 1), {T: 4, Kind: record.Killed, Router: "r1"}, client(5, record.Lost, "connection", 1)}},
+		{"its router was killed before the session was opened", 1, []record.Event{{T: 1, Kind: record.Killed, Router: "r0"},
+			{T: 2, Who: "c", Kind: record.Open, Router: "r0"}, offer(3, "q", 1), client(5, record.Lost, "connection", 1)}},
+		{"its client left", 0, []record.Event{offer(0, "q", 1), client(5, record.Lost, "left", 1)}},
+		{"the client gave up", 1, []record.Event{offer(0, "q", 1), client(3000, record.Lost, "gave up", 1)}},
+		{"two final answers", 1, append(served("q"), client(52, record.Final, "failed", 1))},
+		{"a token after the final answer", 1, append(served("q"), client(52, record.After, "delta", 1))},
+		{"a refusal after the client's time", 1, []record.Event{offer(0, "q", 1), client(1200, record.Final, "refused", 1)}},
+		{"a stream may end after the client's time", 0, []record.Event{offer(0, "q", 1), client(900, record.Token, "", 1), client(1200, record.Final, "served", 1)}},
+		{"its effect happened twice", 2, append(served("a"), engine(60, "w2", record.Apply, ""))},
+		{"safe may happen twice", 0, append(served("q"), engine(60, "w2", record.Apply, ""))},
+		{"refused after it ran", 2, append(served("a")[:7], client(20, record.Final, "refused", 1))},
+		{"it ran after it was refused", 2, []record.Event{offer(0, "a", 1), client(5, record.Final, "refused", 1), engine(6, "w1", record.Apply, "")}},
+		{"sent again after an error", 2, []record.Event{offer(0, "a", 1), engine(1, "w1", record.Arrive, "write"),
+			engine(2, "w1", record.End, "error"), engine(3, "w2", record.Arrive, "write"), client(9, record.Final, "failed", 1)}},
+		{"sent again while one is out", 2, []record.Event{offer(0, "a", 1), engine(1, "w1", record.Arrive, "write"),
+			engine(3, "w2", record.Arrive, "write"), client(9, record.Final, "failed", 1)}},
+		{"sent again after it was turned away", 0, []record.Event{offer(0, "a", 1), engine(1, "w1", record.Arrive, "write"),
+			engine(2, "w1", record.End, "full"), engine(3, "w2", record.Arrive, "write"), client(9, record.Final, "served", 1)}},
+		{"keyed inside its group", 0, []record.Event{offer(0, "k", 1), engine(1, "w1", record.Arrive, "write"),
+			engine(2, "w1", record.End, "error"), engine(3, "w3", record.Arrive, "write"), client(9, record.Final, "served", 1)}},
+		{"keyed outside its group", 2, []record.Event{offer(0, "k", 1), engine(1, "w1", record.Arrive, "write"),
+			engine(2, "w1", record.End, "error"), engine(3, "w2", record.Arrive, "write"), client(9, record.Final, "served", 1)}},
+		{"keyed after its window", 2, []record.Event{offer(0, "k", 1), engine(1, "w1", record.Arrive, "write"), client(9, record.Final, "failed", 1),
+			engine(2, "w1", record.End, "error"), engine(1100, "w3", record.Arrive, "write")}},
+		{"new work for a drained engine", 3, append([]record.Event{{T: -3000, Kind: record.Told, Router: "r0", Key: "w1", Note: "draining"}}, served("q")...)},
+		{"new work within the grace", 0, append([]record.Event{{T: -1000, Kind: record.Told, Router: "r0", Key: "w1", Note: "draining"}}, served("q")...)},
+		{"another router was told", 0, append([]record.Event{{T: -3000, Kind: record.Told, Router: "r1", Key: "w1", Note: "gone"}}, served("q")...)},
+		{"it was ready again", 0, append([]record.Event{{T: -3000, Kind: record.Told, Router: "r0", Key: "w1", Note: "gone"},
+			{T: -2500, Kind: record.Told, Router: "r0", Key: "w1", Note: "ready"}}, served("q")...)},
+		{"told twice counts from the first time", 3, append([]record.Event{{T: -3000, Kind: record.Told, Router: "r0", Key: "w1", Note: "draining"},
+			{T: -1000, Kind: record.Told, Router: "r0", Key: "w1", Note: "gone"}}, served("q")...)},
+		{"a cold engine fell over", 4, append(served("q"), record.Event{T: 70, Who: "w1", Kind: record.Fell})},
+		{"a state is left", 5, append(served("q")[:4], client(20, record.Final, "refused", 1), quiet)},
+		{"a state is let go late", 5, append(served("q")[:4], client(20, record.Final, "refused", 1), engine(700, "rd", record.Freed, "state let go"))},
+		{"a state is let go in time", 0, append(served("q")[:4], client(20, record.Final, "refused", 1), engine(400, "rd", record.Freed, "state let go"))},
+		{"a place is left beside the stream", 5, append(append(served("q"), engine(52, "w2", record.Held, "place")), quiet)},
+		{"a place of a dead engine", 0, append(served("q"), engine(52, "w2", record.Held, "place"), record.Event{T: 60, Who: "w2", Kind: record.Dead}, quiet)},
+		{"a state whose router died", 0, append(served("q")[:4], record.Event{T: 30, Kind: record.Killed, Router: "r0"}, quiet)},
+		{"a state waits while an attempt is out", 0, append(served("q")[:4], engine(11, "w1", record.Arrive, "write"),
+			engine(2000, "w1", record.End, "called off"), client(2001, record.Final, "failed", 1), client(12, record.Token, "", 1),
+			engine(2100, "rd", record.Freed, "state let go"))},
+	} {
+		v := Check(cfg, c.events)
+		switch {
+		case c.rule == 0 && len(v.Breaks) > 0:
+			t.Errorf("%s: %v", c.name, &v.Breaks[0])
+		case c.rule > 0 && (v.Of(c.rule) == 0 || len(v.Breaks) != v.Of(c.rule)):
+			t.Errorf("%s: rule %d not found alone in %v", c.name, c.rule, v.Breaks)
+		}
+	}
+}
+
+// A break shows its request's timeline, the engines' part included.
+func TestTimeline(t *testing.T) {
+	v := Check(cfg, append(served("a"), engine(60, "w2", record.Apply, "")))
+	var b strings.Builder
+	v.Breaks[0].Write(&b)
+	for _, want := range []string{"rule 2, x", "offer", "rd ", "state taken", "w2"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("no %q in\n%s", want, b.String())
+		}
+	}
+}
