Roster watch survives 410 Gone and backs off; checker sees swallowed attempts

The watch's tests against the stand-in found a crash on 410 and a wait that never grew while the API was away.

--- a/internal/roster/watch.go
+++ b/internal/roster/watch.go
@@ -38,6 +38,8 @@
 	Publish   func(gannethook.Membership)
 	Keep      func([]gannethook.Server) // called with each new whole list
 	Report    func(error)               // what went wrong, for the log
+
+	heard int // lists and events
 }
 
 // Run follows until the context ends.
@@ -49,8 +51,9 @@
 	rnd := rand.New(rand.NewPCG(w.Seed, 0x726f73746572))
 	version, tries := "", 0
 	for ctx.Err() == nil {
+		heard := w.heard
 		next, err := w.follow(ctx, table, version)
-		if next != "" {
+		if w.heard != heard {
 			tries = 0
 		}
 		if version = next; errors.Is(err, errGone) {
@@ -112,13 +115,13 @@
 	if nc, err = d.DialContext(ctx, "tcp", w.Addr); err != nil {
 		return nil, nil, nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { nc.Close() })
-	shut = func() { stop(); nc.Close() }
-	defer func() {
+	stop, opened := context.AfterFunc(ctx, func() { nc.Close() }), nc
+	shut = func() { stop(); opened.Close() }
+	defer func(shut func()) {
 		if err != nil {
 			shut()
 		}
-	}()
+	}(shut)
 	nc.SetDeadline(time.Now().Add(10 * time.Second))
 	bw := bufio.NewWriter(nc)
 	http1.WriteHead(bw, "GET "+path+" HTTP/1.1", http1.Header{{Name: "Host", Value: w.Addr},
@@ -154,6 +157,7 @@
 	if err := json.NewDecoder(io.LimitReader(body, maxList)).Decode(&list); err != nil {
 		return "", fmt.Errorf("list: %w", err)
 	}
+	w.heard++
 	w.publish(table, table.List(list.Items, wall()))
 	return list.Metadata.ResourceVersion, nil
 }
@@ -211,7 +215,9 @@
 	if err := json.Unmarshal(line, &ev); err != nil {
 		return "", fmt.Errorf("watch: %w", err)
 	}
-	if ev.Type == "ERROR" {
+	if ev.Type != "ERROR" {
+		w.heard++
+	} else {
 		var status struct {
 			Code    int    `json:"code"`
 			Message string `json:"message"`
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -39,7 +39,8 @@
 	Slack   float64 // a final answer may be so late
 	Grace   float64 // new work may reach a draining engine for so long after its router was told
 	Pin     float64 // an idle state or place is let go by then
-	PinSlop float64 // what a dial that fails takes, which no socket shows, and the way of the release
+	PinSlop float64 // the way of the release
+	Dials   float64 // what all dials of a request that time out may take: no socket shows these attempts
 }
 
 // Break is one rule broken.
@@ -334,7 +335,10 @@
 	var list []*sent
 	for _, e := range events {
 		switch {
-		case e.Kind == record.Arrive && e.Note == "write":
+		case (e.Kind == record.Arrive || e.Kind == record.Swallow) && e.Note == "write":
+			if slices.ContainsFunc(list, func(s *sent) bool { return s.at.Who == e.Who && s.at.Key == e.Key }) {
+				continue // swallowed first, and now it has come in
+			}
 			for _, s := range list {
 				if !proven[s.end] && !c.dropped(class, s.at, e) {
 					c.broken(2, req, "a writer got it again while the attempt at %s may have run", s.at.Who)
@@ -370,7 +374,7 @@
 // ruleThree: nothing new goes to an engine later than the grace after its router was told.
 func (c *checker) ruleThree() {
 	type pair struct{ router, engine string }
-	told := map[pair]float64{}
+	told, swallowed := map[pair]float64{}, map[string]bool{}
 	for _, e := range c.events {
 		switch e.Kind {
 		case record.Told:
@@ -386,7 +390,11 @@
 					delete(told, p)
 				}
 			}
-		case record.Arrive:
+		case record.Arrive, record.Swallow:
+			if e.Kind == record.Arrive && swallowed[e.Who+" "+e.Key] {
+				continue // it was sent before it could be taken in
+			}
+			swallowed[e.Who+" "+e.Key] = e.Kind == record.Swallow
 			router, _ := cut(e.Key)
 			if at, ok := told[pair{router, e.Who}]; ok && e.T > at+c.cfg.Grace {
 				c.broken(3, e.Req, "%s got new work from %s %.0f ms after that was told that it drains or is gone",
@@ -410,7 +418,7 @@
 
 // ruleFive: while no attempt of a request is out, what is held for it is taken or let go in time.
 func (c *checker) ruleFive() {
-	down := c.downs()
+	down, jams := c.downs(), c.jams()
 	for _, request := range sorted(c.byRead) {
 		events := c.byRead[request]
 		router, _ := cut(request + "-")
@@ -422,7 +430,12 @@
 		}
 		out := c.attempts(events, down)
 		for _, h := range c.holds(events, down, until) {
-			if idle := longestIdle(h, out); idle > c.cfg.Pin+c.cfg.PinSlop {
+			idle := longestIdle(h, out)
+			most := c.cfg.Pin + c.cfg.PinSlop
+			if overlaps(jams, idle) {
+				most += c.cfg.Dials
+			}
+			if idle := idle.to - idle.from; idle > most {
 				c.broken(5, c.reqOf[request], "something was held for %.0f ms with no attempt out", idle)
 				break
 			}
@@ -441,6 +454,31 @@
 	return down
 }
 
+// jams are the times in which dials to some engine timed out.
+func (c *checker) jams() []span {
+	begun := map[string]float64{}
+	var list []span
+	for _, e := range c.events {
+		switch e.Kind {
+		case record.Jammed, record.Frozen:
+			begun[e.Who] = e.T
+		case record.Opened, record.Thawed, record.Dead, record.Fell:
+			if from, ok := begun[e.Who]; ok {
+				list = append(list, span{from, e.T})
+				delete(begun, e.Who)
+			}
+		}
+	}
+	for _, who := range sorted(begun) {
+		list = append(list, span{begun[who], c.last})
+	}
+	return list
+}
+
+func overlaps(list []span, s span) bool {
+	return slices.ContainsFunc(list, func(j span) bool { return j.from < s.to && s.from < j.to })
+}
+
 // next is the first time at or after t that an engine goes down.
 func next(times []float64, t, otherwise float64) float64 {
 	for _, d := range times {
@@ -454,10 +492,13 @@
 func (c *checker) attempts(events []record.Event, down map[string][]float64) []span {
 	var list []span
 	for i, e := range events {
-		if e.Kind != record.Arrive {
+		if e.Kind != record.Arrive && e.Kind != record.Swallow {
 			continue
 		}
 		s := span{e.T, next(down[e.Who], e.T, c.last)}
+		if e.Kind == record.Swallow {
+			s.to = c.thawed(e)
+		}
 		for _, f := range events[i:] {
 			if f.Kind == record.End && f.Who == e.Who && f.Key == e.Key {
 				s.to = min(s.to, f.T)
@@ -475,6 +516,16 @@
 	return list
 }
 
+// thawed is when a frozen engine that swallowed an attempt was back, or dead.
+func (c *checker) thawed(e record.Event) float64 {
+	for _, f := range c.events {
+		if f.T >= e.T && f.Who == e.Who && (f.Kind == record.Thawed || f.Kind == record.Dead) {
+			return f.T
+		}
+	}
+	return c.last
+}
+
 func (c *checker) holds(events []record.Event, down map[string][]float64, until float64) []span {
 	var list []span
 	for i, e := range events {
@@ -494,8 +545,13 @@
 }
 
 // longestIdle is the longest stretch of a hold in which no attempt was out.
-func longestIdle(h span, out []span) float64 {
-	longest, at := 0.0, h.from
+func longestIdle(h span, out []span) span {
+	longest, at := span{}, h.from
+	keep := func(s span) {
+		if s.to-s.from > longest.to-longest.from {
+			longest = s
+		}
+	}
 	for _, a := range out {
 		if a.to < at {
 			continue
@@ -503,8 +559,9 @@
 		if a.from > h.to {
 			break
 		}
-		longest = max(longest, a.from-at)
+		keep(span{at, a.from})
 		at = max(at, a.to)
 	}
-	return max(longest, h.to-at)
+	keep(span{at, h.to})
+	return longest
 }
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -16,13 +16,14 @@
 // gate is a listener whose connections can be frozen, cut, or hard to open.
 type gate struct {
 	*net.TCPListener
-	mu     sync.Mutex
-	cond   *sync.Cond
-	frozen bool // nothing is read, written or accepted
-	jammed bool // nothing is accepted
-	closed bool
-	conns  map[*gateConn]bool
-	plugs  []net.Conn // that fill the jammed queue
+	swallowed func(text []byte) // told of what came in while frozen
+	mu        sync.Mutex
+	cond      *sync.Cond
+	frozen    bool // nothing is read, written or accepted
+	jammed    bool // nothing is accepted
+	closed    bool
+	conns     map[*gateConn]bool
+	plugs     []net.Conn // that fill the jammed queue
 }
 
 func listen(addr string) (*gate, error) {
@@ -165,6 +166,12 @@
 
 func (c *gateConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.g.mu.Lock()
+	frozen := c.g.frozen
+	c.g.mu.Unlock()
+	if frozen && n > 0 && c.g.swallowed != nil {
+		c.g.swallowed(p[:n])
+	}
 	if perr := c.pass(); perr != nil {
 		return 0, perr
 	}
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -97,6 +97,7 @@
 // Forget compacts the history: a watch from an older version gets 410 Gone.
 func (r *Roster) Forget() {
 	r.mu.Lock()
+	r.version++
 	r.changes, r.oldest = nil, r.version
 	r.mu.Unlock()
 	r.CutWatches()
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -119,6 +119,29 @@
 	}
 }
 
+// swallowed records an attempt that came in while the engine was frozen: the
+// request may run when it thaws.
+func (l *life) swallowed(text []byte) {
+	head := string(text)
+	key, ok := field(head, "X-Request-Id: ")
+	if !ok || !strings.HasPrefix(head, "POST "+completionsPath+" ") {
+		return
+	}
+	req, _ := field(head, "Idempotency-Key: ")
+	class, _ := field(head, "X-Request-Class: ")
+	note := "read"
+	if strings.Contains(head, `"stream":true`) {
+		note = "write"
+	}
+	l.e.log.Add(record.Event{Who: l.e.addr, Kind: record.Swallow, Req: req, Key: key, Class: class, Note: note})
+}
+
+func field(head, name string) (string, bool) {
+	_, rest, ok := strings.Cut(head, name)
+	value, _, _ := strings.Cut(rest, "\r\n")
+	return value, ok
+}
+
 // run does the request and tells how it ended.
 func (j *job) run() string {
 	l, f := j.l, j.l.fault()
