--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 	work     sync.WaitGroup
 	listed   chan struct{} // closed at the first list
 	once     sync.Once
+	stopping sync.Once
 }
 
 // Start starts a router on its settings. It serves at once; requests that come
@@ -140,12 +141,15 @@
 
 // Stop takes nothing new, lets open requests end within the settings' drain
 // time or until the context ends, and then ends everything.
-func (d *Daemon) Stop(ctx context.Context) {
+// Further calls wait for the first.
+func (d *Daemon) Stop(ctx context.Context) { d.stopping.Do(func() { d.stop(ctx) }) }
+
+func (d *Daemon) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Sessions.Drain)
 	defer cancel()
 	from := time.Now()
 	d.ln.Close()
-	d.front.Shutdown(ctx)
+	d.front.Shutdown(ctx, d.driver.GiveUp)
 	d.stopWork()
 	d.work.Wait()
 	d.client.Close()
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,531 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"gannethook/internal/client"
+	"gannethook/internal/daemon"
+	"gannethook/internal/realtime"
+	"gannethook/internal/record"
+	"gannethook/internal/settings"
+	"gannethook/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// world is one router, a reader, two writers and a roster, in this process.
+type world struct {
+	t       testing.TB
+	d       *daemon.Daemon
+	log     *record.Log
+	reader  *standin.Engine
+	writers []*standin.Engine
+	roster  *standin.Roster
+	applied func(req string) int
+}
+
+func newWorld(t testing.TB, change func(cfg *settings.File)) *world {
+	t.Helper()
+	w := &world{t: t, log: record.New()}
+	w.roster = standin.NewRoster("engines", w.log)
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		e := standin.NewEngine(standin.Config{Addr: "127.0.0.1:0", Writes: i > 0, Slots: 64, Queue: 64, Memory: 1e6,
+			ReadRate: 1e6, FetchRate: 1e7, TokenGap: 2 * time.Millisecond, Early: 0.7, Keep: 2 * time.Second,
+			Extended: true, Seed: 3}, w.log, nil)
+		must(e.Start(false))
+		t.Cleanup(e.Kill)
+		kind := "prompt"
+		if i > 0 {
+			kind = "answer"
+			w.writers = append(w.writers, e)
+		} else {
+			w.reader = e
+		}
+		w.roster.Set(standin.Listed{Addr: e.Addr(), Kind: kind, Zone: "north", State: "ready"})
+	}
+	addr, err := w.roster.Start("127.0.0.1:0")
+	must(err)
+	t.Cleanup(w.roster.Stop)
+	cfg, err := settings.Parse("default.gann", settings.Default)
+	must(err)
+	cfg.Roster.Watch = addr
+	cfg.Sessions.Drain = 3 * time.Second
+	if change != nil {
+		change(cfg)
+	}
+	w.d, err = daemon.Start(cfg, "", zap.NewNop())
+	must(err)
+	t.Cleanup(func() { w.d.Stop(context.Background()) })
+	<-w.d.Listed()
+	w.applied = func(req string) int {
+		n := 0
+		for _, e := range w.writers {
+			n += e.Applied()[req]
+		}
+		return n
+	}
+	return w
+}
+
+func (w *world) open() *client.Session {
+	w.t.Helper()
+	s, err := client.Open(context.Background(), w.d.Addr(), "m")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(s.Cut)
+	return s
+}
+
+func meta(class, key string, more ...string) map[string]string {
+	m := map[string]string{"class": class, "idempotency_key": key}
+	for i := 0; i+1 < len(more); i += 2 {
+		m[more[i]] = more[i+1]
+	}
+	return m
+}
+
+// ask says something and waits for the answer.
+func ask(t testing.TB, s *client.Session, m map[string]string, max int) *client.Answer {
+	t.Helper()
+	if err := s.Say("hello there"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Request(m, max); err != nil {
+		t.Fatal(err)
+	}
+	a, err := s.Wait(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func (w *world) writersSet(change func(*standin.Faults)) {
+	for _, e := range w.writers {
+		e.Set(change)
+	}
+}
+
+// seen waits for a record.
+func (w *world) seen(what string, is func(record.Event) bool) record.Event {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, e := range w.log.Events() {
+			if is(e) {
+				return e
+			}
+		}
+	}
+	w.t.Fatalf("never seen: %s", what)
+	return record.Event{}
+}
+
+func kind(k, note string) func(record.Event) bool {
+	return func(e record.Event) bool { return e.Kind == k && (note == "" || e.Note == note) }
+}
+
+func TestWholePath(t *testing.T) {
+	w := newWorld(t, nil)
+	s := w.open()
+	for i := range 3 {
+		key := fmt.Sprint("k", i)
+		a := ask(t, s, meta("adjustment", key), 20)
+		if a.Kind() != "served" || a.Tokens == 0 || !strings.HasPrefix(a.Text, " t0 t1") || w.applied(key) != 1 {
+			t.Fatalf("turn %d: %+v, applied %d", i, a, w.applied(key))
+		}
+	}
+	w.seen("a place that was taken", kind(record.Freed, "place taken"))
+}
+
+// A well-known client gets the published events in their published order.
+func TestPublishedEvents(t *testing.T) {
+	w := newWorld(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, _, err := websocket.Dial(ctx, "ws://"+w.d.Addr()+"/v1/realtime?model=m", &websocket.DialOptions{Subprotocols: []string{"realtime"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.CloseNow()
+	send := func(text string) {
+		if err := c.Write(ctx, websocket.MessageText, []byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var order []string
+	var last realtime.Server
+	until := func(kind string) {
+		t.Helper()
+		for {
+			_, msg, err := c.Read(ctx)
+			if err != nil {
+				t.Fatalf("after %v: %v", order, err)
+			}
+			last = realtime.Server{}
+			if err := json.Unmarshal(msg, &last); err != nil || last.EventID == "" {
+				t.Fatalf("%s: %v", msg, err)
+			}
+			if len(order) == 0 || order[len(order)-1] != last.Type {
+				order = append(order, last.Type)
+			}
+			if last.Type == kind {
+				return
+			}
+		}
+	}
+	until("session.created")
+	send(`{"type":"session.update","session":{"type":"realtime","instructions":"Be brief.","output_modalities":["text"],"max_output_tokens":12}}`)
+	until("session.updated")
+	send(`{"type":"conversation.item.create","item":{"type":"message","role":"user","content":[{"type":"input_text","text":"Hi"}]}}`)
+	until("conversation.item.done")
+	send(`{"type":"response.create"}`)
+	until("response.done")
+	want := "session.created session.updated conversation.item.added conversation.item.done response.created " +
+		"response.output_item.added response.content_part.added response.output_text.delta response.output_text.done " +
+		"response.content_part.done response.output_item.done response.done"
+	if got := strings.Join(order, " "); got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+	if r := last.Response; r.Status != "completed" || len(r.Output) != 1 || r.Output[0].Content[0].Text == "" || r.Usage.Output == 0 || r.Usage.Output > 12 {
+		t.Errorf("response %+v", last.Response)
+	}
+}
+
+// What a client gets wrong is told as an error event with the field; the session goes on.
+func TestClientErrors(t *testing.T) {
+	w := newWorld(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, _, err := websocket.Dial(ctx, "ws://"+w.d.Addr()+"/v1/realtime", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.CloseNow()
+	c.Read(ctx)
+	for in, want := range map[string]string{
+		`{`:                           "invalid_json",
+		`{"event_id":"e"}`:            "missing_field type e",
+		`{"type":"x","event_id":"e"}`: "unknown_event type e",
+		`{"type":"session.update"}`:   "missing_field session",
+		`{"type":"session.update","session":{"output_modalities":["audio"]}}`:                                            "unsupported session.output_modalities",
+		`{"type":"session.update","session":{"max_output_tokens":-1}}`:                                                   "invalid_json",
+		`{"type":"conversation.item.create","item":{"type":"function_call"}}`:                                            "invalid_item item",
+		`{"type":"conversation.item.create","item":{"type":"message","role":"user","content":[{"type":"input_audio"}]}}`: "invalid_item item",
+		`{"type":"conversation.item.delete","item_id":"none"}`:                                                           "item_not_found item_id",
+		`{"type":"response.create"}`:                                                      "invalid_value response",
+		`{"type":"response.cancel"}`:                                                      "response_cancel_not_active response_id",
+		`{"type":"response.create","response":{"metadata":{"class":"nope"}}}`:             "invalid_value response.metadata.class",
+		`{"type":"response.create","response":{"metadata":{"tenant":"nope"}}}`:            "invalid_value response.metadata.tenant",
+		`{"type":"response.create","response":{"metadata":{"idempotency_key":"a\r\nb"}}}`: "invalid_value response.metadata.idempotency_key",
+		`{"type":"response.create","response":{"conversation":"x"}}`:                      "invalid_value response.conversation",
+		`{"type":"response.create","response":{"input":[{"type":"message","role":"user","content":[{"type":"input_text","text":"a"}]}],"metadata":{"prompt_tokens":"many"}}}`: "invalid_value response.metadata.prompt_tokens",
+	} {
+		c.Write(ctx, websocket.MessageText, []byte(in))
+		_, msg, err := c.Read(ctx)
+		var ev realtime.Server
+		if json.Unmarshal(msg, &ev); err != nil || ev.Type != "error" {
+			t.Fatalf("%s: %s, %v", in, msg, err)
+		}
+		got := strings.TrimSpace(strings.Join(strings.Fields(ev.Error.Code+" "+ev.Error.Param+" "+ev.Error.EventID), " "))
+		if got != want {
+			t.Errorf("%s: %q, want %q", in, got, want)
+		}
+	}
+}
+
+// A second response of the conversation is an error; outside of it several may be open.
+func TestSeveralResponses(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Slow = 20 })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, _, err := websocket.Dial(ctx, "ws://"+w.d.Addr()+"/v1/realtime", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.CloseNow()
+	send := func(text string) { c.Write(ctx, websocket.MessageText, []byte(text)) }
+	send(`{"type":"conversation.item.create","item":{"type":"message","role":"user","content":[{"type":"input_text","text":"Hi"}]}}`)
+	send(`{"type":"response.create","response":{"max_output_tokens":10}}`)
+	send(`{"type":"response.create"}`)
+	for range 3 {
+		send(`{"type":"response.create","response":{"conversation":"none","max_output_tokens":10}}`)
+	}
+	done, refused := map[string]bool{}, 0
+	for len(done) < 4 {
+		_, msg, err := c.Read(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var ev realtime.Server
+		json.Unmarshal(msg, &ev)
+		switch ev.Type {
+		case "error":
+			if ev.Error.Code != "conversation_already_has_active_response" {
+				t.Errorf("%s", msg)
+			}
+			refused++
+		case "response.done":
+			if done[ev.Response.ID] || ev.Response.Status != "completed" {
+				t.Errorf("%s", msg)
+			}
+			done[ev.Response.ID] = true
+		}
+	}
+	if refused != 1 {
+		t.Errorf("%d errors", refused)
+	}
+}
+
+// The socket drops after an adjustment reached a writer; the client comes again
+// on a new session, here, with and without saying so: no second effect.
+func TestRetryOnNewSession(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Slow = 50 })
+	s := w.open()
+	s.Say("move two hours")
+	s.Request(meta("adjustment", "adj"), 100)
+	w.seen("the effect", kind(record.Apply, ""))
+	again := w.open()
+	if a := ask(t, again, meta("adjustment", "adj"), 5); a.Kind() != "failed" || !strings.Contains(a.Reason, "open") {
+		t.Errorf("while the old one runs: %+v", a)
+	}
+	s.Cut()
+	w.seen("the old attempt's end", kind(record.End, "called off"))
+	for _, more := range [][]string{nil, {"retry", "true"}} {
+		if a := ask(t, again, meta("adjustment", "adj", more...), 5); a.Kind() != "failed" || !strings.Contains(a.Reason, "ran") {
+			t.Errorf("after it, %v: %+v", more, a)
+		}
+	}
+	if a := ask(t, again, meta("adjustment", "elsewhere", "retry", "true"), 5); a.Kind() != "failed" {
+		t.Errorf("a repeat of another router's try: %+v", a)
+	}
+	if w.applied("adj") != 1 || w.applied("elsewhere") != 0 {
+		t.Errorf("applied %d and %d times", w.applied("adj"), w.applied("elsewhere"))
+	}
+}
+
+// A request that was refused may come again with its key, and is served then.
+func TestRetryAfterRefusal(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Throttle = "adjustment" })
+	s := w.open()
+	a := ask(t, s, meta("adjustment", "adj"), 5)
+	if a.Kind() != "refused" || a.RetryAfter <= 0 || w.applied("adj") != 0 {
+		t.Fatalf("%+v", a)
+	}
+	w.writersSet(func(f *standin.Faults) { f.Throttle = "" })
+	for end := time.Now().Add(20 * time.Second); a.Kind() != "served" && time.Now().Before(end); {
+		if a = ask(t, s, meta("adjustment", "adj"), 5); a.Kind() == "failed" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	if w.applied("adj") != 1 {
+		t.Errorf("%+v, applied %d times", a, w.applied("adj"))
+	}
+}
+
+// A client takes its response back: one answer, cancelled, and the writer stops.
+func TestCancel(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Slow = 50 })
+	s := w.open()
+	s.Say("a long story")
+	s.Request(meta("question", "q"), 100)
+	a, err := s.Wait(func(string) { s.Cancel() })
+	if err != nil || a.Kind() != "cancelled" {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	w.seen("the end of the attempt", kind(record.End, "called off"))
+	if a := ask(t, s, meta("question", "q2"), 2); a.Kind() != "served" {
+		t.Errorf("the session goes on: %+v", a)
+	}
+}
+
+// A writer dies or breaks off in the middle of an answer: it is failed, at once, and does not run again.
+func TestBrokenStream(t *testing.T) {
+	for name, fault := range map[string]func(*standin.Faults){
+		"broken":  func(f *standin.Faults) { f.BreakAfter = 3 },
+		"stalled": func(f *standin.Faults) { f.StallAfter = 3 },
+	} {
+		w := newWorld(t, func(cfg *settings.File) { cfg.Engines.StreamIdle = 200 * time.Millisecond })
+		w.writersSet(fault)
+		a := ask(t, w.open(), meta("adjustment", name), 50)
+		if a.Kind() != "failed" || a.Tokens != 3 || w.applied(name) != 1 {
+			t.Errorf("%s: %+v, applied %d", name, a, w.applied(name))
+		}
+	}
+}
+
+// A writer dies while its answer waits there: a safe request goes on elsewhere, an unsafe one is failed.
+func TestWriterDies(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Hang = true })
+	safe, unsafe := w.open(), w.open()
+	for s, class := range map[*client.Session]string{safe: "question", unsafe: "adjustment"} {
+		s.Say("hello")
+		s.Request(meta(class, class), 5)
+	}
+	for _, class := range []string{"question", "adjustment"} {
+		w.seen(class+" at a writer", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" && e.Class == class })
+	}
+	for _, e := range w.writers {
+		e.Kill()
+		if err := e.Start(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a, err := safe.Wait(nil); err != nil || a.Kind() != "served" {
+		t.Errorf("safe: %+v, %v", a, err)
+	}
+	if a, err := unsafe.Wait(nil); err != nil || a.Kind() != "failed" || w.applied("adjustment") != 0 {
+		t.Errorf("unsafe: %+v, %v", a, err)
+	}
+}
+
+// The roster says gone while a stream runs there: the stream may end, nothing new goes there.
+func TestGoneWhileStreaming(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Slow = 20 })
+	s := w.open()
+	s.Say("hello")
+	s.Request(meta("question", "q"), 20)
+	first := make(chan struct{}, 1000)
+	done := make(chan *client.Answer, 1)
+	go func() {
+		a, _ := s.Wait(func(string) { first <- struct{}{} })
+		done <- a
+	}()
+	<-first
+	at := w.seen("the stream", kind(record.Apply, "")).Who
+	w.roster.Set(standin.Listed{Addr: at, Kind: "answer", Zone: "north", State: "gone"})
+	w.seen("the router is told", func(e record.Event) bool { return e.Kind == record.Told && e.Key == at && e.Note == "gone" })
+	other := w.open()
+	for i := range 10 {
+		ask(t, other, meta("question", fmt.Sprint("n", i)), 1)
+	}
+	if a := <-done; a.Kind() != "served" {
+		t.Errorf("the stream: %+v", a)
+	}
+	for _, e := range w.log.Events() {
+		if e.Kind == record.Arrive && e.Who == at && strings.HasPrefix(e.Req, "n") && e.Req != "n0" {
+			t.Errorf("new work at a server that is gone: %v", e)
+		}
+	}
+}
+
+// A stop lets open answers end and turns new ones away; the sessions are closed with 1001.
+func TestStop(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Slow = 10 })
+	s := w.open()
+	s.Say("hello")
+	s.Request(meta("adjustment", "a"), 20)
+	started := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		<-started
+		w.d.Stop(context.Background())
+		close(stopped)
+	}()
+	n := 0
+	a, err := s.Wait(func(string) {
+		if n++; n == 1 {
+			close(started)
+		}
+	})
+	if err != nil || a.Kind() != "served" || w.applied("a") != 1 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if _, err := s.Next(); err == nil || !strings.Contains(err.Error(), "1001") {
+		t.Errorf("the session ended with %v", err)
+	}
+	<-stopped
+	if _, err := client.Open(context.Background(), w.d.Addr(), ""); err == nil {
+		t.Error("a stopped router takes sessions")
+	}
+}
+
+// A router that is cut short still gives every open request its answer.
+func TestStopCutShort(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Drain = 50 * time.Millisecond })
+	w.writersSet(func(f *standin.Faults) { f.Hang = true })
+	s := w.open()
+	s.Say("hello")
+	s.Request(meta("adjustment", "a"), 20)
+	w.seen("the attempt", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" })
+	go w.d.Stop(context.Background())
+	a, err := s.Wait(nil)
+	if err != nil || a.Kind() != "failed" {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
+
+// raw sends bytes and reads what comes until the router closes.
+func (w *world) raw(send string) string {
+	w.t.Helper()
+	nc, err := net.Dial("tcp", w.d.Addr())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(nc, send)
+	b, err := io.ReadAll(nc)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		w.t.Fatalf("%.40q: the router keeps the connection", send)
+	}
+	return string(b)
+}
+
+// Bad heads, floods and drips end; the router goes on.
+func TestHostileConnections(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Handshake = 200 * time.Millisecond })
+	up := "GET /v1/realtime HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" +
+		"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+	for name, c := range map[string]struct{ send, want string }{
+		"not HTTP":           {"hello\r\n\r\n", "400"},
+		"a flood of headers": {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 100) + "\r\n", "431"},
+		"a head without end": {"GET / HTTP/1.1\r\nA: " + strings.Repeat("b", 100000), "431"},
+		"another path":       {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "404"},
+		"no WebSocket":       {"GET /v1/realtime HTTP/1.1\r\nHost: x\r\n\r\n", "426"},
+		"a slow loris":       {"GET / HTTP/1.1\r\nA:", ""},
+		"silence":            {"", ""},
+		"a frame of 1 GB":    {up + "\x81\xff\x00\x00\x00\x00\x40\x00\x00\x00\x01\x02\x03\x04", "\x03\xf1"},
+		"a frame not masked": {up + "\x81\x01x", "\x03\xea"},
+		"bad UTF-8":          {up + "\x81\x81\x00\x00\x00\x00\xff", "\x03\xef"},
+	} {
+		if got := w.raw(c.send); !strings.Contains(got, c.want) {
+			t.Errorf("%s: %.80q, want %q in it", name, got, c.want)
+		}
+	}
+	nc, _ := net.Dial("tcp", w.d.Addr()) // half-closed after the handshake
+	io.WriteString(nc, up)
+	nc.(*net.TCPConn).CloseWrite()
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadAll(nc); err != nil {
+		t.Errorf("half-closed: %v", err)
+	}
+	nc.Close()
+	if a := ask(t, w.open(), meta("question", "q"), 2); a.Kind() != "served" {
+		t.Errorf("after all that: %+v", a)
+	}
+}
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -146,9 +146,9 @@
 		retries = eagerly
 	}
 	mayHaveRun := false
-	for try := 1; ctx.Err() == nil; {
-		t := g.try(ctx, &a, try, mayHaveRun)
-		if t.unreachable { // no byte of it was sent
+	for try, sent := 1, 1; ctx.Err() == nil; sent++ {
+		t := g.try(ctx, &a, sent, mayHaveRun)
+		if t.unreachable { // no router took it
 			if time.Since(begun) > class.GiveUp {
 				return end
 			}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -189,6 +189,9 @@
 	d.cfg.Took(time.Since(from))
 }
 
+// GiveUp fails every open request, as when the time of a stop is over.
+func (d *Driver) GiveUp() { d.post(d.failAll) }
+
 // failAll ends what is open when the router stops; a failure promises nothing.
 func (d *Driver) failAll() {
 	for _, c := range d.calls {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -160,9 +160,13 @@
 	s.mu.Unlock()
 }
 
+// lastWords is how long sessions may take to close once their answers are given.
+const lastWords = time.Second
+
 // Shutdown takes no more sessions or responses and lets the open responses end.
-// Each session is closed with 1001 once it has none; when the context ends, all are cut.
-func (s *Server) Shutdown(ctx context.Context) {
+// Each session is closed with 1001 once it has none. When the context ends,
+// giveUp has every open response answered; what then stays open is cut.
+func (s *Server) Shutdown(ctx context.Context, giveUp func()) {
 	s.mu.Lock()
 	s.closing = true
 	for c := range s.sessions {
@@ -176,6 +180,12 @@
 		return
 	case <-ctx.Done():
 	}
+	giveUp()
+	select {
+	case <-done:
+		return
+	case <-time.After(lastWords):
+	}
 	s.mu.Lock()
 	for nc := range s.conns {
 		nc.Close()
