--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,275 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"gannethook/internal/client"
+	"gannethook/internal/daemon"
+	"gannethook/internal/engine"
+	"gannethook/internal/http1"
+	"gannethook/internal/settings"
+	"gannethook/internal/standin"
+)
+
+// quickEngine is a peer that answers at once, with so many tokens: what is
+// measured against it is the path alone.
+func quickEngine(t testing.TB, writes bool, tokens int) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := `{"choices":[{"text":""}],"kv_transfer_params":{"remote_host":"h"}}`
+	event := "data: {\"choices\":[{\"index\":0,\"text\":\" token\",\"finish_reason\":null}]}\n\n"
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(read)) + "\r\n\r\n" + read
+	var wg sync.WaitGroup
+	serve := func(nc net.Conn) {
+		defer nc.Close()
+		br, bw := bufio.NewReader(nc), bufio.NewWriter(nc)
+		for {
+			req, err := http1.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, _ := http1.RequestBody(br, req.Header)
+			io.Copy(io.Discard, body)
+			switch {
+			case req.Target != engine.CompletionsPath:
+				io.WriteString(bw, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+				bw.Flush()
+			case !writes:
+				io.WriteString(bw, answer)
+				bw.Flush()
+			default:
+				io.WriteString(bw, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for range tokens {
+					http1.WriteChunk(bw, []byte(event))
+				}
+				http1.WriteChunk(bw, []byte("data: [DONE]\n\n"))
+				http1.WriteChunk(bw, nil)
+			}
+		}
+	}
+	wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serve(nc) })
+		}
+	})
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+// quickRouter is a router in front of a quick reader and a quick writer.
+func quickRouter(t testing.TB, tokens int, most int) (d *daemon.Daemon, writer string) {
+	roster := standin.NewRoster("engines", nil)
+	writer = quickEngine(t, true, tokens)
+	roster.Set(standin.Listed{Addr: quickEngine(t, false, 0), Kind: "prompt", Zone: "north", State: "ready"})
+	roster.Set(standin.Listed{Addr: writer, Kind: "answer", Zone: "north", State: "ready"})
+	addr, err := roster.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(roster.Stop)
+	cfg, err := settings.Parse("default.gann", settings.Default)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Roster.Watch, cfg.Sessions.Most = addr, most
+	cfg.Classes[0].MaxTokens = 1 << 20
+	if d, err = daemon.Start(cfg, "", zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Stop(context.Background()) })
+	<-d.Listed()
+	return d, writer
+}
+
+// BenchmarkAdded measures, side by side in one run, the time to the first token
+// straight from an engine, through httputil.ReverseProxy and through the
+// router, whose path is a read at one engine and then a write at another.
+func BenchmarkAdded(b *testing.B) {
+	d, writer := quickRouter(b, 4, 100)
+	target, _ := url.Parse("http://" + writer)
+	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) }, FlushInterval: -1}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := &http.Server{Handler: proxy}
+	go srv.Serve(ln)
+	defer srv.Close()
+	cl := engine.NewClient(engine.DefaultLimits())
+	defer cl.Close()
+	first := func(addr string, read string) time.Duration {
+		from, took := time.Now(), time.Duration(0)
+		if read != "" {
+			cl.Read(context.Background(), &engine.Call{Addr: read, Key: "k", Prompt: "hello", MaxTokens: 4})
+		}
+		r := cl.Write(context.Background(), &engine.Call{Addr: addr, Key: "k", Prompt: "hello", MaxTokens: 4},
+			func() bool { took = time.Since(from); return true }, func([]byte) bool { return true })
+		if took == 0 {
+			b.Fatalf("%+v", r)
+		}
+		return took
+	}
+	reader := quickEngine(b, false, 0)
+	s, err := client.Open(context.Background(), d.Addr(), "m")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	s.Say("hello")
+	ways := []struct {
+		name string
+		do   func() time.Duration
+		hist *hdrhistogram.Histogram
+	}{
+		{"direct-write", func() time.Duration { return first(writer, "") }, hdrhistogram.New(1, 1e7, 3)},
+		{"direct-read+write", func() time.Duration { return first(writer, reader) }, hdrhistogram.New(1, 1e7, 3)},
+		{"proxy-write", func() time.Duration { return first(ln.Addr().String(), "") }, hdrhistogram.New(1, 1e7, 3)},
+		{"proxy-read+write", func() time.Duration { return first(ln.Addr().String(), reader) }, hdrhistogram.New(1, 1e7, 3)},
+		{"router", func() time.Duration {
+			s.Request(map[string]string{"prompt_tokens": "100"}, 4)
+			a, err := s.Wait(nil)
+			if err != nil || a.Kind() != "served" {
+				b.Fatalf("%+v, %v", a, err)
+			}
+			return a.First
+		}, hdrhistogram.New(1, 1e7, 3)},
+	}
+	for b.Loop() {
+		for _, w := range ways { // in turn, so that noise strikes all alike
+			w.hist.RecordValue(max(w.do().Microseconds(), 1))
+		}
+	}
+	for _, w := range ways {
+		b.ReportMetric(float64(w.hist.ValueAtQuantile(50)), w.name+"-p50-us")
+		b.ReportMetric(float64(w.hist.ValueAtQuantile(99)), w.name+"-p99-us")
+	}
+}
+
+// BenchmarkRelay measures tokens a second through one router with several
+// streams, and allocations a token on the whole path, both ends included.
+func BenchmarkRelay(b *testing.B) {
+	const tokens, streams = 20000, 4
+	d, _ := quickRouter(b, tokens, 100)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	from, n := time.Now(), 0
+	for b.Loop() {
+		var wg sync.WaitGroup
+		for i := range streams {
+			wg.Go(func() {
+				nc, err := rawSession(d.Addr(), i)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				defer nc.Close()
+				if err := drain(nc); err != nil {
+					b.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		n += tokens * streams
+	}
+	took := time.Since(from)
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(n)/took.Seconds(), "tokens/s")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(n), "allocs/token")
+}
+
+// rawSession opens a session that asks for one answer; its reader below does not allocate for a token.
+func rawSession(addr string, i int) (net.Conn, error) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	io.WriteString(nc, "GET /v1/realtime HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"+
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+	text, _ := json.Marshal(map[string]any{"type": "response.create", "response": map[string]any{
+		"conversation": "none", "metadata": map[string]string{"prompt_tokens": "100", "session_key": fmt.Sprint(i)},
+		"input": []any{map[string]any{"type": "message", "role": "user", "content": []any{map[string]string{"type": "input_text", "text": "hi"}}}}}})
+	frame := []byte{0x81, 0xfe, byte(len(text) >> 8), byte(len(text)), 0, 0, 0, 0}
+	_, err = nc.Write(append(frame, text...))
+	return nc, err
+}
+
+// drain reads until the final answer has come.
+func drain(nc net.Conn) error {
+	buf, keep := make([]byte, 64<<10), []byte{}
+	for {
+		n, err := nc.Read(buf)
+		if err != nil {
+			return err
+		}
+		keep = append(keep, buf[:n]...)
+		if strings.Contains(string(keep[max(0, len(keep)-2000):]), `"response.done"`) {
+			return nil
+		}
+		keep = append(keep[:0], keep[max(0, len(keep)-2000):]...)
+	}
+}
+
+// BenchmarkIdleSessions opens sessions and measures what each costs the process.
+// GANNETHOOK_SESSIONS sets how many; the clients' ends are bare sockets.
+func BenchmarkIdleSessions(b *testing.B) {
+	n := 2000
+	if text := os.Getenv("GANNETHOOK_SESSIONS"); text != "" {
+		n, _ = strconv.Atoi(text)
+	}
+	d, _ := quickRouter(b, 1, n+10)
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		conns := make([]net.Conn, 0, n)
+		hello := make([]byte, 2048)
+		for range n {
+			nc, err := net.Dial("tcp", d.Addr())
+			if err != nil {
+				b.Fatal(err)
+			}
+			io.WriteString(nc, "GET /v1/realtime HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"+
+				"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+			for got := 0; !strings.Contains(string(hello[:got]), "session.created"); {
+				m, err := nc.Read(hello[got:])
+				if err != nil {
+					b.Fatal(err)
+				}
+				got += m
+			}
+			conns = append(conns, nc)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		used := float64(after.HeapInuse+after.StackInuse) - float64(before.HeapInuse+before.StackInuse)
+		b.ReportMetric(used/float64(n)/1024, "KiB/session")
+		b.ReportMetric(float64(n), "sessions")
+		for _, nc := range conns {
+			nc.Close()
+		}
+	}
+}
