A stream waits for its slow reader; final events no longer cut the session

The relay benchmark found sessions cut at the pending bound while their final events were queued: a client lost its final answer. A stream now waits for room, outside all locks, and the bound has room for final events.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -113,6 +113,13 @@
 	return s.send(map[string]any{"type": realtime.ResponseCreate, "response": response})
 }
 
+// RequestApart starts a response outside the conversation, on a prompt of its own.
+func (s *Session) RequestApart(text string, metadata map[string]string, maxTokens int) error {
+	return s.send(map[string]any{"type": realtime.ResponseCreate, "response": map[string]any{
+		"conversation": "none", "metadata": metadata, "max_output_tokens": maxTokens,
+		"input": []realtime.Item{{Type: "message", Role: "user", Content: []realtime.Part{{Type: "input_text", Text: text}}}}}})
+}
+
 // Cancel takes the open response back.
 func (s *Session) Cancel() error { return s.send(map[string]any{"type": realtime.ResponseCancel}) }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -77,7 +77,8 @@
 
 // Sink receives a request's answer. Token comes from the attempt's goroutine,
 // as a raw JSON string that is valid during the call; it returns false once
-// nobody reads. Final comes once, last. Neither may wait.
+// nobody reads, and may wait for its reader alone. Final comes once, last, from
+// the driver's goroutine, and may not wait.
 type Sink interface {
 	Token(text []byte) bool
 	Final(Answer)
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -34,6 +34,7 @@
 	begun bool
 	done  bool
 	text  []byte // of the answer, a JSON string without its quotes
+	long  bool   // it has more text than a message may; the final events leave it out
 	event []byte // kept from token to token
 }
 
@@ -105,9 +106,11 @@
 		Metadata: r.metadata}
 }
 
-// Token passes a token on. Only the attempt that streams calls it.
+// Token passes a token on. Only the attempt that streams calls it; a slow client
+// holds that one up, outside of the session's lock, and nobody else.
 func (r *response) Token(text []byte) bool {
 	c := r.c
+	c.conn.Room()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.done {
@@ -116,7 +119,11 @@
 	if !r.begun {
 		r.begin()
 	}
-	r.text = append(r.text, text[1:len(text)-1]...)
+	if len(r.text)+len(text) <= int(c.srv.cfg.Sessions.Message) {
+		r.text = append(r.text, text[1:len(text)-1]...)
+	} else {
+		r.long = true
+	}
 	c.events++
 	r.event = realtime.AppendDelta(r.event[:0], c.events, r.id, r.item, text)
 	return c.conn.Send(r.event) == nil
@@ -164,6 +171,9 @@
 // finishItem ends the answer's item; a partial one is told as such.
 func (r *response) finishItem(status string) realtime.Item {
 	var text string
+	if r.long {
+		r.text = nil
+	}
 	json.Unmarshal(slices.Concat([]byte{'"'}, r.text, []byte{'"'}), &text) // checked token by token
 	item := realtime.Item{ID: r.item, Object: "realtime.item", Type: "message", Status: "completed",
 		Role: "assistant", Content: []realtime.Part{{Type: "output_text", Text: text}}}
--- a/internal/ws/conn.go
+++ b/internal/ws/conn.go
@@ -16,7 +16,7 @@
 // Limits bound a connection.
 type Limits struct {
 	Message int           // bytes of a message
-	Pending int           // bytes that may wait to be sent
+	Pending int           // bytes that may wait to be sent; four messages more, and the connection is cut
 	Idle    time.Duration // without a frame: a ping; as long again: the end
 	Frame   time.Duration // a frame that has begun must be whole by then
 	Write   time.Duration // a write to the peer takes no longer
@@ -29,7 +29,7 @@
 		Frame: 20 * time.Second, Write: 10 * time.Second, Linger: time.Second}
 }
 
-// ErrSlow tells that more waits to be sent than the peer's bound; the connection is cut.
+// ErrSlow tells that far more waits to be sent than may; the connection is cut.
 var ErrSlow = errors.New("websocket: the peer reads too slowly")
 
 // Conn is one connection. One goroutine may read; Send and Close are for all.
@@ -212,6 +212,17 @@
 // Send queues a text message; it never waits for the peer.
 func (c *Conn) Send(msg []byte) error { return c.queue(OpText, msg) }
 
+// Room waits while over half of what may wait to be sent does, so that a quick
+// source goes at its reader's pace. A peer that reads nothing ends the wait with
+// the time that a write may take.
+func (c *Conn) Room() {
+	c.mu.Lock()
+	for c.err == nil && c.flushing && len(c.pending) > c.lim.Pending/2 {
+		c.flushed.Wait()
+	}
+	c.mu.Unlock()
+}
+
 // SendBinary queues a binary message.
 func (c *Conn) SendBinary(msg []byte) error { return c.queue(OpBin, msg) }
 
@@ -258,7 +269,7 @@
 	if c.closing {
 		return net.ErrClosed
 	}
-	if len(c.pending)+len(payload) > c.lim.Pending {
+	if len(c.pending)+len(payload) > c.lim.Pending+4*c.lim.Message {
 		c.err = ErrSlow
 		c.flushed.Broadcast()
 		c.nc.Close() // no close frame would pass the jam
@@ -293,6 +304,7 @@
 			c.err = err
 			c.nc.Close()
 		}
+		c.flushed.Broadcast()
 	}
 	if cap(c.pending) > keepBuffer {
 		c.pending = nil
