--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,7 @@
 		d.client.Close()
 		return nil, err
 	}
-	d.front = front.NewServer(cfg, d.driver)
+	d.front = front.NewServer(cfg, d.driver, d.done)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopWork = cancel
 	d.work.Go(func() { d.driver.Run(ctx) })
--- /dev/null
+++ b/internal/day/day_test.go
@@ -0,0 +1,70 @@
+package day
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func bad(t *testing.T) *Script {
+	t.Helper()
+	s, err := Parse("bad.gann", Bad)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The same seed gives the same requests at the same times; another one does not.
+func TestPlan(t *testing.T) {
+	s := bad(t)
+	one, two := fmt.Sprint(s.plan()), fmt.Sprint(s.plan())
+	if one != two {
+		t.Error("a seed gives two plans")
+	}
+	n := 0
+	for _, v := range s.plan() {
+		n += len(v.asks)
+	}
+	if want := s.Rate * s.Length.Seconds(); float64(n) < 0.9*want || float64(n) > 1.1*want {
+		t.Errorf("%d requests, about %g asked for", n, want)
+	}
+	s.Seed++
+	if fmt.Sprint(s.plan()) == one {
+		t.Error("two seeds give one plan")
+	}
+}
+
+func TestChosen(t *testing.T) {
+	s := bad(t)
+	for i, f := range s.Faults {
+		if got, want := len(s.chosen(i, 16)), max(int(f.Part*16+0.5), 1); got != want {
+			t.Errorf("%v: strikes %d of 16, want %d", &f, got, want)
+		}
+	}
+}
+
+func TestStretch(t *testing.T) {
+	s := bad(t)
+	s.Stretch(0.5)
+	if s.Length != 30*time.Second || s.Faults[0].From != 6*time.Second || s.Rate != 95 || s.check() != nil {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestScriptErrors(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"(fault crash", "(fault crahs", `trouble "crahs" is not known`},
+		{"(effect unsafe)", "(effect bad)", `effect "bad" is not safe, keyed or unsafe`},
+		{"(prompt 300 2500)", "(prompt 2500 300)", "(prompt LEAST MOST)"},
+		{"(at 25s) (for 6s)", "(at 55s) (for 6s)", "the trouble ends after the day"},
+		{"(part 0.18)", "(part 1.8)", "a part is 1 at the most"},
+		{"(rate 95)", "(rate 0)", "above 0"},
+	} {
+		_, err := Parse("f", strings.Replace(Bad, c.from, c.to, 1))
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), "f:") {
+			t.Errorf("%s: %v", c.to, err)
+		}
+	}
+}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -63,21 +63,27 @@
 		c.fail(ev.EventID, "invalid_request_error", code, msg, "")
 		return
 	}
-	// What is answered here has not been handed to the driver: nothing of it has run.
 	switch v := c.srv.guard.begin(r.key, retry); v {
 	case keys.Go:
-		r.call, err = c.srv.drv.Submit(job, r)
-		if err != nil {
+		if r.call, err = c.srv.drv.Submit(job, r); err != nil {
 			c.srv.guard.end(r.key, false)
-			r.close(driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: err.Error()})
+			r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: err.Error()})
 		}
 	case keys.Full:
-		r.close(driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: "too many keys are remembered"})
+		r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter,
+			Reason: "too many keys are remembered"})
 	default:
-		r.close(driver.Answer{Kind: driver.Failed, Reason: "an earlier try with this key: " + v.String()})
+		r.turnAway(&job, driver.Answer{Kind: driver.Failed, Reason: "an earlier try with this key: " + v.String()})
 	}
 }
 
+// turnAway answers what was not handed to the driver: nothing of this try has run.
+func (r *response) turnAway(job *driver.Job, a driver.Answer) {
+	r.close(a)
+	r.c.srv.done(driver.Summary{Session: job.SessionID, Class: job.ClassName, Outcome: a.Kind, Reason: a.Reason,
+		RetryAfter: a.RetryAfter, PromptSize: job.PromptSize})
+}
+
 // enter opens a response, if the session may have one more.
 func (c *session) enter(r *response) (code, msg string) {
 	c.mu.Lock()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -31,6 +31,7 @@
 	guard  *guard
 	limits ws.Limits
 	serial atomic.Uint64
+	done   func(driver.Summary)
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -39,9 +40,10 @@
 	wg       sync.WaitGroup
 }
 
-// NewServer returns a server for a driver.
-func NewServer(cfg *settings.File, drv *driver.Driver) *Server {
-	return &Server{cfg: cfg, drv: drv, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
+// NewServer returns a server for a driver. done is told of the responses that
+// end here, without having come to the driver.
+func NewServer(cfg *settings.File, drv *driver.Driver, done func(driver.Summary)) *Server {
+	return &Server{cfg: cfg, drv: drv, done: done, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
 		guard: newGuard(cfg), limits: cfg.SessionLimits(), sessions: map[*session]bool{}, conns: map[net.Conn]bool{}}
 }
 
