--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,6 +117,7 @@
 	for _, s := range m.Servers {
 		if s.State == gannethook.Ready {
 			ready++
+			d.client.Warm(string(s.ID))
 		}
 	}
 	d.log.Debug("list", zap.Bool("whole", m.Whole), zap.Int("servers", len(m.Servers)), zap.Int("ready", ready))
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -66,7 +66,8 @@
 
 // NewClient returns a client; Close ends it.
 func NewClient(lim Limits) *Client {
-	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, stop: make(chan struct{})}
+	c := &Client{lim: lim, pool: pool{lim: lim}, stop: make(chan struct{})}
+	c.pool.open()
 	c.wg.Go(func() {
 		tick := time.NewTicker(max(lim.Idle/4, time.Second))
 		defer tick.Stop()
@@ -86,7 +87,16 @@
 func (c *Client) Close() {
 	close(c.stop)
 	c.wg.Wait()
+	c.pool.cancel()
 	c.pool.sweep(true)
+	c.pool.wg.Wait()
+}
+
+// Warm opens spare connections to engines that are about to get work.
+func (c *Client) Warm(addrs ...string) {
+	for _, a := range addrs {
+		c.pool.fill(a)
+	}
 }
 
 // exchange is one request on one connection.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -113,6 +113,7 @@
 func limits() Limits {
 	l := DefaultLimits()
 	l.Dial, l.StreamIdle, l.Extension = 100*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
+	l.Spare = 0 // the tests count connections
 	return l
 }
 
@@ -245,6 +246,44 @@
 	}
 }
 
+// Spare connections are opened ahead, kept at their number, and used.
+func TestSpare(t *testing.T) {
+	p := script(t, stream(tok, "[DONE]"))
+	lim := limits()
+	lim.Spare = 2
+	c := NewClient(lim)
+	defer c.Close()
+	idle := func(want int) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+			c.pool.mu.Lock()
+			n, busy := len(c.pool.idle[p.addr]), c.pool.filling[p.addr]
+			c.pool.mu.Unlock()
+			if n == want && !busy {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d connections wait, want %d", n, want)
+			}
+		}
+	}
+	c.Warm(p.addr)
+	idle(2)
+	var took *conn
+	for range 3 {
+		cn, err := c.pool.get(context.Background(), p.addr, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took != nil {
+			took.Close()
+		}
+		took = cn
+		idle(2)
+	}
+	took.Close()
+}
+
 func closedByPeer(c *Client, addr string) bool {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -20,6 +20,7 @@
 	Dial        time.Duration // a connection not made by then has failed to connect
 	Idle        time.Duration // an unused connection closes; keep it under the engine's own
 	IdleConns   int           // unused connections kept
+	Spare       int           // unused connections opened ahead, so that a stream need not wait for a dial
 	StreamIdle  time.Duration // a stream without a token for so long is broken
 	Extension   time.Duration // a place or release not answered by then is taken as refused
 	PlaceIdle   time.Duration // a place lapses by itself when it has waited for its answer for so long
@@ -28,7 +29,7 @@
 
 // DefaultLimits suit engines on a data centre's network.
 func DefaultLimits() Limits {
-	return Limits{Dial: 250 * time.Millisecond, Idle: 25 * time.Second, IdleConns: 64,
+	return Limits{Dial: 250 * time.Millisecond, Idle: 25 * time.Second, IdleConns: 64, Spare: 2,
 		StreamIdle: 10 * time.Second, Extension: 400 * time.Millisecond,
 		PlaceIdle: 500 * time.Millisecond, ResponseMax: 1 << 20}
 }
@@ -48,10 +49,51 @@
 
 // pool keeps the unused connections, newest last.
 type pool struct {
-	lim  Limits
-	mu   sync.Mutex
-	idle map[string][]*conn
-	shut bool
+	lim     Limits
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	filling map[string]bool
+	shut    bool
+	ctx     context.Context // of the dials ahead
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+func (p *pool) open() {
+	p.idle, p.filling = map[string][]*conn{}, map[string]bool{}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+}
+
+// fill opens spare connections to an engine, in the background. HTTP/1.1 gives
+// each stream a connection of its own; without spares nearly every stream would
+// dial, and slow handshakes would look like failing engines. A dial that fails
+// ends it; the next use of the engine tries again.
+func (p *pool) fill(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shut || p.filling[addr] || len(p.idle[addr]) >= p.lim.Spare {
+		return
+	}
+	p.filling[addr] = true
+	p.wg.Go(func() {
+		for p.spare(addr) {
+		}
+	})
+}
+
+// spare opens one connection; it tells whether another is wanted.
+func (p *pool) spare(addr string) bool {
+	c, err := p.dial(p.ctx, addr)
+	if err == nil {
+		p.put(addr, false, c)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	again := err == nil && !p.shut && len(p.idle[addr]) < p.lim.Spare
+	if !again {
+		delete(p.filling, addr)
+	}
+	return again
 }
 
 // errDial marks that no connection was made, so that nothing can have run.
@@ -62,6 +104,7 @@
 // get gives a connection: an unused one that still stands, else a new one. Those
 // for control may be an attempt's, not the other way round.
 func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
+	defer p.fill(addr)
 	for {
 		var c *conn
 		if ctl {
@@ -78,6 +121,10 @@
 		}
 		c.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.lim.Dial)
 	defer cancel()
 	var d net.Dialer
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,7 @@
 	Dial        time.Duration `gann:"dial"`
 	Idle        time.Duration `gann:"idle"`
 	IdleConns   int           `gann:"idle-conns"`
+	Spare       int           `gann:"spare-conns"`
 	StreamIdle  time.Duration `gann:"stream-idle"`
 	Extension   time.Duration `gann:"extension"`
 }
@@ -181,7 +182,7 @@
 		Sessions: Sessions{Most: 20000, Responses: 16, Message: sexp.Bytes(w.Message), Conversation: 4 << 20,
 			Pending: sexp.Bytes(w.Pending), Idle: w.Idle, Handshake: 5 * time.Second, TokenBytes: 4,
 			Drain: 30 * time.Second},
-		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns,
+		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns, Spare: e.Spare,
 			StreamIdle: e.StreamIdle, Extension: e.Extension},
 		Roster: Roster{Namespace: "default", Every: time.Second, Silence: time.Minute},
 	}
@@ -284,7 +285,7 @@
 // EngineLimits bound the engines' client.
 func (f *File) EngineLimits() engine.Limits {
 	l := engine.DefaultLimits()
-	l.Dial, l.Idle, l.IdleConns = f.Engines.Dial, f.Engines.Idle, f.Engines.IdleConns
+	l.Dial, l.Idle, l.IdleConns, l.Spare = f.Engines.Dial, f.Engines.Idle, f.Engines.IdleConns, f.Engines.Spare
 	l.StreamIdle, l.Extension, l.PlaceIdle = f.Engines.StreamIdle, f.Engines.Extension, f.Rules.PinLimit
 	return l
 }
