--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -401,6 +401,18 @@
 	}
 }
 
+// A client that leaves while its request waits takes it back at once.
+func TestLeaveWhileWaiting(t *testing.T) {
+	w := newWorld(t, nil)
+	w.writersSet(func(f *standin.Faults) { f.Hang = true })
+	s := w.open()
+	s.Say("hello")
+	s.Request(meta("adjustment", "a"), 5)
+	w.seen("the attempt", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" })
+	s.Cut()
+	w.seen("its end, long before the client's time is up", kind(record.End, "hung"))
+}
+
 // The roster says gone while a stream runs there: the stream may end, nothing new goes there.
 func TestGoneWhileStreaming(t *testing.T) {
 	w := newWorld(t, nil)
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -53,7 +53,7 @@
 	reads  bool
 	out    bool
 	cancel context.CancelFunc
-	// Once it has ended:
+	// Once it has ended; 0 before:
 	outcome gannethook.Outcome
 	detail  string
 }
@@ -91,8 +91,8 @@
 // mayHaveRun tells whether an attempt at a writer is not proven not to have run.
 func (c *Call) mayHaveRun() bool {
 	return slices.ContainsFunc(c.attempts, func(a *attempt) bool {
-		return !a.reads && (a.out || a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed &&
-			a.outcome != gannethook.Moot)
+		return !a.reads && a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed &&
+			a.outcome != gannethook.Moot
 	})
 }
 
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,7 @@
 	holdOK            bool
 	writeEnds         engine.Result // in place of a stream, if it has an outcome
 	readEnds          engine.Result
+	failFirst         bool // the first read fails
 	stall             bool // the stream never goes on after its first token
 	mu                sync.Mutex
 	writes, reads     int
@@ -55,10 +57,14 @@
 func (f *fake) Read(ctx context.Context, call *engine.Call) engine.Result {
 	f.mu.Lock()
 	f.reads++
+	n := f.reads
 	f.mu.Unlock()
 	if !wait(ctx, f.read) {
 		return calledOff
 	}
+	if f.failFirst && n == 1 {
+		return engine.Result{Outcome: gannethook.Failed}
+	}
 	if f.readEnds.Outcome != 0 {
 		return f.readEnds
 	}
@@ -98,7 +104,12 @@
 }
 
 func (f *fake) Release(_ context.Context, addr, key string) error {
-	f.count(f.let, addr, key)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := addr + " " + key; f.held[k] > 0 { // what comes before the grant lets nothing go
+		delete(f.held, k)
+		f.let[k]++
+	}
 	return nil
 }
 
@@ -135,6 +146,45 @@
 	close(s.done)
 }
 
+// A place that was asked for a read that failed is let go when it is granted
+// later, although the request goes on.
+func TestGrantOfAnEarlierRead(t *testing.T) {
+	f := newFake()
+	f.hold, f.failFirst, f.tokens = 300*ms, true, 50
+	run(t, f, func(d *Driver) {
+		s, a := ask(t, d, 0)
+		if a.Kind != Served || s.tokens != 50 {
+			t.Errorf("%+v", a)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for k := range f.held {
+			if strings.HasSuffix(k, "-0") {
+				t.Errorf("the failed read's place is kept: %s", k)
+			}
+		}
+	})
+}
+
+// Where nothing may be called off, an attempt outlives its request; its first token may not pass.
+func TestTokenAfterTheAnswer(t *testing.T) {
+	f := newFake()
+	f.first = 5 * time.Second
+	set := testSettings()
+	set.Cancel = false
+	runWith(t, f, set, func(d *Driver) {
+		s, a := ask(t, d, 1)
+		if a.Kind != Failed {
+			t.Errorf("%+v", a)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if s.tokens != 0 || d.Open() != 0 {
+			t.Errorf("%d tokens, %d open", s.tokens, d.Open())
+		}
+	})
+}
+
 func testSettings() gannethook.Settings {
 	class := func(e gannethook.Effect) gannethook.Class {
 		return gannethook.Class{Aim: 1500, Worth: 1, Effect: e, Streamed: true}
@@ -146,9 +196,11 @@
 }
 
 // run starts a driver on the test's clock with two readers and two writers.
-func run(t *testing.T, f *fake, do func(d *Driver)) {
+func run(t *testing.T, f *fake, do func(d *Driver)) { runWith(t, f, testSettings(), do) }
+
+func runWith(t *testing.T, f *fake, set gannethook.Settings, do func(d *Driver)) {
 	synctest.Test(t, func(t *testing.T) {
-		d, err := New(Config{Settings: testSettings(), Name: "r", Seed: 1, Inbox: 100, MaxOpen: 50, Engines: f})
+		d, err := New(Config{Settings: set, Name: "r", Seed: 1, Inbox: 100, MaxOpen: 50, Engines: f})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -190,9 +242,7 @@
 	defer f.mu.Unlock()
 	var list []string
 	for k := range f.held {
-		if f.let[k] == 0 {
-			list = append(list, k)
-		}
+		list = append(list, k)
 	}
 	slices.Sort(list)
 	return list
@@ -276,8 +326,8 @@
 		<-s.done
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		if len(f.held) == 0 || len(f.leftOver()) != 0 {
-			t.Errorf("held %v, left %v", f.held, f.leftOver())
+		if len(f.let) == 0 || len(f.leftOver()) != 0 {
+			t.Errorf("let go %v, left %v", f.let, f.leftOver())
 		}
 	})
 }
--- a/internal/ws/ws_test.go
+++ b/internal/ws/ws_test.go
@@ -252,6 +252,22 @@
 	waitFlushed(c)
 }
 
+// Nothing follows a close frame, whoever sends.
+func TestNothingAfterClose(t *testing.T) {
+	client, server := pair(t)
+	c := New(server, bufio.NewReader(server), false, testLimits())
+	c.Send([]byte("before"))
+	c.Close(CloseGoingAway, "stop")
+	if err := c.Send([]byte("after")); err == nil {
+		t.Error("a message is taken after the close")
+	}
+	client.Write(closeFrame(CloseGoingAway, ""))
+	go c.Read()
+	if got := readReply(t, client); len(got.text) != 1 || got.code != CloseGoingAway {
+		t.Errorf("%+v", got)
+	}
+}
+
 func waitFlushed(c *Conn) {
 	c.mu.Lock()
 	for c.flushing {
