A driver that stops answers and lets go what came in meanwhile

A grant could be posted into the inbox of a driver that had just stopped, and its place was never let go. Tests of grants that come after their read, frames after a close and clients that leave while waiting.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -131,6 +131,7 @@
 	roles  map[gannethook.ServerID]gannethook.Role
 	timers timers
 	turn   uint64
+	over   bool // nothing more is taken
 }
 
 // New returns a driver; Run starts it.
@@ -159,8 +160,7 @@
 // Run drives until the context ends; then every open request is failed, and Run
 // waits for the attempts to be cut and for what is held to be let go.
 func (d *Driver) Run(ctx context.Context) {
-	defer d.work.Wait()
-	defer close(d.stopped)
+	defer d.clear()
 	var cancel context.CancelFunc
 	d.ctx, cancel = context.WithCancel(ctx)
 	defer cancel()
@@ -180,6 +180,18 @@
 	}
 }
 
+// clear ends what still comes in while the driver stops: a request that was not
+// taken is refused, a grant is let go.
+func (d *Driver) clear() {
+	d.over = true
+	close(d.stopped)
+	d.work.Wait()
+	for len(d.inbox) > 0 {
+		(<-d.inbox)()
+	}
+	d.work.Wait()
+}
+
 func (d *Driver) run(f func()) {
 	if d.cfg.Took == nil {
 		f()
@@ -251,6 +263,11 @@
 }
 
 func (d *Driver) take(c *Call) {
+	if d.over {
+		c.answer(Answer{Kind: Refused, Reason: ErrStopped.Error()})
+		d.settle()
+		return
+	}
 	d.lastID++
 	c.id = gannethook.RequestID(d.lastID)
 	d.calls[c.id] = c
