--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -312,6 +312,38 @@
 	}
 }
 
+// A write whose dial fails goes by the connection that its place came by.
+func TestWriteByThePlacesConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, served := &peer{addr: ln.Addr().String()}, make(chan struct{})
+	go func() {
+		defer close(served)
+		nc, err := ln.Accept()
+		if ln.Close(); err == nil { // no dial succeeds from now on
+			p.serve(nc, []string{answer("201 Created", "", ""), stream(tok, "[DONE]")})
+		}
+	}()
+	c := newClient(t)
+	call := &Call{Addr: p.addr, Key: "k", MaxTokens: 5}
+	if !c.Hold(context.Background(), call, "r") {
+		t.Fatal("no place")
+	}
+	write := func() gannethook.Outcome {
+		return c.Write(context.Background(), call, func() bool { return true }, func([]byte) bool { return true }).Outcome
+	}
+	if o := write(); o != gannethook.Served {
+		t.Errorf("ended with %v", o)
+	}
+	c.pool.sweep(true)
+	<-served
+	if o := write(); o != gannethook.ConnectFailed {
+		t.Errorf("without any connection: %v", o)
+	}
+}
+
 func TestHoldTimesOut(t *testing.T) {
 	p, c := script(t, "HANG"), newClient(t)
 	if c.Hold(context.Background(), &Call{Addr: p.addr, Key: "k"}, "r") {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -101,8 +101,10 @@
 
 func (e errDial) Unwrap() error { return e.error }
 
-// get gives a connection: an unused one that still stands, else a new one. Those
-// for control may be an attempt's, not the other way round.
+// get gives a connection: an unused one that still stands, else a new one. Control
+// may use an attempt's; an attempt uses one for control only where its dial has
+// failed: at a writer that holds its place the state is there already, and a
+// place's own connection is still open.
 func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
 	defer p.fill(addr)
 	for {
@@ -121,7 +123,14 @@
 		}
 		c.Close()
 	}
-	return p.dial(ctx, addr)
+	c, err := p.dial(ctx, addr)
+	if err == nil || ctl || ctx.Err() != nil {
+		return c, err
+	}
+	if c := p.pop(control + addr); c != nil && stands(c.Conn) {
+		return c, nil
+	}
+	return nil, err
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
