--- a/cmd/gannethook/main.go
+++ b/cmd/gannethook/main.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), engineCommand(), rosterCommand())
+	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), idleCommand(), engineCommand(), rosterCommand())
 	return cmd
 }
 
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -5,7 +5,6 @@
 
 import (
 	_ "embed"
-	"fmt"
 	"slices"
 	"time"
 
@@ -128,36 +127,32 @@
 	return s, s.check()
 }
 
-func wrong(at sexp.Pos, format string, args ...any) error {
-	return &sexp.Error{Pos: at, Msg: fmt.Sprintf(format, args...)}
-}
-
 func (s *Script) check() error {
 	if s.Routers < 1 || s.Readers < 1 || s.Writers < 1 || s.Rate <= 0 || s.Length <= 0 || s.Clients.TurnsMost < 1 {
-		return wrong(s.At, "routers, readers, writers, turns, rate and length are above 0")
+		return sexp.Errorf(s.At, "routers, readers, writers, turns, rate and length are above 0")
 	}
 	for _, c := range s.Classes {
 		switch {
 		case !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect):
-			return wrong(c.At, "effect %q is not safe, keyed or unsafe", c.Effect)
+			return sexp.Errorf(c.At, "effect %q is not safe, keyed or unsafe", c.Effect)
 		case len(c.Prompt) != 2 || c.Prompt[0] > c.Prompt[1] || c.Prompt[0] < 1:
-			return wrong(c.At, "(prompt LEAST MOST) takes two sizes, the least first")
+			return sexp.Errorf(c.At, "(prompt LEAST MOST) takes two sizes, the least first")
 		case c.Out < 1 || c.Part <= 0:
-			return wrong(c.At, "out and part are above 0")
+			return sexp.Errorf(c.At, "out and part are above 0")
 		}
 	}
 	for _, f := range s.Faults {
 		if !slices.Contains(Kinds, f.Kind) {
-			return wrong(f.At, "trouble %q is not known; known are %q", f.Kind, Kinds)
+			return sexp.Errorf(f.At, "trouble %q is not known; known are %q", f.Kind, Kinds)
 		}
 		if f.Part > 1 {
-			return wrong(f.At, "a part is 1 at the most")
+			return sexp.Errorf(f.At, "a part is 1 at the most")
 		}
 		if !slices.Contains([]string{"", "readers", "writers", "both"}, f.On) {
-			return wrong(f.At, "(on ...) takes readers, writers or both")
+			return sexp.Errorf(f.At, "(on ...) takes readers, writers or both")
 		}
 		if f.From+f.For > s.Length {
-			return wrong(f.At, "the trouble ends after the day")
+			return sexp.Errorf(f.At, "the trouble ends after the day")
 		}
 	}
 	return nil
--- a/internal/roster/file.go
+++ b/internal/roster/file.go
@@ -80,7 +80,7 @@
 			err = fmt.Errorf("server %q is given twice", e.Addr)
 		}
 		if err != nil {
-			return nil, &sexp.Error{Pos: e.At, Msg: err.Error()}
+			return nil, sexp.Errorf(e.At, "%v", err)
 		}
 		seen[e.Addr] = true
 		list = append(list, s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -196,23 +196,19 @@
 	return f, f.check()
 }
 
-func wrong(at sexp.Pos, format string, args ...any) error {
-	return &sexp.Error{Pos: at, Msg: fmt.Sprintf(format, args...)}
-}
-
 // check tells what can't work, though each value is one.
 func (f *File) check() error {
 	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
-		return wrong(f.At, "(listen ...): %q is not host:port", f.Listen)
+		return sexp.Errorf(f.At, "(listen ...): %q is not host:port", f.Listen)
 	}
 	if (f.Roster.Watch == "") == (f.Roster.File == "") {
-		return wrong(f.Roster.At, "a roster comes from one of (watch ...) and (file ...)")
+		return sexp.Errorf(f.Roster.At, "a roster comes from one of (watch ...) and (file ...)")
 	}
 	if f.Routers < 1 || f.Limits.Open < 1 || f.Limits.Inbox < 1 || f.Sessions.Responses < 1 {
-		return wrong(f.At, "routers, open, inbox and responses are 1 at the least")
+		return sexp.Errorf(f.At, "routers, open, inbox and responses are 1 at the least")
 	}
 	if f.Sessions.TokenBytes <= 0 || f.Limits.Quantum <= 0 {
-		return wrong(f.At, "bytes-per-token and quantum are above 0")
+		return sexp.Errorf(f.At, "bytes-per-token and quantum are above 0")
 	}
 	if err := f.checkClasses(); err != nil {
 		return err
@@ -221,14 +217,14 @@
 	reads, writes := false, false
 	for _, k := range f.Kinds {
 		if seen[k.Name] {
-			return wrong(k.At, "kind %q is given twice", k.Name)
+			return sexp.Errorf(k.At, "kind %q is given twice", k.Name)
 		}
 		seen[k.Name] = true
 		reads = reads || Role(gannethook.Writer) != k.Role
 		writes = writes || Role(gannethook.Reader) != k.Role
 	}
 	if !writes || !reads && !f.Engines.WritersRead {
-		return wrong(f.At, "there is no kind that reads, or none that writes")
+		return sexp.Errorf(f.At, "there is no kind that reads, or none that writes")
 	}
 	return nil
 }
@@ -239,13 +235,13 @@
 		c := &f.Classes[i]
 		switch {
 		case seen[c.Name]:
-			return wrong(c.At, "class %q is given twice", c.Name)
+			return sexp.Errorf(c.At, "class %q is given twice", c.Name)
 		case c.GiveUp < c.Aim:
-			return wrong(c.At, "class %q gives up before its aim", c.Name)
+			return sexp.Errorf(c.At, "class %q gives up before its aim", c.Name)
 		case Effect(gannethook.Keyed) == c.Effect && (c.Group == 0 || c.Window == 0):
-			return wrong(c.At, "class %q is keyed: it needs (group ...) and (window ...)", c.Name)
+			return sexp.Errorf(c.At, "class %q is keyed: it needs (group ...) and (window ...)", c.Name)
 		case Effect(gannethook.Keyed) != c.Effect && (c.Group != 0 || c.Window != 0):
-			return wrong(c.At, "class %q is not keyed: (group ...) and (window ...) have no meaning", c.Name)
+			return sexp.Errorf(c.At, "class %q is not keyed: (group ...) and (window ...) have no meaning", c.Name)
 		}
 		seen[c.Name] = true
 		if c.Worth == 0 {
--- a/internal/sexp/decode.go
+++ b/internal/sexp/decode.go
@@ -60,7 +60,7 @@
 	for _, n := range items {
 		if !n.List {
 			if len(plain) == 0 {
-				return errorAt(n.Pos, "the value %q has no place here", n.Text)
+				return Errorf(n.Pos, "the value %q has no place here", n.Text)
 			}
 			if err := decodeValue(n, plain[0].v); err != nil {
 				return err
@@ -74,12 +74,12 @@
 	}
 	for _, f := range plain {
 		if f.need {
-			return errorAt(at, "a value is missing")
+			return Errorf(at, "a value is missing")
 		}
 	}
 	for name, f := range named {
 		if f.need && !f.seen {
-			return errorAt(at, "(%s ...) is missing", name)
+			return Errorf(at, "(%s ...) is missing", name)
 		}
 	}
 	return nil
@@ -88,23 +88,23 @@
 func decodeForm(n *Node, named map[string]*field) error {
 	head := n.Head()
 	if head == "" {
-		return errorAt(n.Pos, "a form starts with its name")
+		return Errorf(n.Pos, "a form starts with its name")
 	}
 	f := named[head]
 	if f == nil {
-		return errorAt(n.Items[0].Pos, "%q is not known here%s", head, nearest(head, named))
+		return Errorf(n.Items[0].Pos, "%q is not known here%s", head, nearest(head, named))
 	}
 	args := n.Items[1:]
 	if f.v.Kind() == reflect.Slice {
 		return decodeSlice(n, args, f)
 	}
 	if f.seen {
-		return errorAt(n.Pos, "%q is given twice", head)
+		return Errorf(n.Pos, "%q is given twice", head)
 	}
 	f.seen = true
 	if isPlain(f.v.Type()) {
 		if len(args) != 1 {
-			return errorAt(n.Pos, "%q takes one value", head)
+			return Errorf(n.Pos, "%q takes one value", head)
 		}
 		return decodeValue(args[0], f.v)
 	}
@@ -127,7 +127,7 @@
 		return nil
 	}
 	if f.seen {
-		return errorAt(n.Pos, "%q is given twice", n.Head())
+		return Errorf(n.Pos, "%q is given twice", n.Head())
 	}
 	f.seen = true
 	for _, a := range args {
@@ -147,11 +147,11 @@
 
 func decodeValue(n *Node, v reflect.Value) error {
 	if n.List {
-		return errorAt(n.Pos, "a plain value is due here, not a list")
+		return Errorf(n.Pos, "a plain value is due here, not a list")
 	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		if err := u.UnmarshalText([]byte(n.Text)); err != nil {
-			return errorAt(n.Pos, "%v", err)
+			return Errorf(n.Pos, "%v", err)
 		}
 		return nil
 	}
@@ -159,7 +159,7 @@
 	case time.Duration:
 		d, err := time.ParseDuration(n.Text)
 		if err != nil || d < 0 {
-			return errorAt(n.Pos, "%q is not a time; write 500ms, 2s or 1m", n.Text)
+			return Errorf(n.Pos, "%q is not a time; write 500ms, 2s or 1m", n.Text)
 		}
 		v.SetInt(int64(d))
 		return nil
@@ -180,7 +180,7 @@
 		case "no", "false", "off":
 			v.SetBool(false)
 		default:
-			return errorAt(n.Pos, "%q is not yes or no", n.Text)
+			return Errorf(n.Pos, "%q is not yes or no", n.Text)
 		}
 	case reflect.Int, reflect.Int64, reflect.Uint64:
 		return number(n, v, "a whole number")
@@ -208,7 +208,7 @@
 	x *= times
 	whole := v.Kind() != reflect.Float64
 	if err != nil || !(x >= 0) || math.IsInf(x, 0) || whole && (x != math.Trunc(x) || x > 1<<53) {
-		return errorAt(n.Pos, "%q is not %s", n.Text, what)
+		return Errorf(n.Pos, "%q is not %s", n.Text, what)
 	}
 	switch v.Kind() {
 	case reflect.Float64:
--- a/internal/sexp/parse.go
+++ b/internal/sexp/parse.go
@@ -36,7 +36,8 @@
 
 func (e *Error) Error() string { return e.Pos.String() + ": " + e.Msg }
 
-func errorAt(p Pos, format string, args ...any) error {
+// Errorf is a fault at a place.
+func Errorf(p Pos, format string, args ...any) error {
 	return &Error{Pos: p, Msg: fmt.Sprintf(format, args...)}
 }
 
@@ -75,7 +76,7 @@
 func Parse(file, text string) ([]*Node, error) {
 	p := &parser{text: text, pos: Pos{file, 1, 1}}
 	if len(text) > MaxBytes {
-		return nil, errorAt(p.pos, "the file has over %d bytes", MaxBytes)
+		return nil, Errorf(p.pos, "the file has over %d bytes", MaxBytes)
 	}
 	var forms []*Node
 	for {
@@ -141,7 +142,7 @@
 	case c == '(':
 		return p.list(depth)
 	case c == ')':
-		return nil, errorAt(start, "this ')' closes nothing")
+		return nil, Errorf(start, "this ')' closes nothing")
 	case c == '"':
 		return p.quoted()
 	default:
@@ -152,7 +153,7 @@
 func (p *parser) list(depth int) (*Node, error) {
 	n := &Node{Pos: p.pos, List: true}
 	if depth >= MaxDepth {
-		return nil, errorAt(p.pos, "lists are nested more than %d deep", MaxDepth)
+		return nil, Errorf(p.pos, "lists are nested more than %d deep", MaxDepth)
 	}
 	p.next()
 	for {
@@ -163,7 +164,7 @@
 		}
 		item, err := p.node(depth + 1)
 		if errors.Is(err, io.EOF) {
-			return nil, errorAt(n.Pos, "this '(' is never closed")
+			return nil, Errorf(n.Pos, "this '(' is never closed")
 		}
 		if err != nil {
 			return nil, err
@@ -179,7 +180,7 @@
 	for {
 		switch c := p.peek(); c {
 		case -1, '\n':
-			return nil, errorAt(n.Pos, "this string is never closed on its line")
+			return nil, Errorf(n.Pos, "this string is never closed on its line")
 		case '\\':
 			p.next()
 			if p.peek() != -1 {
@@ -189,7 +190,7 @@
 			p.next()
 			text, err := strconv.Unquote(rest[:len(rest)-len(p.text)])
 			if err != nil {
-				return nil, errorAt(n.Pos, "this string has an unknown escape")
+				return nil, Errorf(n.Pos, "this string has an unknown escape")
 			}
 			n.Text = text
 			return n, nil
@@ -209,7 +210,7 @@
 			return n, nil
 		}
 		if c == utf8.RuneError || unicode.IsControl(c) {
-			return nil, errorAt(p.pos, "this character is not text")
+			return nil, Errorf(p.pos, "this character is not text")
 		}
 		b.WriteRune(p.next())
 	}
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -62,21 +62,18 @@
 }
 
 // freeze stops all that passes, without a word to the peers.
-func (g *gate) freeze(on bool) {
-	g.mu.Lock()
-	g.frozen = on
-	g.mu.Unlock()
-	g.cond.Broadcast()
-	g.backlog(on)
-}
+func (g *gate) freeze(on bool) { g.shut(&g.frozen, on) }
 
 // jam makes new connections time out; open ones go on.
-func (g *gate) jam(on bool) {
+func (g *gate) jam(on bool) { g.shut(&g.jammed, on) }
+
+func (g *gate) shut(which *bool, on bool) {
 	g.mu.Lock()
-	g.jammed = on
+	*which = on
+	full := g.frozen || g.jammed
 	g.mu.Unlock()
 	g.cond.Broadcast()
-	g.backlog(on)
+	g.backlog(full)
 }
 
 // backlog shrinks the kernel's queue of connections and fills it, so that the
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -152,10 +152,7 @@
 	}
 	switch {
 	case f.Hang:
-		select {
-		case <-j.ctx.Done():
-		case <-l.dead:
-		}
+		l.hang(j.ctx)
 		return "hung"
 	case f.Draining:
 		return j.turned(503, "draining")
@@ -169,6 +166,14 @@
 	return j.read()
 }
 
+// hang waits for the peer to leave, or for the end.
+func (l *life) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.dead:
+	}
+}
+
 func (l *life) chance() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -367,10 +372,7 @@
 	}
 	f := l.fault()
 	if f.Hang {
-		select {
-		case <-r.Context().Done():
-		case <-l.dead:
-		}
+		l.hang(r.Context())
 		return
 	}
 	l.mu.Lock()
@@ -431,10 +433,7 @@
 
 func (l *life) letGo(w http.ResponseWriter, r *http.Request) {
 	if l.fault().Hang {
-		select {
-		case <-r.Context().Done():
-		case <-l.dead:
-		}
+		l.hang(r.Context())
 		return
 	}
 	key := r.PathValue("key")
@@ -536,10 +535,7 @@
 			return "broken"
 		}
 		if f.StallAfter > 0 && i >= f.StallAfter {
-			select {
-			case <-j.ctx.Done():
-			case <-l.dead:
-			}
+			l.hang(j.ctx)
 			return "stalled"
 		}
 		fmt.Fprintf(j.w, "data: {\"id\":\"cmpl-%s\",\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":\" t%d\",\"finish_reason\":null}]}\n\n", j.key, i)
