--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"gannethook"
 	"gannethook/internal/client"
 	"gannethook/internal/daemon"
 	"gannethook/internal/realtime"
@@ -35,7 +36,7 @@
 	applied func(req string) int
 }
 
-func newWorld(t testing.TB, change func(cfg *settings.File)) *world {
+func newWorld(t testing.TB, change func(cfg *settings.File), engines ...func(*standin.Config)) *world {
 	t.Helper()
 	w := &world{t: t, log: record.New()}
 	w.roster = standin.NewRoster("engines", w.log)
@@ -46,9 +47,13 @@
 		}
 	}
 	for i := range 3 {
-		e := standin.NewEngine(standin.Config{Addr: "127.0.0.1:0", Writes: i > 0, Slots: 64, Queue: 64, Memory: 1e6,
+		c := standin.Config{Addr: "127.0.0.1:0", Writes: i > 0, Slots: 64, Queue: 64, Memory: 1e6,
 			ReadRate: 1e6, FetchRate: 1e7, TokenGap: 2 * time.Millisecond, Early: 0.7, Keep: 2 * time.Second,
-			Extended: true, Seed: 3}, w.log, nil)
+			Extended: true, Seed: 3}
+		for _, change := range engines {
+			change(&c)
+		}
+		e := standin.NewEngine(c, w.log, nil)
 		must(e.Start(false))
 		t.Cleanup(e.Kill)
 		kind := "prompt"
@@ -155,6 +160,36 @@
 	w.seen("a place that was taken", kind(record.Freed, "place taken"))
 }
 
+// Engines without the extension are served with holds off; their states go with the write.
+func TestWithoutExtension(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.Engines.Holds = false }, func(c *standin.Config) { c.Extended = false })
+	if a := ask(t, w.open(), meta("adjustment", "a"), 10); a.Kind() != "served" || w.applied("a") != 1 {
+		t.Errorf("%+v", a)
+	}
+	for _, e := range w.log.Events() {
+		if e.Kind == record.Held && e.Note == "place" {
+			t.Errorf("a place without the extension: %v", e)
+		}
+	}
+}
+
+// Mixed engines get the request whole.
+func TestMixedEngines(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) {
+		for i := range cfg.Kinds {
+			cfg.Kinds[i].Role = settings.Role(gannethook.Mixed)
+		}
+	}, func(c *standin.Config) { c.Writes, c.Mixed = true, true })
+	if a := ask(t, w.open(), meta("question", "a"), 10); a.Kind() != "served" {
+		t.Errorf("%+v", a)
+	}
+	for _, e := range w.log.Events() {
+		if e.Kind == record.Arrive && e.Note == "read" {
+			t.Errorf("a read apart: %v", e)
+		}
+	}
+}
+
 // A well-known client gets the published events in their published order.
 func TestPublishedEvents(t *testing.T) {
 	w := newWorld(t, nil)
--- /dev/null
+++ b/internal/day/chart.go
@@ -0,0 +1,94 @@
+package day
+
+import (
+	"fmt"
+	"image/color"
+	"maps"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// chartBin is the width of the chart's points.
+const chartBin = 2 * time.Second
+
+// Chart draws the share served in time over the day, a line for each policy,
+// over all its seeds, and the times of the faults; the file's ending names the
+// format (svg, png, pdf).
+func Chart(path string, days []*Result) error {
+	if len(days) == 0 {
+		return fmt.Errorf("chart: no days")
+	}
+	p := plot.New()
+	s := days[0].Script
+	p.Title.Text = fmt.Sprintf("Day %s: %g requests a second, %d routers, %d+%d stand-in engines", s.Name, s.Rate,
+		s.Routers, s.Readers, s.Writers)
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "served in time, of those asked for then"
+	p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, s.Length.Seconds(), 0, 1.02
+	p.Legend.Left = true
+	p.Legend.Top = false
+	for i := range s.Faults {
+		if err := drawFault(p, s, i); err != nil {
+			return err
+		}
+	}
+	byPolicy := map[string][]*Result{}
+	for _, d := range days {
+		byPolicy[d.Policy] = append(byPolicy[d.Policy], d)
+	}
+	colors := []color.Color{color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}, color.RGBA{G: 140, A: 255}}
+	for i, policy := range slices.Sorted(maps.Keys(byPolicy)) {
+		line, err := plotter.NewLine(inTime(byPolicy[policy]))
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = colors[i%len(colors)], vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(fmt.Sprintf("%s (%d days)", policy, len(byPolicy[policy])), line)
+	}
+	return p.Save(22*vg.Centimeter, 11*vg.Centimeter, path)
+}
+
+// drawFault draws a fault as a bar, with its name, near the foot of the chart.
+func drawFault(p *plot.Plot, s *Script, i int) error {
+	f := &s.Faults[i]
+	y := 0.5 - 0.45*float64(i%10)/10
+	bar, err := plotter.NewLine(plotter.XYs{{X: f.From.Seconds(), Y: y}, {X: (f.From + f.For).Seconds(), Y: y}})
+	if err != nil {
+		return err
+	}
+	bar.Color, bar.Width = color.Gray{Y: 190}, vg.Points(5)
+	name, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: f.From.Seconds(), Y: y + 0.01}}, Labels: []string{f.Kind}})
+	if err != nil {
+		return err
+	}
+	p.Add(bar, name)
+	return nil
+}
+
+// inTime is the share served in time by the time of asking.
+func inTime(days []*Result) plotter.XYs {
+	n := int(days[0].Script.Length/chartBin) + 1
+	asked, served := make([]float64, n), make([]float64, n)
+	for _, d := range days {
+		for _, e := range d.Ends {
+			if i := int(e.at / chartBin); i < n {
+				asked[i]++
+				if e.inTime {
+					served[i]++
+				}
+			}
+		}
+	}
+	var points plotter.XYs
+	for i := range n {
+		if asked[i] > 0 {
+			points = append(points, plotter.XY{X: (float64(i) + 0.5) * chartBin.Seconds(), Y: served[i] / asked[i]})
+		}
+	}
+	return points
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -29,8 +29,9 @@
 	Class   []Tally
 	Verdict *rules.Verdict
 	Events  []record.Event
-	Applied int // effects that happened, as the stand-ins count them
-	Twice   int // requests whose effect happened more than once, as they count
+	Ends    []outcome // of the requests
+	Applied int       // effects that happened, as the stand-ins count them
+	Twice   int       // requests whose effect happened more than once, as they count
 	Took    time.Duration
 	Lower   error // what went wrong as all was stopped
 }
@@ -53,6 +54,7 @@
 	time.Sleep(s.Settings.PinLimit) // what is held to the last shows itself
 	res := &Result{Script: s, Policy: policy, Took: time.Since(f.start), Lower: f.lower()}
 	res.Events = f.log.Events()
+	res.Ends = c.ends
 	res.tally(c.ends)
 	res.count(f)
 	res.Verdict = rules.Check(f.ruleConfig(), res.Events)
