--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -5,9 +5,9 @@
 package standin
 
 import (
-	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -22,8 +22,9 @@
 	frozen    bool // nothing is read, written or accepted
 	jammed    bool // nothing is accepted
 	closed    bool
+	busy      bool // a call of the kernel's accept is out
 	conns     map[*gateConn]bool
-	plugs     []net.Conn // that fill the jammed queue
+	plug      net.Conn // fills the queue while nothing is accepted
 }
 
 func listen(addr string) (*gate, error) {
@@ -43,24 +44,36 @@
 		for (g.frozen || g.jammed) && !g.closed {
 			g.cond.Wait()
 		}
+		g.busy = true
 		g.mu.Unlock()
 		nc, err := g.TCPListener.Accept()
+		g.mu.Lock()
+		g.busy = false
+		g.cond.Broadcast()
+		shut := g.frozen || g.jammed
+		g.mu.Unlock()
+		if err != nil && shut && errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
-		c := &gateConn{Conn: nc, g: g}
-		g.mu.Lock()
-		if g.closed {
-			g.mu.Unlock()
-			nc.Close()
-			return nil, net.ErrClosed
-		}
-		g.conns[c] = true
-		g.mu.Unlock()
-		return c, nil
+		return g.take(nc)
 	}
 }
 
+func (g *gate) take(nc net.Conn) (net.Conn, error) {
+	c := &gateConn{Conn: nc, g: g}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		nc.Close()
+		return nil, net.ErrClosed
+	}
+	g.conns[c] = true
+	return c, nil
+}
+
 // freeze stops all that passes, without a word to the peers.
 func (g *gate) freeze(on bool) { g.shut(&g.frozen, on) }
 
@@ -70,9 +83,16 @@
 func (g *gate) shut(which *bool, on bool) {
 	g.mu.Lock()
 	*which = on
+	g.cond.Broadcast()
 	full := g.frozen || g.jammed
+	if full { // the call that is out may not take one more
+		g.TCPListener.SetDeadline(time.Unix(1, 0))
+		for g.busy && !g.closed {
+			g.cond.Wait()
+		}
+		g.TCPListener.SetDeadline(time.Time{})
+	}
 	g.mu.Unlock()
-	g.cond.Broadcast()
 	g.backlog(full)
 }
 
@@ -89,34 +109,24 @@
 		size = 0
 	}
 	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), size) })
-	g.mu.Lock()
-	plugs := g.plugs
-	g.plugs = nil
-	g.mu.Unlock()
-	for _, p := range plugs {
-		p.Close()
-	}
-	if !full {
-		return
+	var plug net.Conn
+	if full { // a queue of size 0 takes one; where it has one already, this dial is dropped like the rest
+		plug, _ = net.DialTimeout("tcp", g.Addr().String(), 200*time.Millisecond)
 	}
-	for range 4 { // one waits in Accept, one in the queue; the rest fail
-		d := net.Dialer{Timeout: 30 * time.Millisecond}
-		nc, err := d.DialContext(context.Background(), "tcp", g.Addr().String())
-		if err != nil {
-			return
-		}
-		g.mu.Lock()
-		g.plugs = append(g.plugs, nc)
-		g.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.plug != nil {
+		g.plug.Close() // one that is closed still fills its place
 	}
+	g.plug = plug
 }
 
 // die closes the listener and resets every connection.
 func (g *gate) die() {
 	g.mu.Lock()
 	g.closed = true
-	conns, plugs := g.conns, g.plugs
-	g.conns, g.plugs = map[*gateConn]bool{}, nil
+	conns, plug := g.conns, g.plug
+	g.conns, g.plug = map[*gateConn]bool{}, nil
 	g.mu.Unlock()
 	g.cond.Broadcast()
 	g.TCPListener.Close()
@@ -126,8 +136,8 @@
 		}
 		c.Conn.Close()
 	}
-	for _, p := range plugs {
-		p.Close()
+	if plug != nil {
+		plug.Close()
 	}
 }
 
