--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gannethook/internal/client"
@@ -229,17 +230,27 @@
 // wait reads to the final answer. A client that hears nothing in its time gives up, and tells the checker.
 func (g *guest) wait(a *ask, n int, class *Class) tried {
 	s := g.session
-	gaveUp := time.AfterFunc(class.GiveUp+2*time.Second, s.Cut)
+	var cut atomic.Value // why this client cut its own socket
+	cutAfter := func(d time.Duration, why string) *time.Timer {
+		return time.AfterFunc(d, func() {
+			cut.Store(why)
+			s.Cut()
+		})
+	}
+	gaveUp := cutAfter(class.GiveUp+2*time.Second, "gave up")
 	defer gaveUp.Stop()
 	if a.drop {
-		drop := time.AfterFunc(a.dropAt, s.Cut)
-		defer drop.Stop()
+		defer cutAfter(a.dropAt, "left").Stop()
 	}
-	from, first := time.Now(), time.Time{}
+	first := time.Time{}
 	for {
 		ev, err := s.Next()
 		if err != nil {
-			return g.gone(a, n, g.why(a, err, time.Since(from), !first.IsZero(), class))
+			why, own := cut.Load().(string)
+			if !own {
+				why = g.why(err)
+			}
+			return g.gone(a, n, why)
 		}
 		switch ev.Type {
 		case realtime.ResponseCreated:
@@ -269,15 +280,10 @@
 }
 
 // why tells why a session ended under an open try.
-func (g *guest) why(a *ask, err error, took time.Duration, streaming bool, class *Class) string {
+func (g *guest) why(err error) string {
 	var ce *ws.CloseError
-	switch {
-	case a.drop && took >= a.dropAt:
-		return "left"
-	case errors.As(err, &ce) && ce.Code == ws.CloseGoingAway && g.current == "":
+	if errors.As(err, &ce) && ce.Code == ws.CloseGoingAway && g.current == "" {
 		return "not taken" // the router closed in order, and had not said that it took the response
-	case !streaming && took >= class.GiveUp+2*time.Second:
-		return "gave up"
 	}
 	return "connection"
 }
