A chat's session answers pings while its user thinks; a race of the stand-in's restart

A chat that waits for its user did not read, so pings went unanswered and the router let the session go.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
+	"sync"
 	"time"
 
 	"gannethook/internal/front"
@@ -15,12 +17,25 @@
 	"gannethook/internal/ws"
 )
 
-// Session is one open session. One goroutine uses it at a time.
+// Session is one open session. One goroutine uses it at a time; another reads,
+// so that the router's pings are answered while its user thinks.
 type Session struct {
-	conn *ws.Conn
-	Info realtime.Session
+	conn   *ws.Conn
+	Info   realtime.Session
+	events chan received
+	cut    chan struct{}
+	once   sync.Once
+	err    error // once the session has ended
 }
 
+type received struct {
+	msg []byte
+	err error
+}
+
+// ahead is how many events may wait for their user; then the socket does.
+const ahead = 64
+
 // Answer is how a response ended.
 type Answer struct {
 	Status     string // completed, failed or cancelled
@@ -46,13 +61,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Session{conn: conn}
+	s := &Session{conn: conn, events: make(chan received, ahead), cut: make(chan struct{})}
+	go s.read()
 	ev, err := s.Next()
 	if err == nil && (ev.Type != realtime.SessionCreated || ev.Session == nil) {
 		err = fmt.Errorf("the router began with %q", ev.Type)
 	}
 	if err != nil {
-		conn.Cut()
+		s.Cut()
 		return nil, err
 	}
 	s.Info = *ev.Session
@@ -62,8 +78,23 @@
 // Close ends the session politely; Cut ends it at once.
 func (s *Session) Close() { s.CloseWith(func(*realtime.Server) {}) }
 
+func (s *Session) read() {
+	for {
+		_, msg, err := s.conn.Read()
+		select {
+		case s.events <- received{msg, err}:
+		case <-s.cut:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // CloseWith is Close; what the router still sends goes to seen.
 func (s *Session) CloseWith(seen func(*realtime.Server)) {
+	defer s.Cut()
 	s.conn.Close(ws.CloseNormal, "")
 	for {
 		ev, err := s.Next()
@@ -75,16 +106,27 @@
 }
 
 // Cut ends the connection without a word.
-func (s *Session) Cut() { s.conn.Cut() }
+func (s *Session) Cut() {
+	s.once.Do(func() { close(s.cut) })
+	s.conn.Cut()
+}
 
 // Next is the router's next event.
 func (s *Session) Next() (*realtime.Server, error) {
-	_, msg, err := s.conn.Read()
-	if err != nil {
-		return nil, err
+	if s.err != nil {
+		return nil, s.err
+	}
+	var r received
+	select {
+	case r = <-s.events:
+	case <-s.cut:
+		r.err = net.ErrClosed
+	}
+	if s.err = r.err; s.err != nil {
+		return nil, s.err
 	}
 	var ev realtime.Server
-	if err := json.Unmarshal(msg, &ev); err != nil {
+	if err := json.Unmarshal(r.msg, &ev); err != nil {
 		return nil, fmt.Errorf("the router's event: %w", err)
 	}
 	return &ev, nil
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -448,6 +448,16 @@
 	w.seen("its end, long before the client's time is up", kind(record.End, "hung"))
 }
 
+// A user who thinks for longer than the idle time keeps the session: pings are answered.
+func TestThinkingUser(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Idle = 30 * time.Millisecond })
+	s := w.open()
+	time.Sleep(200 * time.Millisecond) // several idle times; nothing is proved by it alone
+	if a := ask(t, s, meta("question", "q"), 2); a.Kind() != "served" {
+		t.Errorf("%+v", a)
+	}
+}
+
 // The roster says gone while a stream runs there: the stream may end, nothing new goes there.
 func TestGoneWhileStreaming(t *testing.T) {
 	w := newWorld(t, nil)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -150,7 +150,9 @@
 	if err != nil {
 		return err
 	}
-	e.addr = ln.Addr().String()
+	if addr := ln.Addr().String(); addr != e.addr { // handlers of an earlier life may still read it
+		e.addr = addr
+	}
 	l := &life{e: e, ln: ln, began: time.Now(), cold: cold, dead: make(chan struct{}),
 		slots: make(chan struct{}, e.cfg.Slots), room: make(chan struct{}), states: map[string]*state{},
 		places: map[string]*place{}, kept: map[string]bool{}, over: map[string]bool{}, news: make(chan struct{}),
