Roles of servers that are gone are forgotten; a stop counts connections in order

The table of roles grew as servers came and went, and a connection could be counted after a stop began to wait. Measured: driver and daemon green under the race detector.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -253,8 +253,13 @@
 // Update brings news of the list of servers.
 func (d *Driver) Update(m gannethook.Membership) {
 	d.post(func() {
+		if m.Whole {
+			clear(d.roles)
+		}
 		for _, s := range m.Servers {
-			if s.Kind >= 0 && s.Kind < len(d.cfg.Settings.Kinds) {
+			if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.cfg.Settings.Kinds) {
+				delete(d.roles, s.ID) // the module sends nothing there
+			} else {
 				d.roles[s.ID] = d.cfg.Settings.Kinds[s.Kind].Role
 			}
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -66,10 +66,11 @@
 			nc.Close()
 			continue
 		}
-		s.wg.Go(func() {
+		go func() {
+			defer s.wg.Done()
 			defer s.forget(nc)
 			s.serve(nc)
-		})
+		}()
 	}
 }
 
@@ -81,6 +82,7 @@
 		return false
 	}
 	s.conns[nc] = true
+	s.wg.Add(1) // under the lock: Shutdown waits only after closing is set
 	return true
 }
 
