--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -146,6 +146,11 @@
 		Content: []realtime.Part{{Type: "input_text", Text: text}}}})
 }
 
+// Delete takes an item out of the conversation.
+func (s *Session) Delete(id string) error {
+	return s.send(map[string]any{"type": realtime.ItemDelete, "item_id": id})
+}
+
 // Request starts a response without waiting for it.
 func (s *Session) Request(metadata map[string]string, maxTokens int) error {
 	response := map[string]any{"metadata": maps.Clone(metadata)}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -286,6 +286,41 @@
 	}
 }
 
+// A conversation is bounded in texts and in items; deleting makes room.
+func TestConversationBound(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Conversation = 1000 })
+	for _, text := range []string{"", strings.Repeat("x", 200)} {
+		s := w.open()
+		added, full, first := 0, false, ""
+		for range 10 {
+			s.Say(text)
+			ev, err := s.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ev.Type == realtime.ErrorType {
+				full = full || ev.Error.Code == "too_long"
+				continue
+			}
+			if added++; first == "" {
+				first = ev.Item.ID
+			}
+			s.Next() // the item is done
+		}
+		if !full || added < 2 || added > 7 {
+			t.Errorf("%d bytes each: %d items, full %v", len(text), added, full)
+		}
+		s.Delete(first)
+		if ev, err := s.Next(); err != nil || ev.Type != realtime.ItemDeleted {
+			t.Errorf("%+v, %v", ev, err)
+		}
+		s.Say(text)
+		if ev, err := s.Next(); err != nil || ev.Type != realtime.ItemAdded {
+			t.Errorf("after deleting: %+v, %v", ev, err)
+		}
+	}
+}
+
 // A second response of the conversation is an error; outside of it several may be open.
 func TestSeveralResponses(t *testing.T) {
 	w := newWorld(t, nil)
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -222,12 +222,12 @@
 	c.mu.Unlock()
 	for _, item := range answers {
 		text, _ := item.Text()
-		c.size += len(text)
+		c.size += cost(text)
 		c.items = append(c.items, item)
 	}
 	for c.size > int(c.srv.cfg.Sessions.Conversation) && len(c.items) > 0 {
 		text, _ := c.items[0].Text()
-		c.size -= len(text)
+		c.size -= cost(text)
 		c.items = c.items[1:]
 	}
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -24,7 +24,7 @@
 	instructions string
 	maxTokens    int
 	items        []realtime.Item
-	size         int // bytes of the items' texts
+	size         int // what the items cost, in bytes
 	made         int // items and responses named so far
 
 	mu      sync.Mutex
@@ -164,7 +164,7 @@
 		c.fail(ev.EventID, "invalid_request_error", "invalid_item", "an item's parts are texts; its id has 64 bytes at most", "item")
 		return
 	}
-	if c.size+len(text) > int(c.srv.cfg.Sessions.Conversation) {
+	if c.size+cost(text) > int(c.srv.cfg.Sessions.Conversation) {
 		c.fail(ev.EventID, "invalid_request_error", "too_long", "the conversation is full; delete items", "item")
 		return
 	}
@@ -175,12 +175,16 @@
 		return
 	}
 	item.Object, item.Status = "realtime.item", "completed"
-	c.size += len(text)
+	c.size += cost(text)
 	c.items = append(c.items, item)
 	c.send(&realtime.Server{Type: realtime.ItemAdded, Item: &item})
 	c.send(&realtime.Server{Type: realtime.ItemDone, Item: &item})
 }
 
+// cost is what an item counts for in the conversation's bound: empty ones too
+// take memory.
+func cost(text string) int { return len(text) + 128 }
+
 func (c *session) find(id string) int {
 	return slices.IndexFunc(c.items, func(i realtime.Item) bool { return i.ID == id })
 }
@@ -193,7 +197,7 @@
 		return
 	}
 	text, _ := c.items[i].Text()
-	c.size -= len(text)
+	c.size -= cost(text)
 	c.items = slices.Delete(c.items, i, i+1)
 	c.send(&realtime.Server{Type: realtime.ItemDeleted, ItemID: ev.ItemID})
 }
--- /dev/null
+++ b/internal/life/life_test.go
@@ -0,0 +1,151 @@
+package life
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const s = time.Second
+
+var lim = Limits{Start: 5 * s, Drain: 30 * s, Words: 1 * s, Keep: 8}
+
+func show(list []Effect) string {
+	var out []string
+	for _, e := range list {
+		out = append(out, strings.TrimPrefix(fmt.Sprintf("%T%v", e, e), "life."))
+	}
+	return strings.Join(out, " ")
+}
+
+func TestLives(t *testing.T) {
+	cmd := func(at time.Duration, id string, op Op, limit time.Duration) func(*Machine) []Effect {
+		return func(m *Machine) []Effect { return m.Command(at, Command{id, op, limit}) }
+	}
+	open := func(at time.Duration, n int) func(*Machine) []Effect {
+		return func(m *Machine) []Effect { return m.Open(at, n) }
+	}
+	tick := func(at time.Duration) func(*Machine) []Effect {
+		return func(m *Machine) []Effect { return m.Tick(at) }
+	}
+	started := func(m *Machine) []Effect { return m.Started(0, nil) }
+	for _, c := range []struct {
+		name  string
+		steps []func(*Machine) []Effect
+		last  string
+		state State
+	}{
+		{"it starts", []func(*Machine) []Effect{started}, "Announce{ready} Accept{}", Ready},
+		{"it can't start", []func(*Machine) []Effect{func(m *Machine) []Effect { return m.Started(0, errors.New("x")) }}, "Announce{failed} Exit{1}", Failed},
+		{"it takes too long to start", []func(*Machine) []Effect{tick(5 * s)}, "Announce{failed} Exit{1}", Failed},
+		{"a drain with nothing open", []func(*Machine) []Effect{started, cmd(1*s, "a", Drain, 0)},
+			"Announce{draining} Turn{} Announce{drained} Reply{{a true false }}", Drained},
+		{"a drain with open answers", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 0), open(2*s, 0)},
+			"Announce{drained} Reply{{a true false }}", Drained},
+		{"a drain at its deadline", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 3*s), tick(4 * s)}, "GiveUp{}", Draining},
+		{"and after the last words", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 3*s), tick(4 * s), tick(5 * s)},
+			"Cut{} Announce{drained} Reply{{a true true }}", Drained},
+		{"two drains share the earlier deadline", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 20*s), cmd(2*s, "b", Drain, 2*s), tick(4 * s), open(5*s, 0)},
+			"Announce{drained} Reply{{a true true }} Reply{{b true true }}", Drained},
+		{"a resume undoes a drain", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 0), cmd(2*s, "b", Resume, 0)},
+			"Reply{{a false false resumed before it was drained}} Announce{ready} Accept{} Reply{{b true false }}", Ready},
+		{"a stop during a drain", []func(*Machine) []Effect{started, open(0, 2), cmd(1*s, "a", Drain, 0), cmd(2*s, "b", Stop, 0)},
+			"Reply{{a false false a stop came}} Announce{stopping}", Stopping},
+		{"a stop ends it", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Stop, 0), open(2*s, 0)},
+			"Announce{ended} Reply{{a true false }} Exit{0}", Ended},
+		{"a second stop cuts it short", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Stop, 0), cmd(2*s, "b", Stop, 0)}, "GiveUp{}", Stopping},
+		{"a repeat gets the first result", []func(*Machine) []Effect{started, cmd(1*s, "a", Drain, 0), cmd(2*s, "b", Resume, 0), cmd(3*s, "a", Drain, 0)},
+			"Reply{{a true false }}", Ready},
+		{"a drain while stopping", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Stop, 0), cmd(2*s, "b", Drain, 0)},
+			"Reply{{b false false the router is stopping}}", Stopping},
+		{"a reload", []func(*Machine) []Effect{started, cmd(1*s, "a", Reload, 0)}, "Load{a}", Ready},
+		{"a second reload", []func(*Machine) []Effect{started, cmd(1*s, "a", Reload, 0), cmd(2*s, "b", Reload, 0)},
+			"Reply{{b false false another reload runs}}", Ready},
+		{"a drain during a reload", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Reload, 0), cmd(2*s, "b", Drain, 0),
+			func(m *Machine) []Effect { return m.Loaded(3*s, "a", errors.New("f:1:1: bad")) }}, "Reply{{a false false f:1:1: bad}}", Draining},
+	} {
+		m := New(lim, 0)
+		var got []Effect
+		for _, step := range c.steps {
+			got = step(m)
+		}
+		if show(got) != c.last || m.State() != c.state {
+			t.Errorf("%s: %s in %v, want %s in %v", c.name, show(got), m.State(), c.last, c.state)
+		}
+	}
+}
+
+// Over random commands, openings and times: a command gets one reply (repeats
+// aside), the process ends once and for good, nothing is cut before it was
+// answered, and no drain or stop outlives its limit and the last words.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(lim, 0)
+		now, exits, gaveUp := time.Duration(0), 0, false
+		given, replies := map[string]bool{}, map[string]int{}
+		var due time.Duration // by when the present drain or stop is over
+		take := func(list []Effect, repeat string) {
+			for _, e := range list {
+				switch e := e.(type) {
+				case Exit:
+					exits++
+				case Turn:
+					gaveUp = false
+				case GiveUp:
+					gaveUp = true
+				case Cut:
+					if !gaveUp {
+						t.Fatal("cut before the answers were given")
+					}
+				case Reply:
+					if e.Result.ID != repeat {
+						replies[e.Result.ID]++
+					}
+				case Announce:
+					if e.State == Draining || e.State == Stopping && due <= now {
+						due = now + lim.Drain + lim.Words
+					}
+				}
+			}
+		}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			for at, ok := m.Deadline(); ok && at <= now; at, ok = m.Deadline() { // timers are kept
+				take(m.Tick(at), "")
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				take(m.Started(now, nil), "")
+			case 1:
+				take(m.Open(now, rapid.IntRange(0, 2).Draw(t, "open")), "")
+			case 2:
+				take(m.Loaded(now, m.loading, nil), "")
+			default:
+				c := Command{ID: fmt.Sprint("c", i), Op: Op(rapid.IntRange(1, 4).Draw(t, "op"))}
+				repeat := ""
+				if rapid.IntRange(0, 5).Draw(t, "repeat") == 0 {
+					if c.ID = fmt.Sprint("c", i/2); given[c.ID] && replies[c.ID] > 0 {
+						repeat = c.ID
+					}
+				}
+				given[c.ID] = true
+				take(m.Command(now, c), repeat)
+			}
+			if s := m.State(); (s == Draining || s == Stopping) && now > due {
+				t.Fatalf("%v at %v, due at %v", s, now, due)
+			}
+			if exits > 1 || (exits == 1) != (m.State() == Ended || m.State() == Failed) {
+				t.Fatalf("%d exits in %v", exits, m.State())
+			}
+		}
+		for id, n := range replies {
+			if n > 1 && id != "" {
+				t.Fatalf("command %s got %d replies", id, n)
+			}
+		}
+	})
+}
