--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -93,6 +93,8 @@
 	reqOf  map[string]string         // from that to the client's request
 	killed map[string][]float64      // router: when
 	opened map[offered]float64       // when the session of a try was opened
+	dead   map[string][]float64      // engine: when it died or fell
+	frozen map[string][]span         // engine: while it let nothing pass
 	last   float64
 	v      *Verdict
 }
@@ -419,6 +421,7 @@
 // ruleFive: while no attempt of a request is out, what is held for it is taken or let go in time.
 func (c *checker) ruleFive() {
 	down, jams := c.downs(), c.jams()
+	c.frozen = c.freezes()
 	for _, request := range sorted(c.byRead) {
 		events := c.byRead[request]
 		router, _ := cut(request + "-")
@@ -428,7 +431,7 @@
 				until = min(until, t) // what a killed router held is not its to let go
 			}
 		}
-		out := c.attempts(events, down)
+		out := c.attempts(events)
 		for _, h := range c.holds(events, down, until) {
 			idle := longestIdle(h, out)
 			most := c.cfg.Pin + c.cfg.PinSlop
@@ -446,7 +449,11 @@
 // downs are the times from which engines hear nothing more: dead, fallen or frozen.
 func (c *checker) downs() map[string][]float64 {
 	down := map[string][]float64{}
+	c.dead = map[string][]float64{}
 	for _, e := range c.events {
+		if e.Kind == record.Dead || e.Kind == record.Fell {
+			c.dead[e.Who] = append(c.dead[e.Who], e.T)
+		}
 		if e.Kind == record.Dead || e.Kind == record.Fell || e.Kind == record.Frozen {
 			down[e.Who] = append(down[e.Who], e.T)
 		}
@@ -489,13 +496,33 @@
 	return otherwise
 }
 
-func (c *checker) attempts(events []record.Event, down map[string][]float64) []span {
+// freezes are the times in which engines let nothing pass.
+func (c *checker) freezes() map[string][]span {
+	list, from := map[string][]span{}, map[string]float64{}
+	for _, e := range c.events {
+		switch e.Kind {
+		case record.Frozen:
+			from[e.Who] = e.T
+		case record.Thawed, record.Dead, record.Fell:
+			if at, ok := from[e.Who]; ok {
+				list[e.Who] = append(list[e.Who], span{at, e.T})
+				delete(from, e.Who)
+			}
+		}
+	}
+	for who, at := range from {
+		list[who] = append(list[who], span{at, c.last})
+	}
+	return list
+}
+
+func (c *checker) attempts(events []record.Event) []span {
 	var list []span
 	for i, e := range events {
 		if e.Kind != record.Arrive && e.Kind != record.Swallow {
 			continue
 		}
-		s := span{e.T, next(down[e.Who], e.T, c.last)}
+		s := span{e.T, c.last}
 		if e.Kind == record.Swallow {
 			s.to = c.thawed(e)
 		}
@@ -505,6 +532,12 @@
 				break
 			}
 		}
+		s.to = min(s.to, next(c.dead[e.Who], e.T, c.last))
+		for _, ice := range c.frozen[e.Who] { // what a frozen engine answers has not left it
+			if ice.from <= s.to && s.from <= ice.to {
+				s.to = max(s.to, ice.to)
+			}
+		}
 		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b span) int {
