--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -240,6 +240,7 @@
 	r.f.log.Add(record.Event{Who: "fleet", Kind: record.Killed, Router: r.name})
 	cmd.Process.Kill()
 	<-done
+	r.f.log.Add(record.Event{Who: "fleet", Kind: record.Reaped, Router: r.name})
 }
 
 // stop asks a life to end and waits for it.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -37,7 +37,8 @@
 	Opened   = "opened"    // and no longer
 	Told     = "told"      // the roster told Router of a server: Note is ready, draining or gone
 	RouterUp = "router-up" // Router
-	Killed   = "router-killed"
+	Killed   = "router-killed" // it is about to be
+	Reaped   = "router-reaped" // and it was
 	Fault    = "fault" // Note tells which
 )
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -91,7 +91,7 @@
 	byReq  map[string][]record.Event
 	byRead map[string][]record.Event // by what names a request at the engines
 	reqOf  map[string]string         // from that to the client's request
-	killed map[string][]float64      // router: when
+	killed map[string][]span         // router: when, from the signal to its end
 	opened map[offered]float64       // when the session of a try was opened
 	dead   map[string][]float64      // engine: when it died or fell
 	frozen map[string][]span         // engine: while it let nothing pass
@@ -102,7 +102,7 @@
 // Check judges a whole recording.
 func Check(cfg Config, events []record.Event) *Verdict {
 	c := &checker{cfg: cfg, events: events, byReq: map[string][]record.Event{}, byRead: map[string][]record.Event{},
-		reqOf: map[string]string{}, killed: map[string][]float64{}, opened: map[offered]float64{}, v: &Verdict{}}
+		reqOf: map[string]string{}, killed: map[string][]span{}, opened: map[offered]float64{}, v: &Verdict{}}
 	c.sort()
 	for _, req := range sorted(c.byReq) {
 		c.ruleOne(req, c.byReq[req])
@@ -159,7 +159,11 @@
 		case record.Offer:
 			c.opened[offered{e.Req, e.Try}] = sessions[e.Who]
 		case record.Killed:
-			c.killed[e.Router] = append(c.killed[e.Router], e.T)
+			c.killed[e.Router] = append(c.killed[e.Router], span{e.T, e.T})
+		case record.Reaped:
+			if list := c.killed[e.Router]; len(list) > 0 {
+				list[len(list)-1].to = e.T
+			}
 		case record.Arrive:
 			c.v.Attempts++
 		}
@@ -231,7 +235,7 @@
 
 // died tells whether a router was killed in a span of time.
 func (c *checker) died(router string, from, to float64) bool {
-	return slices.ContainsFunc(c.killed[router], func(t float64) bool { return t >= from && t <= to })
+	return slices.ContainsFunc(c.killed[router], func(k span) bool { return k.to >= from && k.from <= to })
 }
 
 // excuses are the losses that a router does not answer for: it was not there,
@@ -426,9 +430,9 @@
 		events := c.byRead[request]
 		router, _ := cut(request + "-")
 		until := c.last
-		for _, t := range c.killed[router] {
-			if t >= events[0].T {
-				until = min(until, t) // what a killed router held is not its to let go
+		for _, k := range c.killed[router] {
+			if k.to >= events[0].T {
+				until = min(until, k.from) // what a killed router held is not its to let go
 			}
 		}
 		out := c.attempts(events)
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -49,6 +49,8 @@
 		{"another router was killed", 1, []record.Event{offer(0, "q", 1), {T: 4, Kind: record.Killed, Router: "r1"}, client(5, record.Lost, "connection", 1)}},
 		{"its router was killed before the session was opened", 1, []record.Event{{T: 1, Kind: record.Killed, Router: "r0"},
 			{T: 2, Who: "c", Kind: record.Open, Router: "r0"}, offer(3, "q", 1), client(5, record.Lost, "connection", 1)}},
+		{"its session was opened between the signal and the router's end", 0, []record.Event{{T: 1, Kind: record.Killed, Router: "r0"},
+			{T: 2, Who: "c", Kind: record.Open, Router: "r0"}, offer(3, "q", 1), client(5, record.Lost, "connection", 1), {T: 6, Kind: record.Reaped, Router: "r0"}}},
 		{"its client left", 0, []record.Event{offer(0, "q", 1), client(5, record.Lost, "left", 1)}},
 		{"the client gave up", 1, []record.Event{offer(0, "q", 1), client(3000, record.Lost, "gave up", 1)}},
 		{"two final answers", 1, append(served("q"), client(52, record.Final, "failed", 1))},
