--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -33,13 +33,13 @@
 	Dead     = "dead"
 	Frozen   = "frozen" // it answers nothing from now on
 	Thawed   = "thawed"
-	Jammed   = "jammed"    // new connections to it time out from now on
-	Opened   = "opened"    // and no longer
-	Told     = "told"      // the roster told Router of a server: Note is ready, draining or gone
-	RouterUp = "router-up" // Router
+	Jammed   = "jammed"        // new connections to it time out from now on
+	Opened   = "opened"        // and no longer
+	Told     = "told"          // the roster told Router of a server: Note is ready, draining or gone
+	RouterUp = "router-up"     // Router
 	Killed   = "router-killed" // it is about to be
 	Reaped   = "router-reaped" // and it was
-	Fault    = "fault" // Note tells which
+	Fault    = "fault"         // Note tells which
 )
 
 // Event is one thing seen.
