--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -485,9 +485,9 @@
 
 // A user who thinks for longer than the idle time keeps the session: pings are answered.
 func TestThinkingUser(t *testing.T) {
-	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Idle = 30 * time.Millisecond })
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Idle = 400 * time.Millisecond })
 	s := w.open()
-	time.Sleep(200 * time.Millisecond) // several idle times; nothing is proved by it alone
+	time.Sleep(1300 * time.Millisecond) // several idle times; nothing is proved by it alone
 	if a := ask(t, s, meta("question", "q"), 2); a.Kind() != "served" {
 		t.Errorf("%+v", a)
 	}
@@ -590,7 +590,7 @@
 
 // Bad heads, floods and drips end; the router goes on.
 func TestHostileConnections(t *testing.T) {
-	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Handshake = 200 * time.Millisecond })
+	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Handshake = 500 * time.Millisecond })
 	up := "GET /v1/realtime HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" +
 		"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
 	for name, c := range map[string]struct{ send, want string }{
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -112,7 +112,7 @@
 
 func limits() Limits {
 	l := DefaultLimits()
-	l.Dial, l.StreamIdle, l.Extension = 100*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
+	l.Dial, l.StreamIdle, l.Extension = 500*time.Millisecond, 300*time.Millisecond, 500*time.Millisecond
 	l.Spare = 0 // the tests count connections
 	return l
 }
--- a/internal/ws/ws_test.go
+++ b/internal/ws/ws_test.go
@@ -280,7 +280,7 @@
 func TestIdle(t *testing.T) {
 	client, server := pair(t)
 	lim := testLimits()
-	lim.Idle = 30 * time.Millisecond
+	lim.Idle = 200 * time.Millisecond
 	done := make(chan error, 1)
 	go func() { done <- echo(server, lim) }()
 	br := bufio.NewReader(client)
