Keyed repeats stay inside their window over sessions; a state goes with every write

Reading the whole change again found four faults. A keyed repeat on a new session was let through after the engines' window, and a refused repeat made the table forget that an earlier try had run (rule 2). A mixed server that was chosen to write got no parameters, so the state was left at its reader; a writer that reads got those of a state already let go (rule 5). A dead control connection was dropped without being closed. Places refused for certain were let go all the same. Each has a test; simpler code for connections and keys came of it.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -26,13 +26,12 @@
 	forgotten bool
 	streaming bool
 	gone      atomic.Bool // nothing more may be relayed
-	abandoned bool
 	first     time.Time
 	final     Answer
 	ended     time.Time
 
 	key      string // of the last read
-	params   []byte // that its reader returned
+	params   []byte // that its reader returned; nil once its state was let go
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
 	held     []heldAt // what may be held, and where, until it is let go
@@ -65,7 +64,6 @@
 		if c.answered {
 			return
 		}
-		c.abandoned = true
 		c.answer(Answer{Kind: Cancelled})
 		c.d.tell(gannethook.ClientGone{ID: c.id})
 		for _, a := range c.attempts { // a stream is the client's: it ends with it
@@ -107,8 +105,10 @@
 	if c.answered || c.streaming {
 		return c.end(a.n, engine.Result{Outcome: gannethook.Moot})
 	}
-	if a.reads {
+	if a.reads || c.params == nil { // a server that reads and writes gets the request whole
 		c.key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
+	}
+	if a.reads {
 		c.held = append(c.held, heldAt{s.Server, c.key})
 		c.reader = s.Server
 	} else {
@@ -117,12 +117,9 @@
 	call := &engine.Call{Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
 		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName}
-	if !a.reads && c.d.roles[s.Server] == gannethook.Writer {
+	if !a.reads {
 		call.Params = c.params
 	}
-	if call.Key == "" { // a server that reads and writes gets the request whole
-		call.Key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
-	}
 	if s.Timeout > 0 {
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
@@ -222,8 +219,8 @@
 	reader, epoch := string(c.reader), c.releases
 	c.held = append(c.held, heldAt{w, c.key})
 	c.d.work.Go(func() {
-		ok := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
-		if !c.d.post(func() { c.granted(w, call.Key, n, epoch, ok) }) {
+		ok, err := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
+		if !c.d.post(func() { c.granted(w, call.Key, n, epoch, ok, err) }) {
 			c.letGo([]heldAt{{w, call.Key}})
 		}
 	})
@@ -232,11 +229,17 @@
 // granted takes the answer to a hold that was asked for during attempt n. One
 // that is late is let go, also where the answer streams: it may have been
 // granted after the stream had come in without it.
-func (c *Call) granted(w gannethook.ServerID, key string, n, epoch int, ok bool) {
+func (c *Call) granted(w gannethook.ServerID, key string, n, epoch int, ok bool, err error) {
+	refused := !ok && err == nil // for certain: nothing is held
 	if c.forgotten || epoch != c.releases {
-		c.letGo([]heldAt{{w, key}})
+		if !refused {
+			c.letGo([]heldAt{{w, key}})
+		}
 		return
 	}
+	if refused {
+		c.held = slices.DeleteFunc(c.held, func(h heldAt) bool { return h == heldAt{w, key} })
+	}
 	if c.attempts[n].out {
 		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: ok})
 	}
@@ -245,7 +248,7 @@
 // release lets go of all that may be held.
 func (c *Call) release() {
 	c.letGo(c.held)
-	c.held = nil
+	c.held, c.params = nil, nil
 	c.releases++
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -28,7 +28,7 @@
 type Engines interface {
 	Read(ctx context.Context, call *engine.Call) engine.Result
 	Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result
-	Hold(ctx context.Context, call *engine.Call, reader string) bool
+	Hold(ctx context.Context, call *engine.Call, reader string) (ok bool, err error)
 	Release(ctx context.Context, addr, key string) error
 }
 
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -29,6 +29,8 @@
 	stall             bool // the stream never goes on after its first token
 	mu                sync.Mutex
 	writes, reads     int
+	params            []bool // whether each write came with a state
+	releases          int
 	held, let         map[string]int // places and states by server and read
 }
 
@@ -72,9 +74,10 @@
 	return engine.Result{Outcome: gannethook.ReadDone, Params: json.RawMessage(`{}`)}
 }
 
-func (f *fake) Write(ctx context.Context, _ *engine.Call, started func() bool, token func([]byte) bool) engine.Result {
+func (f *fake) Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result {
 	f.mu.Lock()
 	f.writes++
+	f.params = append(f.params, call.Params != nil)
 	f.mu.Unlock()
 	if !wait(ctx, f.first) {
 		return calledOff
@@ -96,16 +99,17 @@
 	return engine.Result{Outcome: gannethook.Served, Tokens: f.tokens}
 }
 
-func (f *fake) Hold(ctx context.Context, call *engine.Call, _ string) bool {
+func (f *fake) Hold(ctx context.Context, call *engine.Call, _ string) (bool, error) {
 	if wait(ctx, f.hold); f.holdOK {
 		f.count(f.held, call.Addr, call.Key)
 	}
-	return f.holdOK
+	return f.holdOK, nil
 }
 
 func (f *fake) Release(_ context.Context, addr, key string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.releases++
 	if k := addr + " " + key; f.held[k] > 0 { // what comes before the grant lets nothing go
 		delete(f.held, k)
 		f.let[k]++
@@ -166,6 +170,68 @@
 	})
 }
 
+// A place that was refused for certain is not let go as well.
+func TestRefusedPlace(t *testing.T) {
+	f := newFake()
+	f.holdOK = false
+	run(t, f, func(d *Driver) {
+		if _, a := ask(t, d, 0); a.Kind != Served {
+			t.Errorf("%+v", a)
+		}
+		synctest.Wait()
+		if f.releases != 0 {
+			t.Errorf("%d releases of nothing", f.releases)
+		}
+	})
+}
+
+// The state goes with the write whoever writes it, and not once it was let go.
+func TestParamsGoWithTheState(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		role   gannethook.Role
+		lose   bool
+		params bool
+	}{
+		{"a writer", gannethook.Writer, false, true},
+		{"a mixed server", gannethook.Mixed, false, true},
+		{"a writer that reads, after the state was let go", gannethook.Writer, true, false},
+	} {
+		f := newFake()
+		set := testSettings()
+		set.Kinds[1].Role = c.role
+		synctest.Test(t, func(t *testing.T) {
+			d, err := New(Config{Settings: set, Inbox: 10, MaxOpen: 10, Engines: f,
+				Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
+					switch ev := ev.(type) {
+					case gannethook.Request:
+						acts = append(acts, gannethook.Send{ID: ev.ID, Server: "r"})
+					case gannethook.Ended:
+						if c.lose {
+							acts = append(acts, gannethook.Release{ID: ev.ID})
+						}
+						if ev.Outcome == gannethook.ReadDone {
+							acts = append(acts, gannethook.Send{ID: ev.ID, Server: "w"})
+						}
+					}
+					return acts
+				})})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { d.Run(ctx) })
+			d.Update(gannethook.Membership{Servers: []gannethook.Server{{ID: "r", State: gannethook.Ready}, {ID: "w", Kind: 1, State: gannethook.Ready}}})
+			if _, a := ask(t, d, 0); a.Kind != Served || len(f.params) != 1 || f.params[0] != c.params {
+				t.Errorf("%s: %+v, state with the write %v", c.name, a, f.params)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
 // Where nothing may be called off, an attempt outlives its request; its first token may not pass.
 func TestTokenAfterTheAnswer(t *testing.T) {
 	f := newFake()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -24,11 +24,8 @@
 	StatesPath      = "/v1/x-gannethook/states/" // and the key
 )
 
-// Codes of error bodies that tell a missing state from a full engine.
-const (
-	CodeNoState = "no_state"
-	CodeFull    = "full"
-)
+// CodeNoState is the code of an error body that tells that there is no state to fetch.
+const CodeNoState = "no_state"
 
 // Call is one attempt at an engine.
 type Call struct {
@@ -167,11 +164,6 @@
 	if err == nil && len(b) > x.c.lim.ResponseMax {
 		err = http1.ErrTooLarge
 	}
-	if err == nil {
-		// The end of a chunked body is one read further.
-		var one [1]byte
-		x.body.Read(one[:])
-	}
 	return b, err
 }
 
@@ -212,7 +204,6 @@
 	Prompt    string          `json:"prompt"`
 	MaxTokens int             `json:"max_tokens"`
 	Stream    bool            `json:"stream"`
-	CacheSalt string          `json:"cache_salt,omitempty"`
 	Params    json.RawMessage `json:"kv_transfer_params,omitempty"`
 	Size      int             `json:"x_prompt_tokens,omitempty"`
 	KeptKey   string          `json:"x_prefix_key,omitempty"`
@@ -319,13 +310,14 @@
 }
 
 // Hold asks a writer for a place for the state that a reader is about to have.
-func (c *Client) Hold(ctx context.Context, call *Call, reader string) bool {
+// With an error it is not known whether a place is held.
+func (c *Client) Hold(ctx context.Context, call *Call, reader string) (ok bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
 	defer cancel()
 	body, _ := json.Marshal(place{call.Key, reader, int(call.PromptSize) + call.MaxTokens,
 		c.lim.PlaceIdle.Milliseconds()})
-	status, _ := c.extension(ctx, "POST", PlacesPath, call, body)
-	return status == 201
+	status, err := c.extension(ctx, "POST", PlacesPath, call, body)
+	return status == 201, err
 }
 
 // Release lets an engine's state and place of a read go. Unknown ones count as let go.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -295,7 +295,7 @@
 func TestControlApart(t *testing.T) {
 	p, c := script(t, answer("201 Created", "", "")), newClient(t)
 	call := &Call{Addr: p.addr, Key: "k", PromptSize: 10, MaxTokens: 5}
-	if !c.Hold(context.Background(), call, "reader:1") {
+	if ok, err := c.Hold(context.Background(), call, "reader:1"); !ok || err != nil {
 		t.Fatal("no place")
 	}
 	if cn := c.pool.pop(p.addr); cn != nil {
@@ -328,7 +328,7 @@
 	}()
 	c := newClient(t)
 	call := &Call{Addr: p.addr, Key: "k", MaxTokens: 5}
-	if !c.Hold(context.Background(), call, "r") {
+	if ok, err := c.Hold(context.Background(), call, "r"); !ok || err != nil {
 		t.Fatal("no place")
 	}
 	write := func() gannethook.Outcome {
@@ -346,8 +346,8 @@
 
 func TestHoldTimesOut(t *testing.T) {
 	p, c := script(t, "HANG"), newClient(t)
-	if c.Hold(context.Background(), &Call{Addr: p.addr, Key: "k"}, "r") {
-		t.Error("a place without an answer")
+	if ok, err := c.Hold(context.Background(), &Call{Addr: p.addr, Key: "k"}, "r"); ok || err == nil {
+		t.Error("a place without an answer, or one that is refused for certain")
 	}
 	if err := c.Release(context.Background(), p.addr, "k"); err == nil || errors.Is(err, context.Canceled) {
 		t.Errorf("release: %v", err)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -107,30 +107,32 @@
 // place's own connection is still open.
 func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
 	defer p.fill(addr)
-	for {
-		var c *conn
-		if ctl {
-			c = p.pop(control + addr)
-		}
-		if c == nil {
-			c = p.pop(addr)
-		}
-		if c == nil {
-			break
-		}
-		if time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+	if ctl {
+		if c := p.unused(control + addr); c != nil {
 			return c, nil
 		}
-		c.Close()
+	}
+	if c := p.unused(addr); c != nil {
+		return c, nil
 	}
 	c, err := p.dial(ctx, addr)
-	if err == nil || ctl || ctx.Err() != nil {
-		return c, err
+	if err != nil && !ctl && ctx.Err() == nil {
+		if c := p.unused(control + addr); c != nil {
+			return c, nil
+		}
 	}
-	if c := p.pop(control + addr); c != nil && stands(c.Conn) {
-		return c, nil
+	return c, err
+}
+
+// unused takes an unused connection that still stands, and closes those that do not.
+func (p *pool) unused(addr string) *conn {
+	for {
+		c := p.pop(addr)
+		if c == nil || time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+			return c
+		}
+		c.Close()
 	}
-	return nil, err
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -14,18 +14,17 @@
 	mu    sync.Mutex
 	table *keys.Table
 	start time.Time
-	cfg   *settings.File
+	set   gannethook.Settings
 }
 
 func newGuard(cfg *settings.File) *guard {
-	return &guard{table: keys.New(cfg.Limits.Remember, cfg.Limits.Keys), start: time.Now(), cfg: cfg}
+	return &guard{table: keys.New(cfg.Limits.Remember, cfg.Limits.Keys), start: time.Now(), set: cfg.Module()}
 }
 
 func (g *guard) begin(n keys.Name, retry bool) keys.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := &g.cfg.Classes[n.Class]
-	return g.table.Begin(time.Since(g.start), n, gannethook.Effect(c.Effect), gannethook.Group(c.Group), retry)
+	return g.table.Begin(time.Since(g.start), n, &g.set.Classes[n.Class], retry)
 }
 
 func (g *guard) end(n keys.Name, mayHaveRun bool) {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -35,10 +35,11 @@
 }
 
 type entry struct {
-	name Name
-	open bool
-	ran  bool
-	at   time.Duration // when it ended
+	name  Name
+	open  bool
+	ran   bool          // a try may have run
+	first time.Duration // when the first try that may have run began
+	at    time.Duration // when the last one ended
 }
 
 // Table remembers the keys of open requests and, for a time, of those that may
@@ -48,7 +49,6 @@
 	most     int
 	entries  map[Name]*list.Element
 	ended    *list.List // oldest first
-	open     int
 }
 
 // New returns an empty table that remembers what may have run for a time, and so many keys at most.
@@ -59,19 +59,22 @@
 // Len is how many keys are remembered.
 func (t *Table) Len() int { return len(t.entries) }
 
-// Begin decides for a request of a class with this effect. On Go the key is
-// open until End. retry tells that the client marks it as a repeat of a try
-// whose end it does not know. Times only increase.
-func (t *Table) Begin(now time.Duration, n Name, effect gannethook.Effect, group gannethook.Group, retry bool) Verdict {
-	if effect == gannethook.Safe || n.Key == "" && !retry {
+// Begin decides for a request of a class. On Go the key is open until End.
+// retry tells that the client marks it as a repeat of a try whose end it does
+// not know. Times only increase.
+func (t *Table) Begin(now time.Duration, n Name, class *gannethook.Class, retry bool) Verdict {
+	if class.Effect == gannethook.Safe || n.Key == "" && !retry {
 		return Go
 	}
 	t.expire(now)
 	// Guards rule 2: the engines of the group drop repeats, wherever they come from, so a repeat may pass. A
 	// narrower group may not hold the server that the module will choose now. Harms nothing: it fails, and
 	// promises nothing.
-	dropped := effect == gannethook.Keyed && group == gannethook.GroupAll && n.Key != ""
+	dropped := class.Effect == gannethook.Keyed && class.Group == gannethook.GroupAll
 	el := t.entries[n]
+	if el != nil && now-el.Value.(*entry).first > time.Duration(float64(class.Window)*1e6) {
+		dropped = false // the engines remember it no longer
+	}
 	switch {
 	case n.Key == "":
 		return Unknown // a repeat without a name can't be told from a first try
@@ -86,11 +89,12 @@
 		// Harms clients in a flood of failing keyed requests: they are refused until keys expire.
 		return Full
 	}
+	e := &entry{name: n, first: now}
 	if el != nil {
-		t.ended.Remove(el)
+		e = t.ended.Remove(el).(*entry)
 	}
-	t.entries[n] = &list.Element{Value: &entry{name: n, open: true}}
-	t.open++
+	e.open = true
+	t.entries[n] = &list.Element{Value: e}
 	return Go
 }
 
@@ -100,13 +104,12 @@
 	if el == nil || !el.Value.(*entry).open {
 		return
 	}
-	t.open--
-	if !mayHaveRun {
+	e := el.Value.(*entry)
+	e.open, e.ran, e.at = false, e.ran || mayHaveRun, now
+	if !e.ran {
 		delete(t.entries, n)
 		return
 	}
-	e := el.Value.(*entry)
-	e.open, e.ran, e.at = false, true, now
 	t.entries[n] = t.ended.PushBack(e)
 }
 
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -11,10 +11,17 @@
 
 var unsafeName = Name{Key: "k"}
 
+var (
+	safeClass   = &gannethook.Class{Effect: gannethook.Safe}
+	unsafeClass = &gannethook.Class{Effect: gannethook.Unsafe}
+	keyedClass  = &gannethook.Class{Effect: gannethook.Keyed, Group: gannethook.GroupAll, Window: 5000}
+	zoneClass   = &gannethook.Class{Effect: gannethook.Keyed, Group: gannethook.GroupZone, Window: 5000}
+)
+
 func TestVerdicts(t *testing.T) {
 	const s = time.Second
 	begin := func(tb *Table, at time.Duration, retry bool) Verdict {
-		return tb.Begin(at, unsafeName, gannethook.Unsafe, 0, retry)
+		return tb.Begin(at, unsafeName, unsafeClass, retry)
 	}
 	for _, c := range []struct {
 		name string
@@ -38,10 +45,10 @@
 		}, Go},
 		{"a repeat of a try at another router", func(tb *Table) Verdict { return begin(tb, 0, true) }, Unknown},
 		{"a repeat without a key", func(tb *Table) Verdict {
-			return tb.Begin(0, Name{}, gannethook.Unsafe, 0, true)
+			return tb.Begin(0, Name{}, unsafeClass, true)
 		}, Unknown},
 		{"a first try without a key", func(tb *Table) Verdict {
-			return tb.Begin(0, Name{}, gannethook.Unsafe, 0, false)
+			return tb.Begin(0, Name{}, unsafeClass, false)
 		}, Go},
 		{"the window is over", func(tb *Table) Verdict {
 			begin(tb, 0, false)
@@ -50,27 +57,39 @@
 		}, Go},
 		{"another tenant's key", func(tb *Table) Verdict {
 			begin(tb, 0, false)
-			return tb.Begin(s, Name{Tenant: 1, Key: "k"}, gannethook.Unsafe, 0, false)
+			return tb.Begin(s, Name{Tenant: 1, Key: "k"}, unsafeClass, false)
 		}, Go},
 		{"the table is full", func(tb *Table) Verdict {
 			for _, k := range []string{"a", "b", "c"} {
-				tb.Begin(0, Name{Key: k}, gannethook.Unsafe, 0, false)
+				tb.Begin(0, Name{Key: k}, unsafeClass, false)
 			}
 			return begin(tb, s, false)
 		}, Full},
 		{"safe is never held up", func(tb *Table) Verdict {
-			tb.Begin(0, unsafeName, gannethook.Safe, 0, false)
-			return tb.Begin(0, unsafeName, gannethook.Safe, 0, true)
+			tb.Begin(0, unsafeName, safeClass, false)
+			return tb.Begin(0, unsafeName, safeClass, true)
 		}, Go},
 		{"keyed everywhere: the engines drop the repeat", func(tb *Table) Verdict {
-			tb.Begin(0, unsafeName, gannethook.Keyed, gannethook.GroupAll, false)
+			tb.Begin(0, unsafeName, keyedClass, false)
 			tb.End(s, unsafeName, true)
-			return tb.Begin(2*s, unsafeName, gannethook.Keyed, gannethook.GroupAll, true)
+			return tb.Begin(2*s, unsafeName, keyedClass, true)
 		}, Go},
+		{"keyed, but the engines remember it no longer", func(tb *Table) Verdict {
+			tb.Begin(0, unsafeName, keyedClass, false)
+			tb.End(s, unsafeName, true)
+			return tb.Begin(6*s, unsafeName, keyedClass, false)
+		}, Ran},
+		{"keyed, and a repeat that was refused does not hide the first", func(tb *Table) Verdict {
+			tb.Begin(0, unsafeName, keyedClass, false)
+			tb.End(s, unsafeName, true)
+			tb.Begin(2*s, unsafeName, keyedClass, true)
+			tb.End(3*s, unsafeName, false)
+			return tb.Begin(6*s, unsafeName, keyedClass, false)
+		}, Ran},
 		{"keyed in a zone: the next server may be outside", func(tb *Table) Verdict {
-			tb.Begin(0, unsafeName, gannethook.Keyed, gannethook.GroupZone, false)
+			tb.Begin(0, unsafeName, zoneClass, false)
 			tb.End(s, unsafeName, true)
-			return tb.Begin(2*s, unsafeName, gannethook.Keyed, gannethook.GroupZone, false)
+			return tb.Begin(2*s, unsafeName, zoneClass, false)
 		}, Ran},
 	} {
 		if got := c.do(New(10*s, 3)); got != c.want {
@@ -100,7 +119,7 @@
 				}
 				continue
 			}
-			v := tb.Begin(now, n, gannethook.Unsafe, 0, rapid.Bool().Draw(t, "retry"))
+			v := tb.Begin(now, n, unsafeClass, rapid.Bool().Draw(t, "retry"))
 			at, ran := ranAt[key]
 			if v == Go && (open[key] || ran && now-at < remember) {
 				t.Fatalf("%s goes again at %v: open %v, ran at %v", key, now, open[key], at)
