--- a/cmd/gannethook/demo.go
+++ b/cmd/gannethook/demo.go
@@ -17,6 +17,9 @@
 	"gannethook/internal/standin"
 )
 
+// demoTime is far more than the demo takes.
+const demoTime = 30 * time.Second
+
 func demoCommand() *cobra.Command {
 	var level string
 	cmd := &cobra.Command{
--- a/cmd/gannethook/main_test.go
+++ b/cmd/gannethook/main_test.go
@@ -1,16 +1,22 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
 	"gannethook/internal/day"
+	"gannethook/internal/settings"
 )
 
 // TestMain lets the test's binary be the routers that a day starts.
@@ -93,3 +99,80 @@
 	}
 	t.Log(out.String())
 }
+
+// start runs this program as a process of its own and returns the first line
+// that it prints; it is stopped by a signal when the test ends, and exits with 0.
+func start(t *testing.T, args ...string) string {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), beRouter+"=1")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%v: %v", args, err)
+		}
+	})
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatalf("%v: %v", args, err)
+	}
+	return strings.TrimSpace(line)
+}
+
+// The stand-ins as processes of their own, a router that serves before them,
+// and a chat: what the README's commands do together.
+func TestProcesses(t *testing.T) {
+	reader := start(t, "engine", "--role", "reader")
+	writer := start(t, "engine", "--role", "writer", "--token-gap", "1ms")
+	roster := start(t, "roster", "--reader", reader, "--writer", writer)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	config := filepath.Join(t.TempDir(), "router.gann")
+	text := strings.Replace(settings.Default, `(listen "127.0.0.1:0")`, `(listen "`+addr+`")`, 1)
+	text = strings.Replace(text, `(watch "127.0.0.1:0")`, `(watch "`+roster+`")`, 1)
+	if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	serve := exec.Command(os.Args[0], "serve", "--config", config, "--log", "error")
+	serve.Env = append(os.Environ(), beRouter+"=1")
+	if err := serve.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		serve.Process.Signal(syscall.SIGTERM)
+		if err := serve.Wait(); err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	}()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if nc, err := net.Dial("tcp", addr); err == nil {
+			nc.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the router never listens")
+		}
+	}
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetArgs([]string{"chat", "--router", addr, "--class", "adjustment", "--max-tokens", "5"})
+	cmd.SetIn(strings.NewReader("one\n\ntwo\n"))
+	cmd.SetOut(&out)
+	if err := cmd.ExecuteContext(context.Background()); err != nil || strings.Count(out.String(), " t0") != 2 {
+		t.Errorf("%q, %v", out.String(), err)
+	}
+	if text, err := run(t, "idle", "--router", addr, "--sessions", "10", "--keep", "1ms"); err != nil || !strings.Contains(text, "10 sessions open") {
+		t.Errorf("%q, %v", text, err)
+	}
+}
--- a/cmd/gannethook/serve.go
+++ b/cmd/gannethook/serve.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -82,5 +81,3 @@
 		},
 	}
 }
-
-const demoTime = 30 * time.Second
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,13 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopWork = cancel
 	d.work.Go(func() { d.driver.Run(ctx) })
-	if err := d.follow(ctx); err != nil {
-		cancel()
-		d.ln.Close()
-		d.work.Wait()
-		d.client.Close()
-		return nil, err
-	}
+	d.follow(ctx)
 	d.work.Go(func() { d.front.Serve(d.ln) })
 	log.Info("ready", zap.String("router", cfg.Name), zap.String("listen", d.Addr()))
 	return d, nil
@@ -79,7 +73,7 @@
 }
 
 // follow starts to follow the roster.
-func (d *Daemon) follow(ctx context.Context) error {
+func (d *Daemon) follow(ctx context.Context) {
 	names := roster.Names{Zones: d.cfg.Zones}
 	for _, k := range d.cfg.Kinds {
 		names.Kinds = append(names.Kinds, k.Name)
@@ -88,7 +82,7 @@
 	if r.File != "" {
 		f := &roster.File{Path: r.File, Every: r.Every, Names: names, Publish: d.update, Report: d.warn("roster")}
 		d.work.Go(func() { f.Run(ctx) })
-		return nil
+		return
 	}
 	w := &roster.Watch{Addr: r.Watch, Namespace: r.Namespace, Service: r.Service, Agent: d.cfg.Name,
 		Silence: r.Silence, Seed: d.cfg.Seed, Names: names, Publish: d.update, Report: d.warn("roster")}
@@ -104,7 +98,6 @@
 		}
 	}
 	d.work.Go(func() { w.Run(ctx) })
-	return nil
 }
 
 func (d *Daemon) warn(part string) func(error) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -99,6 +99,16 @@
 	return s
 }
 
+// begin opens a session and asks for an answer without waiting for it.
+func (w *world) begin(m map[string]string, max int) *client.Session {
+	w.t.Helper()
+	s := w.open()
+	if s.Say("hello") != nil || s.Request(m, max) != nil {
+		w.t.Fatal("the session takes nothing")
+	}
+	return s
+}
+
 func meta(class, key string, more ...string) map[string]string {
 	m := map[string]string{"class": class, "idempotency_key": key}
 	for i := 0; i+1 < len(more); i += 2 {
@@ -370,9 +380,7 @@
 func TestRetryOnNewSession(t *testing.T) {
 	w := newWorld(t, nil)
 	w.writersSet(func(f *standin.Faults) { f.Slow = 50 })
-	s := w.open()
-	s.Say("move two hours")
-	s.Request(meta("adjustment", "adj"), 100)
+	s := w.begin(meta("adjustment", "adj"), 100)
 	w.seen("the effect", kind(record.Apply, ""))
 	again := w.open()
 	if a := ask(t, again, meta("adjustment", "adj"), 5); a.Kind() != "failed" || !strings.Contains(a.Reason, "open") {
@@ -417,9 +425,7 @@
 func TestCancel(t *testing.T) {
 	w := newWorld(t, nil)
 	w.writersSet(func(f *standin.Faults) { f.Slow = 50 })
-	s := w.open()
-	s.Say("a long story")
-	s.Request(meta("question", "q"), 100)
+	s := w.begin(meta("question", "q"), 100)
 	a, err := s.Wait(func(string) { s.Cancel() })
 	if err != nil || a.Kind() != "cancelled" {
 		t.Fatalf("%+v, %v", a, err)
@@ -475,9 +481,7 @@
 func TestLeaveWhileWaiting(t *testing.T) {
 	w := newWorld(t, nil)
 	w.writersSet(func(f *standin.Faults) { f.Hang = true })
-	s := w.open()
-	s.Say("hello")
-	s.Request(meta("adjustment", "a"), 5)
+	s := w.begin(meta("adjustment", "a"), 5)
 	w.seen("the attempt", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" })
 	s.Cut()
 	w.seen("its end, long before the client's time is up", kind(record.End, "hung"))
@@ -497,9 +501,7 @@
 func TestGoneWhileStreaming(t *testing.T) {
 	w := newWorld(t, nil)
 	w.writersSet(func(f *standin.Faults) { f.Slow = 20 })
-	s := w.open()
-	s.Say("hello")
-	s.Request(meta("question", "q"), 20)
+	s := w.begin(meta("question", "q"), 20)
 	first := make(chan struct{}, 1000)
 	done := make(chan *client.Answer, 1)
 	go func() {
@@ -528,9 +530,7 @@
 func TestStop(t *testing.T) {
 	w := newWorld(t, nil)
 	w.writersSet(func(f *standin.Faults) { f.Slow = 10 })
-	s := w.open()
-	s.Say("hello")
-	s.Request(meta("adjustment", "a"), 20)
+	s := w.begin(meta("adjustment", "a"), 20)
 	started := make(chan struct{})
 	stopped := make(chan struct{})
 	go func() {
@@ -560,9 +560,7 @@
 func TestStopCutShort(t *testing.T) {
 	w := newWorld(t, func(cfg *settings.File) { cfg.Sessions.Drain = 50 * time.Millisecond })
 	w.writersSet(func(f *standin.Faults) { f.Hang = true })
-	s := w.open()
-	s.Say("hello")
-	s.Request(meta("adjustment", "a"), 20)
+	s := w.begin(meta("adjustment", "a"), 20)
 	w.seen("the attempt", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" })
 	go w.d.Stop(context.Background())
 	a, err := s.Wait(nil)
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -52,8 +52,9 @@
 	router  *router
 	session *client.Session
 	said    string // the last request whose prompt this session has heard
-	current string // response that is open
-	done    bool   // it had its final answer
+	current string // response that is open, or the last
+	asked   *ask   // its request, and the number of its try
+	sent    int
 }
 
 func (c *crowd) visit(ctx context.Context, v visit) {
@@ -84,10 +85,11 @@
 	g.session = nil
 }
 
-// late records an event of a response that had its final answer.
+// late records an event of a response that had its final answer: the session
+// has none that is open.
 func (g *guest) late(ev *realtime.Server) {
-	if ev.ResponseID == g.current && g.done || ev.Type == realtime.ResponseDone {
-		g.c.f.log.Add(record.Event{Who: g.name, Kind: record.After, Router: g.router.name, Note: ev.Type})
+	if g.asked != nil && responseOf(ev) != "" {
+		g.note(g.asked, g.sent, record.After, ev.Type, 0)
 	}
 }
 
@@ -210,7 +212,7 @@
 	if again {
 		meta[realtime.MetaRetry] = "true"
 	}
-	g.current, g.done = "", false
+	g.current, g.asked, g.sent = "", a, n
 	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
 	if g.said != a.name && g.session.Say("question "+a.name) != nil || g.session.Request(meta, class.Out) != nil {
 		return g.gone(a, n, "unreachable")
@@ -252,13 +254,15 @@
 			}
 			return g.gone(a, n, why)
 		}
+		if id := responseOf(ev); id != "" && id != g.current && ev.Type != realtime.ResponseCreated {
+			g.note(a, n, record.After, ev.Type, 0) // of an earlier response, which has had its final answer
+			continue
+		}
 		switch ev.Type {
 		case realtime.ResponseCreated:
 			g.current = ev.Response.ID
 		case realtime.TextDelta:
-			if ev.ResponseID != g.current {
-				g.note(a, n, record.After, ev.Type, 0)
-			} else if first.IsZero() {
+			if first.IsZero() {
 				first = time.Now()
 				gaveUp.Stop()
 				g.note(a, n, record.Token, "", 0)
@@ -269,16 +273,19 @@
 			}
 			return g.gone(a, n, "error "+ev.Error.Code)
 		case realtime.ResponseDone:
-			if ev.Response.ID != g.current {
-				g.note(a, n, record.After, ev.Type, 0)
-				continue
-			}
-			g.done = true
 			return g.final(a, n, ev.Response, first)
 		}
 	}
 }
 
+// responseOf names the response that an event belongs to, if it does to one.
+func responseOf(ev *realtime.Server) string {
+	if ev.Response != nil {
+		return ev.Response.ID
+	}
+	return ev.ResponseID
+}
+
 // why tells why a session ended under an open try.
 func (g *guest) why(err error) string {
 	var ce *ws.CloseError
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -5,6 +5,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gannethook/internal/realtime"
+	"gannethook/internal/record"
+	"gannethook/internal/rules"
 )
 
 func bad(t *testing.T) *Script {
@@ -53,6 +57,25 @@
 	}
 }
 
+// What comes after a final answer, also as the session ends, reaches the checker as a break of rule 1.
+func TestLateEventsCount(t *testing.T) {
+	s := bad(t)
+	f := &fleet{s: s, log: record.New()}
+	g := &guest{c: &crowd{f: f}, name: "c", router: &router{name: "r0"}}
+	a := &ask{name: "x"}
+	g.asked, g.sent, g.current = a, 1, "resp"
+	g.note(a, 1, record.Offer, "", 1000)
+	g.note(a, 1, record.Final, "served", 0)
+	g.late(&realtime.Server{Type: realtime.ItemDone}) // of no response
+	if v := rules.Check(f.ruleConfig(), f.log.Events()); len(v.Breaks) != 0 {
+		t.Errorf("%v", v.Breaks)
+	}
+	g.late(&realtime.Server{Type: realtime.TextDelta, ResponseID: "resp"})
+	if v := rules.Check(f.ruleConfig(), f.log.Events()); v.Of(1) != 1 {
+		t.Errorf("%v", v.Breaks)
+	}
+}
+
 func TestScriptErrors(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
 		{"(fault crash", "(fault crahs", `trouble "crahs" is not known`},
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -46,11 +46,13 @@
 	}
 	f.start = time.Now()
 	c := &crowd{f: f}
-	ctx, cancel := context.WithCancel(ctx)
 	f.seconds.Go(func() { f.troubles(ctx) })
 	c.run(ctx, s.plan())
 	f.seconds.Wait()
-	cancel()
+	if err := ctx.Err(); err != nil { // an interrupted day proves nothing
+		f.lower()
+		return nil, err
+	}
 	time.Sleep(s.Settings.PinLimit) // what is held to the last shows itself
 	res := &Result{Script: s, Policy: policy, Took: time.Since(f.start), Lower: f.lower()}
 	res.Events = f.log.Events()
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -96,24 +96,25 @@
 
 // Parse reads a script; name stands for it in errors.
 func Parse(name, text string) (*Script, error) {
-	forms, err := sexp.Parse(name, text)
-	if err != nil {
+	s := defaults()
+	if err := sexp.Read(name, text, s); err != nil {
 		return nil, err
 	}
-	return decode(name, forms)
+	return s, s.check()
 }
 
 // Load reads a script's file.
 func Load(path string) (*Script, error) {
-	forms, err := sexp.ParseFile(path)
-	if err != nil {
+	s := defaults()
+	if err := sexp.ReadFile(path, s); err != nil {
 		return nil, err
 	}
-	return decode(path, forms)
+	return s, s.check()
 }
 
-func decode(name string, forms []*sexp.Node) (*Script, error) {
-	s := &Script{Seed: 1, Routers: 2, Readers: 2, Writers: 2, Notice: 1500 * time.Millisecond,
+// defaults hold where the script is silent.
+func defaults() *Script {
+	return &Script{Seed: 1, Routers: 2, Readers: 2, Writers: 2, Notice: 1500 * time.Millisecond,
 		Clients: Clients{Retries: 1, Backoff: 200 * time.Millisecond, TurnsMost: 3, Think: time.Second,
 			Detect: 2 * time.Second},
 		Reader: Engine{Slots: 8, Queue: 40, Memory: 200000, ReadRate: 20000, FetchRate: 250000, ColdFrom: 0.3,
@@ -121,10 +122,6 @@
 		Writer: Engine{Slots: 80, Queue: 25, Memory: 160000, ReadRate: 7000, FetchRate: 250000, ColdFrom: 0.3,
 			WarmAfter: 8 * time.Second, TokenGap: 25 * time.Millisecond},
 		Settings: Settings{PinLimit: 500 * time.Millisecond, Grace: 2 * time.Second, Holds: true, Drain: 10 * time.Second}}
-	if err := sexp.Decode(sexp.Pos{File: name, Line: 1, Col: 1}, forms, s); err != nil {
-		return nil, err
-	}
-	return s, s.check()
 }
 
 func (s *Script) check() error {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -38,11 +37,9 @@
 	event []byte // kept from token to token
 }
 
-// badField is an error of one field of a client's event.
+// badField tells what is wrong with one field of a client's event.
 type badField struct{ param, msg string }
 
-func (b *badField) Error() string { return b.param + ": " + b.msg }
-
 // respond starts a response.
 func (c *session) respond(ev *realtime.Client) {
 	c.takeAnswers()
@@ -50,10 +47,8 @@
 	if p == nil {
 		p = &realtime.Params{}
 	}
-	job, retry, err := c.job(p)
-	if err != nil {
-		var bad *badField
-		errors.As(err, &bad)
+	job, retry, bad := c.job(p)
+	if bad != nil {
 		c.fail(ev.EventID, "invalid_request_error", "invalid_value", bad.msg, bad.param)
 		return
 	}
@@ -65,7 +60,8 @@
 	}
 	switch v := c.srv.guard.begin(r.key, retry); v {
 	case keys.Go:
-		if r.call, err = c.srv.drv.Submit(job, r); err != nil {
+		call, err := c.srv.drv.Submit(job, r)
+		if r.call = call; err != nil {
 			c.srv.guard.end(r.key, false)
 			r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: err.Error()})
 		}
@@ -232,18 +228,18 @@
 	}
 }
 
-// job reads what is asked for; its error is a *badField.
-func (c *session) job(p *realtime.Params) (driver.Job, bool, error) {
+// job reads what is asked for, and whether the client marks it as a repeat.
+func (c *session) job(p *realtime.Params) (job driver.Job, retry bool, bad *badField) {
 	cfg := c.srv.cfg
-	if err := checkParams(p); err != nil {
-		return driver.Job{}, false, err
+	if bad = checkParams(p); bad != nil {
+		return job, false, bad
 	}
 	m := p.Metadata
-	class, err := c.class(m)
-	if err != nil {
-		return driver.Job{}, false, err
+	class, bad := c.class(m)
+	if bad != nil {
+		return job, false, bad
 	}
-	job := driver.Job{Class: class, ClassName: cfg.Classes[class].Name, SessionID: c.id, Session: key(c.id),
+	job = driver.Job{Class: class, ClassName: cfg.Classes[class].Name, SessionID: c.id, Session: key(c.id),
 		GiveUp: cfg.Classes[class].GiveUp, MaxTokens: cfg.Classes[class].MaxTokens, Model: c.model,
 		Prefix: key(m[realtime.MetaPrefix]), PrefixName: m[realtime.MetaPrefix], Idempotency: m[realtime.MetaIdempotency]}
 	if name := m[realtime.MetaSession]; name != "" {
@@ -256,19 +252,20 @@
 			return job, false, &badField{"response.metadata.tenant", "no tenant has this name"}
 		}
 	}
-	for _, limit := range []*realtime.Limit{p.MaxTokens, (*realtime.Limit)(&c.maxTokens)} {
-		if limit != nil && *limit > 0 {
-			job.MaxTokens = min(job.MaxTokens, int(*limit))
-			break
-		}
+	limit := c.maxTokens
+	if p.MaxTokens != nil {
+		limit = int(*p.MaxTokens)
+	}
+	if limit > 0 {
+		job.MaxTokens = min(job.MaxTokens, limit)
 	}
-	if job.Prompt, err = c.prompt(p); err != nil {
-		return job, false, err
+	if job.Prompt, bad = c.prompt(p); bad != nil {
+		return job, false, bad
 	}
 	return job, m[realtime.MetaRetry] == "true", c.sizes(&job, m)
 }
 
-func checkParams(p *realtime.Params) error {
+func checkParams(p *realtime.Params) *badField {
 	switch {
 	case !textOnly(p.Modalities):
 		return &badField{"response.output_modalities", "this router speaks text"}
@@ -290,7 +287,7 @@
 	return nil
 }
 
-func (c *session) class(m map[string]string) (int, error) {
+func (c *session) class(m map[string]string) (int, *badField) {
 	name, ok := m[realtime.MetaClass]
 	if !ok {
 		return 0, nil
@@ -311,7 +308,7 @@
 }
 
 // prompt is the instructions and the conversation, or the response's own input.
-func (c *session) prompt(p *realtime.Params) (string, error) {
+func (c *session) prompt(p *realtime.Params) (string, *badField) {
 	var b strings.Builder
 	instructions := c.instructions
 	if p.Instructions != nil {
@@ -339,7 +336,7 @@
 }
 
 // sizes reads the numbers among the metadata; sizes that are not told are guessed from the text's length.
-func (c *session) sizes(job *driver.Job, m map[string]string) error {
+func (c *session) sizes(job *driver.Job, m map[string]string) *badField {
 	job.PromptSize = math.Ceil(float64(len(job.Prompt)) / c.srv.cfg.Sessions.TokenBytes)
 	giveUp := 0.0
 	for _, f := range []struct {
--- /dev/null
+++ b/internal/realtime/events_test.go
@@ -0,0 +1,40 @@
+package realtime
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// What a client sends is an event with a type or an error with a code; a limit is never below 0.
+func FuzzClient(f *testing.F) {
+	f.Add([]byte(`{"type":"response.create","response":{"max_output_tokens":"inf","metadata":{"class":"q"}}}`))
+	f.Add([]byte(`{"type":"conversation.item.create","item":{"type":"message","content":[{"type":"input_text","text":"a"}]}}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		c, bad := ParseClient(in)
+		switch {
+		case (c == nil) == (bad == nil):
+			t.Fatalf("%q: %v and %v", in, c, bad)
+		case bad != nil && bad.Code == "" || c != nil && c.Type == "":
+			t.Fatalf("%q: %v, %v", in, c, bad)
+		case c != nil && c.Response != nil && c.Response.MaxTokens != nil && *c.Response.MaxTokens < 0:
+			t.Fatalf("%q: %d tokens", in, *c.Response.MaxTokens)
+		}
+		if c != nil && c.Item != nil {
+			c.Item.Text()
+		}
+	})
+}
+
+// A delta is the published event, whatever its text.
+func TestAppendDelta(t *testing.T) {
+	for _, text := range []string{"", " a", "\"\\\n", "\u00e9\u4e16"} {
+		raw, _ := json.Marshal(text)
+		var ev Server
+		if err := json.Unmarshal(AppendDelta(nil, 7, "resp_1", "item_2", raw), &ev); err != nil {
+			t.Fatal(err)
+		}
+		if ev.Type != TextDelta || ev.EventID != "event_7" || ev.ResponseID != "resp_1" || ev.ItemID != "item_2" || ev.Delta != text {
+			t.Errorf("%+v", ev)
+		}
+	}
+}
--- a/internal/roster/file.go
+++ b/internal/roster/file.go
@@ -62,14 +62,10 @@
 
 // ParseFile reads a roster's text; path names it in errors.
 func ParseFile(path, text string, names Names) ([]gannethook.Server, error) {
-	forms, err := sexp.Parse(path, text)
-	if err != nil {
-		return nil, err
-	}
 	var f struct {
 		Servers []fileEntry `gann:"server"`
 	}
-	if err := sexp.Decode(sexp.Pos{File: path, Line: 1, Col: 1}, forms, &f); err != nil {
+	if err := sexp.Read(path, text, &f); err != nil {
 		return nil, err
 	}
 	var list []gannethook.Server
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -257,3 +258,21 @@
 		t.Error("a torn cache passes")
 	}
 }
+
+// Whatever an API sends, the table keeps servers that the settings know.
+func FuzzTable(f *testing.F) {
+	f.Add("ADDED", `{"metadata":{"name":"a","labels":{"gannethook.dev/kind":"prompt"}},"endpoints":[{"addresses":["10.0.0.1"]}],"ports":[{"port":80}]}`)
+	f.Fuzz(func(t *testing.T, kind, text string) {
+		var s roster.Slice
+		if json.Unmarshal([]byte(text), &s) != nil {
+			return
+		}
+		tb := roster.NewTable(names)
+		tb.Change(kind, s, 1)
+		for _, e := range tb.List([]roster.Slice{s, s}, 2).Servers {
+			if e.Kind < 0 || e.Kind >= len(names.Kinds) || e.Zone < 0 || e.Zone >= len(names.Zones) || e.State == gannethook.Gone {
+				t.Fatalf("%+v", e)
+			}
+		}
+	})
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -93,8 +93,9 @@
 	reqOf  map[string]string         // from that to the client's request
 	killed map[string][]span         // router: when, from the signal to its end
 	opened map[offered]float64       // when the session of a try was opened
-	dead   map[string][]float64      // engine: when it died or fell
+	dead   map[string][]span         // engine: from its death or fall to its next start
 	frozen map[string][]span         // engine: while it let nothing pass
+	jams   []span                    // while dials to some engine timed out
 	last   float64
 	v      *Verdict
 }
@@ -424,8 +425,7 @@
 
 // ruleFive: while no attempt of a request is out, what is held for it is taken or let go in time.
 func (c *checker) ruleFive() {
-	down, jams := c.downs(), c.jams()
-	c.frozen = c.freezes()
+	c.find()
 	for _, request := range sorted(c.byRead) {
 		events := c.byRead[request]
 		router, _ := cut(request + "-")
@@ -436,10 +436,10 @@
 			}
 		}
 		out := c.attempts(events)
-		for _, h := range c.holds(events, down, until) {
+		for _, h := range c.holds(events, until) {
 			idle := longestIdle(h, out)
 			most := c.cfg.Pin + c.cfg.PinSlop
-			if overlaps(jams, idle) {
+			if overlaps(c.jams, idle) {
 				most += c.cfg.Dials
 			}
 			if idle := idle.to - idle.from; idle > most {
@@ -450,76 +450,55 @@
 	}
 }
 
-// downs are the times from which engines hear nothing more: dead, fallen or frozen.
-func (c *checker) downs() map[string][]float64 {
-	down := map[string][]float64{}
-	c.dead = map[string][]float64{}
+// between are the stretches of each engine from an event of one kind to the
+// next of the others, or to the end of the records.
+func (c *checker) between(begin string, ends ...string) map[string][]span {
+	list, from := map[string][]span{}, map[string]float64{}
 	for _, e := range c.events {
-		if e.Kind == record.Dead || e.Kind == record.Fell {
-			c.dead[e.Who] = append(c.dead[e.Who], e.T)
-		}
-		if e.Kind == record.Dead || e.Kind == record.Fell || e.Kind == record.Frozen {
-			down[e.Who] = append(down[e.Who], e.T)
+		at, open := from[e.Who]
+		switch {
+		case e.Kind == begin && !open:
+			from[e.Who] = e.T
+		case open && slices.Contains(ends, e.Kind):
+			list[e.Who] = append(list[e.Who], span{at, e.T})
+			delete(from, e.Who)
 		}
 	}
-	return down
+	for who, at := range from {
+		list[who] = append(list[who], span{at, c.last})
+	}
+	return list
 }
 
-// jams are the times in which dials to some engine timed out.
-func (c *checker) jams() []span {
-	begun := map[string]float64{}
-	var list []span
-	for _, e := range c.events {
-		switch e.Kind {
-		case record.Jammed, record.Frozen:
-			begun[e.Who] = e.T
-		case record.Opened, record.Thawed, record.Dead, record.Fell:
-			if from, ok := begun[e.Who]; ok {
-				list = append(list, span{from, e.T})
-				delete(begun, e.Who)
-			}
-		}
+// find gathers when engines were dead, let nothing pass, or could not be dialled.
+func (c *checker) find() {
+	c.dead = c.between(record.Dead, record.Started)
+	for who, fell := range c.between(record.Fell, record.Started) {
+		c.dead[who] = append(c.dead[who], fell...)
 	}
-	for _, who := range sorted(begun) {
-		list = append(list, span{begun[who], c.last})
+	c.frozen = c.between(record.Frozen, record.Thawed, record.Dead, record.Fell)
+	for _, m := range []map[string][]span{c.frozen, c.between(record.Jammed, record.Opened, record.Dead, record.Fell)} {
+		for _, list := range m {
+			c.jams = append(c.jams, list...)
+		}
 	}
-	return list
 }
 
 func overlaps(list []span, s span) bool {
 	return slices.ContainsFunc(list, func(j span) bool { return j.from < s.to && s.from < j.to })
 }
 
-// next is the first time at or after t that an engine goes down.
-func next(times []float64, t, otherwise float64) float64 {
-	for _, d := range times {
-		if d >= t {
-			return min(d, otherwise)
+// next is when the first stretch that is not over at t begins, t at the earliest.
+func next(list []span, t, otherwise float64) float64 {
+	for _, s := range list {
+		if s.to >= t {
+			otherwise = min(otherwise, max(s.from, t))
 		}
 	}
 	return otherwise
 }
 
-// freezes are the times in which engines let nothing pass.
-func (c *checker) freezes() map[string][]span {
-	list, from := map[string][]span{}, map[string]float64{}
-	for _, e := range c.events {
-		switch e.Kind {
-		case record.Frozen:
-			from[e.Who] = e.T
-		case record.Thawed, record.Dead, record.Fell:
-			if at, ok := from[e.Who]; ok {
-				list[e.Who] = append(list[e.Who], span{at, e.T})
-				delete(from, e.Who)
-			}
-		}
-	}
-	for who, at := range from {
-		list[who] = append(list[who], span{at, c.last})
-	}
-	return list
-}
-
+// attempts are the stretches in which attempts were out.
 func (c *checker) attempts(events []record.Event) []span {
 	var list []span
 	for i, e := range events {
@@ -527,9 +506,6 @@
 			continue
 		}
 		s := span{e.T, c.last}
-		if e.Kind == record.Swallow {
-			s.to = c.thawed(e)
-		}
 		for _, f := range events[i:] {
 			if f.Kind == record.End && f.Who == e.Who && f.Key == e.Key {
 				s.to = min(s.to, f.T)
@@ -553,23 +529,14 @@
 	return list
 }
 
-// thawed is when a frozen engine that swallowed an attempt was back, or dead.
-func (c *checker) thawed(e record.Event) float64 {
-	for _, f := range c.events {
-		if f.T >= e.T && f.Who == e.Who && (f.Kind == record.Thawed || f.Kind == record.Dead) {
-			return f.T
-		}
-	}
-	return c.last
-}
-
-func (c *checker) holds(events []record.Event, down map[string][]float64, until float64) []span {
+// holds are the stretches in which something was held at engines that could let it go.
+func (c *checker) holds(events []record.Event, until float64) []span {
 	var list []span
 	for i, e := range events {
 		if e.Kind != record.Held {
 			continue
 		}
-		s := span{e.T, next(down[e.Who], e.T, until)}
+		s := span{e.T, next(c.frozen[e.Who], e.T, next(c.dead[e.Who], e.T, until))}
 		for _, f := range events[i:] {
 			if f.Kind == record.Freed && f.Who == e.Who && f.Key == e.Key && strings.HasPrefix(f.Note, e.Note+" ") {
 				s.to = min(s.to, f.T)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,20 +155,20 @@
 
 // Load reads and checks a file.
 func Load(path string) (*File, error) {
-	forms, err := sexp.ParseFile(path)
-	if err != nil {
+	f := defaults()
+	if err := sexp.ReadFile(path, f); err != nil {
 		return nil, err
 	}
-	return decode(path, forms)
+	return f, f.check()
 }
 
 // Parse reads and checks a text; name stands for it in errors.
 func Parse(name, text string) (*File, error) {
-	forms, err := sexp.Parse(name, text)
-	if err != nil {
+	f := defaults()
+	if err := sexp.Read(name, text, f); err != nil {
 		return nil, err
 	}
-	return decode(name, forms)
+	return f, f.check()
 }
 
 // defaults hold where the file is silent.
@@ -188,14 +188,6 @@
 	}
 }
 
-func decode(name string, forms []*sexp.Node) (*File, error) {
-	f := defaults()
-	if err := sexp.Decode(sexp.Pos{File: name, Line: 1, Col: 1}, forms, f); err != nil {
-		return nil, err
-	}
-	return f, f.check()
-}
-
 // check tells what can't work, though each value is one.
 func (f *File) check() error {
 	if _, _, err := net.SplitHostPort(f.Listen); err != nil {
--- a/internal/sexp/decode.go
+++ b/internal/sexp/decode.go
@@ -28,6 +28,24 @@
 	return decodeStruct(at, items, reflect.ValueOf(out).Elem())
 }
 
+// ReadFile binds a whole file to the struct that out points to.
+func ReadFile(path string, out any) error {
+	text, err := load(path)
+	if err != nil {
+		return err
+	}
+	return Read(path, text, out)
+}
+
+// Read binds a text; name stands for its file in errors.
+func Read(name, text string, out any) error {
+	forms, err := Parse(name, text)
+	if err != nil {
+		return err
+	}
+	return Decode(Pos{File: name, Line: 1, Col: 1}, forms, out)
+}
+
 type field struct {
 	v    reflect.Value
 	need bool
--- a/internal/sexp/parse.go
+++ b/internal/sexp/parse.go
@@ -58,18 +58,18 @@
 	return ""
 }
 
-// ParseFile reads a whole file.
-func ParseFile(path string) ([]*Node, error) {
+// load reads a file up to one byte over the bound, which Parse then refuses.
+func load(path string) (string, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	defer f.Close()
 	text, err := io.ReadAll(io.LimitReader(f, MaxBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return "", fmt.Errorf("%s: %w", path, err)
 	}
-	return Parse(path, string(text))
+	return string(text), nil
 }
 
 // Parse reads the forms of a text; file names it in errors.
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -35,6 +35,7 @@
 	version  int
 	oldest   int // changes up to it are forgotten
 	engines  map[string]Listed
+	left     map[string]Listed // listed once, and no longer
 	changes  []change
 	wake     chan struct{}
 	watches  map[chan struct{}]bool // closed to cut one
@@ -52,7 +53,7 @@
 
 // NewRoster returns a roster that does not serve yet.
 func NewRoster(service string, log *record.Log) *Roster {
-	return &Roster{Service: service, log: log, version: 1, engines: map[string]Listed{}, wake: make(chan struct{}),
+	return &Roster{Service: service, log: log, version: 1, engines: map[string]Listed{}, left: map[string]Listed{}, wake: make(chan struct{}),
 		watches: map[chan struct{}]bool{}}
 }
 
@@ -112,11 +113,13 @@
 		kind = "ADDED"
 	}
 	r.engines[e.Addr] = e
+	delete(r.left, e.Addr)
 	r.version++
 	b, _ := json.Marshal(r.slice(e))
 	if e.State == "gone" {
 		kind = "DELETED"
 		delete(r.engines, e.Addr)
+		r.left[e.Addr] = e
 	}
 	r.changes = append(r.changes, change{r.version, time.Now(), kind, b, e})
 	close(r.wake)
@@ -183,6 +186,9 @@
 		items = append(items, r.slice(e))
 		listed = append(listed, e)
 	}
+	for _, e := range r.left { // a full list tells by leaving out
+		listed = append(listed, e)
+	}
 	version := r.version
 	r.mu.Unlock()
 	for _, e := range listed {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -160,7 +160,16 @@
 		return j.turned(429, "throttled")
 	case f.Errors > 0 && l.chance() < f.Errors:
 		return j.turned(500, "error")
-	case j.write:
+	}
+	leave, err := l.slot(j.ctx)
+	if errors.Is(err, errTurned) {
+		return j.turned(429, "full")
+	}
+	if err != nil {
+		return "called off"
+	}
+	defer leave()
+	if j.write {
 		return j.answer()
 	}
 	return j.read()
@@ -197,14 +206,6 @@
 // read reads a prompt and keeps its state until it is fetched, let go or too old.
 func (j *job) read() string {
 	l := j.l
-	leave, err := l.slot(j.ctx)
-	if errors.Is(err, errTurned) {
-		return j.turned(429, "full")
-	}
-	if err != nil {
-		return "called off"
-	}
-	defer leave()
 	tokens := j.c.size()
 	if l.take(j.ctx, tokens) != nil {
 		return "called off"
@@ -448,14 +449,6 @@
 // answer streams an answer. Its effect happens as it starts.
 func (j *job) answer() string {
 	l := j.l
-	leave, err := l.slot(j.ctx)
-	if errors.Is(err, errTurned) {
-		return j.turned(429, "full")
-	}
-	if err != nil {
-		return "called off"
-	}
-	defer leave()
 	tokens, ok := j.state()
 	if !ok {
 		if j.ctx.Err() != nil {
--- a/internal/ws/conn.go
+++ b/internal/ws/conn.go
@@ -204,7 +204,7 @@
 		// What the peer still sends is read for a moment: to close on unread bytes
 		// would reset the connection, and the close frame might be lost.
 		tcp.CloseWrite()
-		tcp.SetReadDeadline(deadline(min(c.lim.Linger, time.Second)))
+		tcp.SetReadDeadline(deadline(c.lim.Linger))
 		io.CopyN(io.Discard, c.br, 1<<20)
 	}
 }
