A cut watch of the stand-in roster hears no later change

The stand-in forgot its history and cut its watches in two steps, and a cut watch that woke by the next change first still sent it, so the router's version ran past what was forgotten and no 410 came. Forgetting and cutting are now one step, and a cut watch is given no change. A small test of the stand-in fails without the change.

--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -89,6 +89,10 @@
 func (r *Roster) CutWatches() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.cut()
+}
+
+func (r *Roster) cut() {
 	for w := range r.watches {
 		close(w)
 	}
@@ -98,10 +102,10 @@
 // Forget compacts the history: a watch from an older version gets 410 Gone.
 func (r *Roster) Forget() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.version++
 	r.changes, r.oldest = nil, r.version
-	r.mu.Unlock()
-	r.CutWatches()
+	r.cut()
 }
 
 // Set lists an engine, or changes how it is listed.
@@ -215,7 +219,7 @@
 	mark := time.NewTicker(500 * time.Millisecond)
 	defer mark.Stop()
 	for {
-		c, wake := r.next(from)
+		c, wake := r.next(from, cut)
 		if c == nil {
 			select {
 			case <-wake:
@@ -249,9 +253,14 @@
 	}
 }
 
-func (r *Roster) next(from int) (*change, chan struct{}) {
+// next is the first change after a version, or what to wait for. A watch that
+// was cut hears no later change: it would pass over what was forgotten.
+func (r *Roster) next(from int, cut chan struct{}) (*change, chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.watches[cut] {
+		return nil, cut
+	}
 	for i := range r.changes {
 		if r.changes[i].version > from {
 			c := r.changes[i]
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -213,3 +213,20 @@
 		nc.Close()
 	}
 }
+
+// A watch that was cut must not hear of a later change: it would pass over what
+// was forgotten between, and never be told that its version is too old.
+func TestCutWatchHearsNothing(t *testing.T) {
+	r := NewRoster("engines", nil)
+	cut := make(chan struct{})
+	r.watches[cut] = true
+	r.Set(Listed{Addr: "127.0.0.1:1", Kind: "prompt", State: "ready"})
+	if c, _ := r.next(1, cut); c == nil {
+		t.Fatal("an open watch hears nothing")
+	}
+	r.Forget()
+	r.Set(Listed{Addr: "127.0.0.1:1", Kind: "prompt", State: "gone"})
+	if c, wait := r.next(2, cut); c != nil || wait != cut {
+		t.Errorf("a cut watch hears %v", c)
+	}
+}
