The module shows its servers and takes new settings between two events

Operators must see the engines as a router does, and a reload must not need a restart. api.go gains View (freeness, charge, backlog, holds, memory) and Reconfigure; settings.go's Compatible refuses what would change a promise under way. The driver asks and swaps on its own goroutine. The life of a router gains restart: a successor is started first, results of commands and a drain are handed on.

--- a/api.go
+++ b/api.go
@@ -182,6 +182,8 @@
 	ClientGone struct{ ID RequestID }
 	// Wakeup is a Wake come due.
 	Wakeup struct{ Ref uint64 }
+	// Reconfigure swaps the settings between two events. What Compatible does not allow is not swapped.
+	Reconfigure struct{ Settings Settings }
 )
 
 // Action is something that a router wants done.
@@ -223,13 +225,14 @@
 	Subscribe struct{}
 )
 
-func (Membership) isEvent() {}
-func (Request) isEvent()    {}
-func (Streaming) isEvent()  {}
-func (Held) isEvent()       {}
-func (Ended) isEvent()      {}
-func (ClientGone) isEvent() {}
-func (Wakeup) isEvent()     {}
+func (Membership) isEvent()  {}
+func (Request) isEvent()     {}
+func (Streaming) isEvent()   {}
+func (Held) isEvent()        {}
+func (Ended) isEvent()       {}
+func (ClientGone) isEvent()  {}
+func (Wakeup) isEvent()      {}
+func (Reconfigure) isEvent() {}
 
 func (Send) isAction()      {}
 func (Cancel) isAction()    {}
@@ -239,3 +242,15 @@
 func (Fail) isAction()      {}
 func (Wake) isAction()      {}
 func (Subscribe) isAction() {}
+
+// View is a server as the router sees it, for operators. It changes nothing.
+type View struct {
+	Server
+	Role     Role
+	Freeness float64 // a reader's to read, a writer's of memory, what is taken off included; a Mixed server's lesser
+	Charge   float64 // taken off for failures and lateness
+	Backlog  float64 // price of own reads out
+	Holds    int     // own places held and streams open
+	Memory   float64 // share of memory as last reported
+	Heard    Millis  // when; 0: never
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -121,6 +121,7 @@
 	startMS float64
 	boot    string
 	open    atomic.Int64
+	maxOpen atomic.Int64
 	work    sync.WaitGroup // attempts, holds and releases on their way
 
 	// Of the goroutine alone:
@@ -145,10 +146,12 @@
 		router = module
 	}
 	now := time.Now()
-	return &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
+	d := &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
 		boot:  cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36),
-		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}, nil
+		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}
+	d.maxOpen.Store(int64(cfg.MaxOpen))
+	return d, nil
 }
 
 // now is the module's clock: wall time at the start, so that servers' start
@@ -233,7 +236,7 @@
 // Submit takes a request in. ErrBusy tells that the inbox or the table is full:
 // nothing has run, so the client may be refused.
 func (d *Driver) Submit(job Job, sink Sink) (*Call, error) {
-	if d.open.Add(1) > int64(d.cfg.MaxOpen) {
+	if d.open.Add(1) > d.maxOpen.Load() {
 		d.open.Add(-1)
 		return nil, ErrBusy
 	}
@@ -250,6 +253,47 @@
 	}
 }
 
+// Viewer is a Decider that shows what it sees; gannethook.Router does.
+type Viewer interface {
+	View(now gannethook.Millis) []gannethook.View
+}
+
+// View asks the module for the servers as it sees them, and how many requests
+// wait or run. It waits its turn in the inbox; a decider that shows nothing gives none.
+func (d *Driver) View(ctx context.Context) ([]gannethook.View, error) {
+	got := make(chan []gannethook.View, 1)
+	ask := func() {
+		var list []gannethook.View
+		if v, ok := d.router.(Viewer); ok {
+			list = v.View(d.now())
+		}
+		got <- list
+	}
+	select {
+	case d.inbox <- ask:
+	case <-d.stopped:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case list := <-got:
+		return list, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Swap has new settings take the place of the old ones, between two events.
+// They are compatible with the old; maxOpen bounds the open requests from now on.
+func (d *Driver) Swap(set gannethook.Settings, maxOpen int) {
+	d.maxOpen.Store(int64(maxOpen))
+	d.post(func() {
+		d.cfg.Settings = set
+		d.tell(gannethook.Reconfigure{Settings: set})
+	})
+}
+
 // Update brings news of the list of servers.
 func (d *Driver) Update(m gannethook.Membership) {
 	d.post(func() {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -36,15 +36,19 @@
 	Resume
 	Reload
 	Stop
+	Restart // a successor takes the ports over; this process ends as on a stop
 )
 
-func (o Op) String() string { return [...]string{"none", "drain", "resume", "reload", "stop"}[o] }
+func (o Op) String() string {
+	return [...]string{"none", "drain", "resume", "reload", "stop", "restart"}[o]
+}
 
 // Command is an operator's, or a signal's. A repeat of its ID gets the first one's result.
 type Command struct {
-	ID    string
-	Op    Op
-	Limit time.Duration // of a drain or stop; 0: the settings'
+	ID      string
+	Op      Op
+	Limit   time.Duration // of a drain, stop or restart; 0: the settings'
+	Release string        // of a restart: what the successor runs; "" the same
 }
 
 // Result is what became of a command.
@@ -60,11 +64,16 @@
 
 // The effects.
 type (
-	Accept   struct{}                // take sessions
-	Turn     struct{}                // take no more, tell the open sessions
-	GiveUp   struct{}                // answer all that is open, now
-	Cut      struct{}                // close all connections
-	Load     struct{ ID string }     // read and check the settings; then Loaded
+	Accept struct{}            // take sessions
+	Turn   struct{}            // take no more, tell the open sessions
+	GiveUp struct{}            // answer all that is open, now
+	Cut    struct{}            // close all connections
+	Load   struct{ ID string } // read and check the settings; then Loaded
+	Spawn  struct {            // start a successor; then Spawned
+		ID, Release string
+		Drained     bool // it starts drained
+	}
+	Abort    struct{}                // end the successor that starts
 	Exit     struct{ Code int }      // end the process
 	Reply    struct{ Result Result } // to whoever gave the command
 	Announce struct{ State State }   // the state has changed
@@ -75,13 +84,15 @@
 func (GiveUp) isEffect()   {}
 func (Cut) isEffect()      {}
 func (Load) isEffect()     {}
+func (Spawn) isEffect()    {}
+func (Abort) isEffect()    {}
 func (Exit) isEffect()     {}
 func (Reply) isEffect()    {}
 func (Announce) isEffect() {}
 
 // Limits are the deadlines that end a state.
 type Limits struct {
-	Start time.Duration // Starting, else Failed
+	Start time.Duration // Starting, else Failed; and a successor's start
 	Drain time.Duration // Draining and Stopping, unless the command has its own; then GiveUp
 	Words time.Duration // from GiveUp to Cut
 	Keep  int           // results remembered
@@ -95,7 +106,10 @@
 	deadline time.Duration
 	gaveUp   bool
 	cut      bool
-	loading  string // command that reloads; "" none
+	drained  bool    // it starts drained
+	restart  Command // the one that heir names
+	loading  string  // command that reloads; "" none
+	heir     string  // command that starts a successor; "" none
 	waiting  []string
 	results  map[string]Result
 	pending  map[string]bool
@@ -111,6 +125,24 @@
 	return &Machine{lim: lim, state: Starting, deadline: now + lim.Start, results: map[string]Result{}, pending: map[string]bool{}}
 }
 
+// Inherit gives a life what its predecessor hands on: the results of commands,
+// and whether it was drained. It is called before Started.
+func (m *Machine) Inherit(results []Result, drained bool) {
+	m.drained = drained
+	for _, r := range results {
+		m.remember(r)
+	}
+}
+
+// Results are those remembered, oldest first, to be handed on.
+func (m *Machine) Results() []Result {
+	var list []Result
+	for _, id := range m.order {
+		list = append(list, m.results[id])
+	}
+	return list
+}
+
 // State is the present state.
 func (m *Machine) State() State { return m.state }
 
@@ -144,6 +176,11 @@
 	case m.state != Starting:
 	case err != nil:
 		m.fail()
+	case m.drained:
+		// Guards a drain over a restart: what one operator drained, another's restart does not undo. Harms an
+		// operator who forgot the drain: the router takes nothing until it is resumed.
+		m.to(Drained)
+		m.do(Turn{})
 	default:
 		m.to(Ready)
 		m.do(Accept{})
@@ -181,6 +218,10 @@
 func (m *Machine) end() {
 	m.to(Ended)
 	m.flush(true, "")
+	if m.loading != "" {
+		m.reply(Result{ID: m.loading, Note: "the router ended"})
+		m.loading = ""
+	}
 	m.do(Exit{0})
 }
 
@@ -234,6 +275,29 @@
 	return m.take()
 }
 
+// Spawned tells how starting a successor ended. With one in place this router
+// stops; without one it goes on as it was.
+func (m *Machine) Spawned(now time.Duration, id string, err error) []Effect {
+	if m.heir != id || id == "" {
+		return nil
+	}
+	m.heir = ""
+	if err != nil {
+		m.reply(Result{ID: id, Note: err.Error()})
+		return m.take()
+	}
+	m.reply(Result{ID: id, Done: true})
+	m.flush(false, "a restart came")
+	switch m.state {
+	case Ready, Drained:
+		m.turn(now, m.restart, Stopping)
+	case Draining:
+		m.sooner(now, m.restart)
+		m.to(Stopping)
+	}
+	return m.take()
+}
+
 // Command takes a command.
 func (m *Machine) Command(now time.Duration, c Command) []Effect {
 	if r, known := m.results[c.ID]; known {
@@ -253,6 +317,8 @@
 		m.reload(c)
 	case Stop:
 		m.stop(now, c)
+	case Restart:
+		m.replace(c)
 	default:
 		m.refuse(c, ErrUnknown.Error())
 	}
@@ -264,16 +330,21 @@
 // reply answers a command and remembers the result for repeats of it.
 func (m *Machine) reply(r Result) {
 	delete(m.pending, r.ID)
-	if r.ID != "" {
-		m.results[r.ID] = r
-		if m.order = append(m.order, r.ID); len(m.order) > max(m.lim.Keep, 1) {
-			delete(m.results, m.order[0])
-			m.order = m.order[1:]
-		}
-	}
+	m.remember(r)
 	m.do(Reply{r})
 }
 
+func (m *Machine) remember(r Result) {
+	if r.ID == "" {
+		return
+	}
+	m.results[r.ID] = r
+	if m.order = append(m.order, r.ID); len(m.order) > max(m.lim.Keep, 1) {
+		delete(m.results, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
 func (m *Machine) limit(c Command) time.Duration {
 	if c.Limit > 0 {
 		return c.Limit
@@ -334,14 +405,45 @@
 		m.refuse(c, fmt.Sprintf("the router is %v", m.state))
 	case m.loading != "":
 		m.refuse(c, "another reload runs")
+	case m.heir != "":
+		m.refuse(c, "a restart runs; the successor reads the settings")
 	default:
 		m.loading = c.ID
 		m.do(Load{c.ID})
 	}
 }
 
+// replace has a successor started. This router goes on until that one is ready,
+// so a release that does not come up costs nothing.
+func (m *Machine) replace(c Command) {
+	switch {
+	case m.state != Ready && m.state != Draining && m.state != Drained:
+		m.refuse(c, fmt.Sprintf("the router is %v", m.state))
+	case m.heir != "":
+		m.refuse(c, "another restart runs")
+	case m.loading != "":
+		// Guards against a successor that starts on settings which the reload then refuses. Harms nothing:
+		// a reload ends soon, and the restart may be asked for again.
+		m.refuse(c, "a reload runs")
+	default:
+		m.heir, m.restart = c.ID, c
+		m.do(Spawn{ID: c.ID, Release: c.Release, Drained: m.state != Ready})
+	}
+}
+
+// abort gives up the successor that starts: the router is to end, not to live on in it.
+func (m *Machine) abort() {
+	if m.heir == "" {
+		return
+	}
+	m.do(Abort{})
+	m.reply(Result{ID: m.heir, Note: "a stop came"})
+	m.heir = ""
+}
+
 // stop ends the router when nothing is open; a second one cuts it short.
 func (m *Machine) stop(now time.Duration, c Command) {
+	m.abort()
 	switch m.state {
 	case Ended, Failed:
 		m.refuse(c, fmt.Sprintf("the router is %v", m.state))
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -24,7 +24,7 @@
 
 func TestLives(t *testing.T) {
 	cmd := func(at time.Duration, id string, op Op, limit time.Duration) func(*Machine) []Effect {
-		return func(m *Machine) []Effect { return m.Command(at, Command{id, op, limit}) }
+		return func(m *Machine) []Effect { return m.Command(at, Command{ID: id, Op: op, Limit: limit}) }
 	}
 	open := func(at time.Duration, n int) func(*Machine) []Effect {
 		return func(m *Machine) []Effect { return m.Open(at, n) }
@@ -32,6 +32,9 @@
 	tick := func(at time.Duration) func(*Machine) []Effect {
 		return func(m *Machine) []Effect { return m.Tick(at) }
 	}
+	spawned := func(at time.Duration, err error) func(*Machine) []Effect {
+		return func(m *Machine) []Effect { return m.Spawned(at, "a", err) }
+	}
 	started := func(m *Machine) []Effect { return m.Started(0, nil) }
 	for _, c := range []struct {
 		name  string
@@ -67,6 +70,27 @@
 			"Reply{{b false false another reload runs}}", Ready},
 		{"a drain during a reload", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Reload, 0), cmd(2*s, "b", Drain, 0),
 			func(m *Machine) []Effect { return m.Loaded(3*s, "a", errors.New("f:1:1: bad")) }}, "Reply{{a false false f:1:1: bad}}", Draining},
+		{"a restart", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0)}, "Spawn{a  false}", Ready},
+		{"a restart of a drained router", []func(*Machine) []Effect{started, cmd(1*s, "d", Drain, 0), cmd(2*s, "a", Restart, 0)},
+			"Spawn{a  true}", Drained},
+		{"a restart that comes up", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0), spawned(2*s, nil)},
+			"Reply{{a true false }} Announce{stopping} Turn{}", Stopping},
+		{"a restart that does not", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0), spawned(2*s, errors.New("x"))},
+			"Reply{{a false false x}}", Ready},
+		{"a stop during a restart", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Stop, 0)},
+			"Abort{} Reply{{a false false a stop came}} Announce{stopping} Turn{}", Stopping},
+		{"a drain during a restart", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Drain, 0), spawned(3*s, nil)},
+			"Reply{{a true false }} Reply{{b false false a restart came}} Announce{stopping}", Stopping},
+		{"a reload during a restart", []func(*Machine) []Effect{started, cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Reload, 0)},
+			"Reply{{b false false a restart runs; the successor reads the settings}}", Ready},
+		{"a successor of a drained router", []func(*Machine) []Effect{func(m *Machine) []Effect {
+			m.Inherit([]Result{{ID: "a", Done: true}}, true)
+			return m.Started(0, nil)
+		}}, "Announce{drained} Turn{}", Drained},
+		{"a repeat at a successor", []func(*Machine) []Effect{func(m *Machine) []Effect {
+			m.Inherit([]Result{{ID: "a", Done: true}}, false)
+			return m.Started(0, nil)
+		}, cmd(1*s, "a", Restart, 0)}, "Reply{{a true false }}", Ready},
 	} {
 		m := New(lim, 0)
 		var got []Effect
@@ -85,7 +109,7 @@
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := New(lim, 0)
-		now, exits, gaveUp := time.Duration(0), 0, false
+		now, exits, heirs, gaveUp := time.Duration(0), 0, 0, false
 		given, replies := map[string]bool{}, map[string]int{}
 		var due time.Duration // by when the present drain or stop is over
 		take := func(list []Effect, repeat string) {
@@ -97,6 +121,12 @@
 					gaveUp = false
 				case GiveUp:
 					gaveUp = true
+				case Spawn:
+					if heirs++; heirs > 1 {
+						t.Fatal("two successors at once")
+					}
+				case Abort:
+					heirs--
 				case Cut:
 					if !gaveUp {
 						t.Fatal("cut before the answers were given")
@@ -117,7 +147,16 @@
 			for at, ok := m.Deadline(); ok && at <= now; at, ok = m.Deadline() { // timers are kept
 				take(m.Tick(at), "")
 			}
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 3:
+				var err error
+				if rapid.Bool().Draw(t, "bad") {
+					err = errors.New("bad")
+				}
+				if m.heir != "" {
+					heirs--
+				}
+				take(m.Spawned(now, m.heir, err), "")
 			case 0:
 				take(m.Started(now, nil), "")
 			case 1:
@@ -125,7 +164,7 @@
 			case 2:
 				take(m.Loaded(now, m.loading, nil), "")
 			default:
-				c := Command{ID: fmt.Sprint("c", i), Op: Op(rapid.IntRange(1, 4).Draw(t, "op"))}
+				c := Command{ID: fmt.Sprint("c", i), Op: Op(rapid.IntRange(1, 5).Draw(t, "op"))}
 				repeat := ""
 				if rapid.IntRange(0, 5).Draw(t, "repeat") == 0 {
 					if c.ID = fmt.Sprint("c", i/2); given[c.ID] && replies[c.ID] > 0 {
--- a/router.go
+++ b/router.go
@@ -200,6 +200,10 @@
 		if q := r.requests[ev.ID]; q != nil && !q.ended {
 			r.end(q)
 		}
+	case Reconfigure:
+		if r.set.Compatible(&ev.Settings) == nil {
+			r.set = ev.Settings
+		}
 	case Wakeup:
 		switch q := r.requests[RequestID(ev.Ref/refStep)]; ev.Ref % refStep {
 		case refSweep:
@@ -952,3 +956,24 @@
 	r.list = append(r.list, s)
 	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
+
+// View shows the servers in order of id, as the router sees them now. It changes nothing.
+func (r *Router) View(now Millis) []View {
+	at := r.now
+	defer func() { r.now = at }()
+	r.now = max(at, now)
+	list := make([]View, 0, len(r.list))
+	for _, s := range r.list {
+		v := View{Server: s.Server, Role: s.role, Charge: r.chargeOf(s), Backlog: s.out,
+			Holds: len(s.streams), Memory: s.share, Heard: s.heard}
+		q := &request{aim: r.set.Classes[0].Aim} // of the first class: freeness is a request's
+		q.Budget = q.aim
+		if v.Freeness = r.freeness(s, q); s.role == Writer {
+			v.Freeness = r.memory(s, q)
+		} else if s.role == Mixed {
+			v.Freeness = math.Min(v.Freeness, r.memory(s, q))
+		}
+		list = append(list, v)
+	}
+	return list
+}
--- a/settings.go
+++ b/settings.go
@@ -36,3 +36,26 @@
 	}
 	return nil
 }
+
+// Compatible tells why a running router can't take settings in place of its own: requests under way refer to
+// classes, kinds and tenants by number, and what a class promised may not change under them.
+func (set *Settings) Compatible(next *Settings) error {
+	if len(set.Classes) != len(next.Classes) || len(set.Kinds) != len(next.Kinds) || len(set.Tenants) != len(next.Tenants) {
+		return errors.New("settings: a class, kind or tenant came or went")
+	}
+	for i, c := range next.Classes {
+		if o := set.Classes[i]; o.Effect != c.Effect || o.Group != c.Group || o.Window != c.Window || o.Streamed != c.Streamed {
+			return fmt.Errorf("settings: class %d promises something else", i)
+		}
+	}
+	for i, k := range next.Kinds {
+		if set.Kinds[i].Role != k.Role {
+			return fmt.Errorf("settings: kind %d has another role", i)
+		}
+	}
+	if set.AskDiscovery != next.AskDiscovery || set.Cancel != next.Cancel || set.Holds != next.Holds ||
+		set.WritersRead != next.WritersRead {
+		return errors.New("settings: what engines can do changed")
+	}
+	return validate(next)
+}
