The daemon lives by its state machine: drain, reload, hand-over, control plane

Operators must drain, reload and restart a router without losing an answer. internal/life is wired in: one goroutine owns it and carries out its effects. internal/handover passes the listeners and the lock to a successor, which takes over once it has heard the roster; internal/reload decides which changed settings are taken up at once; internal/control is gRPC on a unix socket and, with go-spiffe's mutual TLS, on TCP, with roles by certificate; internal/certs reads renewed files and makes a fleet's first ones.

--- a/cmd/gannethook/demo.go
+++ b/cmd/gannethook/demo.go
@@ -27,7 +27,7 @@
 		Short: "One router, stand-in engines and roster on loopback; a few prompts, then it ends",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			log, err := logger(level)
+			log, _, err := logger(level)
 			if err != nil {
 				return err
 			}
--- a/cmd/gannethook/main.go
+++ b/cmd/gannethook/main.go
@@ -34,18 +34,20 @@
 }
 
 // logger writes JSON lines to standard error, or nowhere for level "off".
-func logger(level string) (*zap.Logger, error) {
+// Its level may change while it runs.
+func logger(level string) (*zap.Logger, *zap.AtomicLevel, error) {
 	if level == "off" {
-		return zap.NewNop(), nil
+		return zap.NewNop(), nil, nil
 	}
 	at, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("--log: %w", err)
+		return nil, nil, fmt.Errorf("--log: %w", err)
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(at)
 	cfg.Sampling = nil // every request has its line
 	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.EncoderConfig.EncodeDuration = zapcore.MillisDurationEncoder
-	return cfg.Build()
+	log, err := cfg.Build()
+	return log, &cfg.Level, err
 }
--- a/cmd/gannethook/serve.go
+++ b/cmd/gannethook/serve.go
@@ -5,57 +5,126 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
+	"github.com/coreos/go-systemd/v22/activation"
 	"github.com/spf13/cobra"
 
 	"gannethook/internal/daemon"
+	"gannethook/internal/handover"
+	"gannethook/internal/life"
 	"gannethook/internal/settings"
 )
 
 func serveCommand() *cobra.Command {
-	var config, level, policy string
+	var config, level, policy, release string
 	cmd := &cobra.Command{
 		Use:   "serve --config FILE",
 		Short: "Run a router",
-		Args:  cobra.NoArgs,
+		Long: `Run a router until a signal or an operator stops it.
+
+SIGTERM and SIGINT drain and stop, a second one cuts that short. SIGHUP reads
+the settings again. SIGUSR2 starts a successor that takes the ports over.`,
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := settings.Load(config)
+			signals := make(chan os.Signal, 4) // from the first moment on: a stop during the start is kept
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR2, syscall.SIGTERM, os.Interrupt)
+			defer signal.Stop(signals)
+			link, err := handover.Take()
 			if err != nil {
 				return err
 			}
-			log, err := logger(level)
+			d, err := startRouter(config, level, policy, release, link)
 			if err != nil {
+				if link != nil {
+					link.Fail(err)
+				}
 				return err
 			}
-			defer log.Sync()
-			d, err := daemon.Start(cfg, policy, log)
-			if err != nil {
-				return err
+			obey(d, signals)
+			d.Stop(context.Background())
+			if d.Code() != 0 {
+				return errors.New("the router failed")
 			}
-			<-cmd.Context().Done()
-			d.Stop(secondSignal())
 			return nil
 		},
 	}
 	cmd.Flags().StringVarP(&config, "config", "c", "", "settings file")
 	cmd.Flags().StringVar(&level, "log", "info", "level of the log: debug, info, warn, error or off")
 	cmd.Flags().StringVar(&policy, "policy", "module", "module, or a baseline for comparisons: random or round-robin")
+	cmd.Flags().StringVar(&release, "release", "", "what this program calls itself; by default its folder's name under (releases ...)")
 	cmd.MarkFlagRequired("config")
 	return cmd
 }
 
-// secondSignal ends at a further signal: the stop is cut short.
-func secondSignal() context.Context {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-again
-		cancel(errors.New("second signal"))
-	}()
-	return ctx
+func startRouter(config, level, policy, release string, link *handover.Link) (*daemon.Daemon, error) {
+	cfg, err := settings.Load(config)
+	if err != nil {
+		return nil, err
+	}
+	log, at, err := logger(level)
+	if err != nil {
+		return nil, err
+	}
+	held, err := activation.ListenersWithNames()
+	if err != nil {
+		return nil, fmt.Errorf("socket activation: %w", err)
+	}
+	argv, err := self()
+	if err != nil {
+		return nil, err
+	}
+	if release == "" {
+		release = releaseOf(argv[0], cfg.Control.Releases)
+	}
+	return daemon.StartWith(cfg, daemon.Options{Policy: policy, Config: config, Release: release, Argv: argv, Link: link,
+		Held: held, Level: at}, log)
+}
+
+// self is this program's path and arguments. The path is as it was called: a
+// link that a deployment moves leads a restart to the new program.
+func self() ([]string, error) {
+	path, err := exec.LookPath(os.Args[0])
+	if err == nil {
+		path, err = filepath.Abs(path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("own program: %w", err)
+	}
+	return append([]string{path}, os.Args[1:]...), nil
+}
+
+// releaseOf names the release that a program under the releases' folder belongs to.
+func releaseOf(path, releases string) string {
+	dir := filepath.Dir(path)
+	if releases == "" || filepath.Dir(dir) != filepath.Clean(releases) {
+		return ""
+	}
+	return filepath.Base(dir)
+}
+
+// obey turns signals into commands until the router's life has ended.
+func obey(d *daemon.Daemon, signals <-chan os.Signal) {
+	for n := 1; ; n++ {
+		c := life.Command{ID: fmt.Sprintf("signal %d of process %d", n, os.Getpid())}
+		select {
+		case s := <-signals:
+			switch s {
+			case syscall.SIGHUP:
+				c.Op = life.Reload
+			case syscall.SIGUSR2:
+				c.Op = life.Restart
+			default:
+				c.Op = life.Stop
+			}
+			go d.Command(context.Background(), c)
+		case <-d.Ended():
+			return
+		}
+	}
 }
 
 func checkCommand() *cobra.Command {
--- /dev/null
+++ b/internal/control/dial.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/spiffe/go-spiffe/v2/spiffeid"
+	"github.com/spiffe/go-spiffe/v2/spiffetls/tlsconfig"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"gannethook/internal/certs"
+	pb "gannethook/internal/control/controlpb"
+)
+
+// Dial returns a client of a router's control plane and what closes it. at is
+// unix:PATH or host:port; a port needs certificates and accepts only a
+// certificate made for the router of that name. No connection is made before
+// the first call; a lost one is made again.
+func Dial(at, name string, files *certs.Files) (pb.ControlClient, func() error, error) {
+	opts := []grpc.DialOption{grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(16 * maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second,
+			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
+		grpc.WithDisableServiceConfig(), grpc.WithNoProxy()}
+	path, unix := strings.CutPrefix(at, "unix:")
+	switch {
+	case unix:
+		opts = append(opts, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+				var d net.Dialer
+				return d.DialContext(ctx, "unix", path)
+			}))
+		at = "passthrough:///" + name
+	case files == nil:
+		return nil, nil, fmt.Errorf("%s: a port needs a certificate, a key and an authority", at)
+	default:
+		id, err := spiffeid.FromSegments(files.Domain(), string(AsRouter), name)
+		if err != nil {
+			return nil, nil, fmt.Errorf("router %q: %w", name, err)
+		}
+		tls := tlsconfig.MTLSClientConfig(files, files, tlsconfig.AuthorizeID(id))
+		opts = append(opts, grpc.WithTransportCredentials(credentials.NewTLS(tls)))
+		at = "passthrough:///" + at
+	}
+	conn, err := grpc.NewClient(at, opts...)
+	if err != nil {
+		return nil, nil, fmt.Errorf("control: %w", err)
+	}
+	return pb.NewControlClient(conn), conn.Close, nil
+}
--- /dev/null
+++ b/internal/daemon/keeper.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gannethook/internal/life"
+)
+
+// errEnded tells a commander that the router ended before it could answer.
+var errEnded = errors.New("the router has ended")
+
+// keeper owns a router's life: one goroutine hands the machine what happens
+// and carries out what it wants. Nothing here decides.
+type keeper struct {
+	m     *life.Machine
+	start time.Time
+	inbox chan func()
+	nudge chan struct{} // something may have closed
+	hands hands
+	wait  map[string][]chan life.Result
+	ended chan struct{} // closed by Exit
+	code  int
+	quit  chan struct{}
+	over  chan struct{}
+}
+
+// hands are what the machine's effects move.
+type hands interface {
+	accept()
+	turn()
+	giveUp()
+	cut()
+	load(id string)
+	spawn(e life.Spawn)
+	abort()
+	announce(s life.State)
+	open() int
+}
+
+func newKeeper(lim life.Limits, h hands) *keeper {
+	return &keeper{m: life.New(lim, 0), start: time.Now(), inbox: make(chan func(), 64), nudge: make(chan struct{}, 1),
+		hands: h, wait: map[string][]chan life.Result{}, ended: make(chan struct{}), quit: make(chan struct{}),
+		over: make(chan struct{})}
+}
+
+func (k *keeper) now() time.Duration { return time.Since(k.start) }
+
+// run keeps the life until stop.
+func (k *keeper) run() {
+	defer close(k.over)
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		wait := time.Hour
+		if at, ok := k.m.Deadline(); ok {
+			wait = max(at-k.now(), 0)
+		}
+		alarm.Reset(wait)
+		select {
+		case f := <-k.inbox:
+			f()
+		case <-k.nudge:
+			k.do(k.m.Open(k.now(), k.hands.open()))
+		case <-alarm.C:
+			k.do(k.m.Tick(k.now()))
+		case <-k.quit:
+			for _, list := range k.wait {
+				for _, c := range list {
+					close(c)
+				}
+			}
+			return
+		}
+	}
+}
+
+// stop ends the goroutine; commands without an answer learn that it ended.
+func (k *keeper) stop() {
+	close(k.quit)
+	<-k.over
+}
+
+// changed tells that something may have closed. It never waits.
+func (k *keeper) changed() {
+	select {
+	case k.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func (k *keeper) post(f func()) {
+	select {
+	case k.inbox <- f:
+	case <-k.over:
+	}
+}
+
+func (k *keeper) do(list []life.Effect) {
+	for _, e := range list {
+		switch e := e.(type) {
+		case life.Accept:
+			k.hands.accept()
+		case life.Turn:
+			k.hands.turn()
+		case life.GiveUp:
+			k.hands.giveUp()
+		case life.Cut:
+			k.hands.cut()
+		case life.Load:
+			k.hands.load(e.ID)
+		case life.Spawn:
+			k.hands.spawn(e)
+		case life.Abort:
+			k.hands.abort()
+		case life.Announce:
+			k.hands.announce(e.State)
+		case life.Reply:
+			for _, c := range k.wait[e.Result.ID] {
+				c <- e.Result
+			}
+			delete(k.wait, e.Result.ID)
+		case life.Exit:
+			k.code = e.Code
+			close(k.ended)
+		}
+	}
+}
+
+// command gives a command and waits for its result.
+func (k *keeper) command(ctx context.Context, c life.Command) (life.Result, error) {
+	got := make(chan life.Result, 1)
+	k.post(func() {
+		k.wait[c.ID] = append(k.wait[c.ID], got)
+		// What is open is asked for first: a drain of an idle router is done at once.
+		k.do(k.m.Open(k.now(), k.hands.open()))
+		k.do(k.m.Command(k.now(), c))
+	})
+	select {
+	case r, ok := <-got:
+		if !ok {
+			return r, errEnded
+		}
+		return r, nil
+	case <-k.over:
+		return life.Result{}, errEnded
+	case <-ctx.Done():
+		return life.Result{}, ctx.Err()
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -154,6 +154,9 @@
 	return d, nil
 }
 
+// Now is the module's clock as of now.
+func (d *Driver) Now() gannethook.Millis { return d.now() }
+
 // now is the module's clock: wall time at the start, so that servers' start
 // times mean something, and monotonic from there on.
 func (d *Driver) now() gannethook.Millis {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -63,10 +63,10 @@
 		call, err := c.srv.drv.Submit(job, r)
 		if r.call = call; err != nil {
 			c.srv.guard.end(r.key, false)
-			r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter, Reason: err.Error()})
+			r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Load().Limits.RetryAfter, Reason: err.Error()})
 		}
 	case keys.Full:
-		r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Limits.RetryAfter,
+		r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Load().Limits.RetryAfter,
 			Reason: "too many keys are remembered"})
 	default:
 		r.turnAway(&job, driver.Answer{Kind: driver.Failed, Reason: "an earlier try with this key: " + v.String()})
@@ -89,13 +89,14 @@
 		return "going_away", "the router stops; open a session elsewhere"
 	case !r.apart && c.main != nil:
 		return "conversation_already_has_active_response", "the conversation has an open response"
-	case len(c.open) >= c.srv.cfg.Sessions.Responses:
+	case len(c.open) >= c.srv.cfg.Load().Sessions.Responses:
 		return "too_many_responses", "the session has too many open responses"
 	}
 	if c.open == nil {
 		c.open = map[string]*response{}
 	}
 	c.open[r.id] = r
+	c.asked++
 	if !r.apart {
 		c.main = r
 	}
@@ -121,7 +122,7 @@
 	if !r.begun {
 		r.begin()
 	}
-	if len(r.text)+len(text) <= int(c.srv.cfg.Sessions.Message) {
+	if len(r.text)+len(text) <= int(c.srv.cfg.Load().Sessions.Message) {
 		r.text = append(r.text, text[1:len(text)-1]...)
 	} else {
 		r.long = true
@@ -221,7 +222,7 @@
 		c.size += cost(text)
 		c.items = append(c.items, item)
 	}
-	for c.size > int(c.srv.cfg.Sessions.Conversation) && len(c.items) > 0 {
+	for c.size > int(c.srv.cfg.Load().Sessions.Conversation) && len(c.items) > 0 {
 		text, _ := c.items[0].Text()
 		c.size -= cost(text)
 		c.items = c.items[1:]
@@ -230,7 +231,7 @@
 
 // job reads what is asked for, and whether the client marks it as a repeat.
 func (c *session) job(p *realtime.Params) (job driver.Job, retry bool, bad *badField) {
-	cfg := c.srv.cfg
+	cfg := c.srv.cfg.Load()
 	if bad = checkParams(p); bad != nil {
 		return job, false, bad
 	}
@@ -292,7 +293,7 @@
 	if !ok {
 		return 0, nil
 	}
-	for i, class := range c.srv.cfg.Classes {
+	for i, class := range c.srv.cfg.Load().Classes {
 		if class.Name == name {
 			return i, nil
 		}
@@ -337,7 +338,7 @@
 
 // sizes reads the numbers among the metadata; sizes that are not told are guessed from the text's length.
 func (c *session) sizes(job *driver.Job, m map[string]string) *badField {
-	job.PromptSize = math.Ceil(float64(len(job.Prompt)) / c.srv.cfg.Sessions.TokenBytes)
+	job.PromptSize = math.Ceil(float64(len(job.Prompt)) / c.srv.cfg.Load().Sessions.TokenBytes)
 	giveUp := 0.0
 	for _, f := range []struct {
 		name string
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -20,35 +19,58 @@
 	"gannethook/internal/ws"
 )
 
-// Path is where sessions are opened.
-const Path = "/v1/realtime"
+// Path is where sessions are opened. A load balancer asks the other two: alive
+// answers 200 as long as the process serves, ready only while it takes sessions.
+const (
+	Path      = "/v1/realtime"
+	LivePath  = "/livez"
+	ReadyPath = "/readyz"
+)
 
 // Server serves sessions.
 type Server struct {
-	cfg    *settings.File
+	cfg    atomic.Pointer[settings.File]
 	drv    *driver.Driver
 	boot   string // names this life of the router
 	guard  *guard
-	limits ws.Limits
 	serial atomic.Uint64
 	done   func(driver.Summary)
+	left   func() // a connection has ended
 
 	mu       sync.Mutex
 	sessions map[*session]bool
-	conns    map[net.Conn]bool // of sessions too
-	closing  bool
+	conns    map[net.Conn]time.Time // of sessions too, with when they came
+	closing  bool                   // no more sessions
+	turned   time.Time
+	final    bool // the listeners are closed for good
+	ended    bool // no more connections
+	loops    int  // that accept
 	wg       sync.WaitGroup
 }
 
 // NewServer returns a server for a driver. done is told of the responses that
 // end here, without having come to the driver.
 func NewServer(cfg *settings.File, drv *driver.Driver, done func(driver.Summary)) *Server {
-	return &Server{cfg: cfg, drv: drv, done: done, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
-		guard: newGuard(cfg), limits: cfg.SessionLimits(), sessions: map[*session]bool{}, conns: map[net.Conn]bool{}}
+	s := &Server{drv: drv, done: done, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
+		guard: newGuard(cfg), sessions: map[*session]bool{}, conns: map[net.Conn]time.Time{}, left: func() {}}
+	s.cfg.Store(cfg)
+	return s
 }
 
+// Swap has new settings hold from the next event of each session on; those of
+// connections hold for new ones.
+func (s *Server) Swap(cfg *settings.File) { s.cfg.Store(cfg) }
+
+// OnLeave sets what is called when a connection has ended. It is set before Serve.
+func (s *Server) OnLeave(left func()) { s.left = left }
+
+// Boot names this life of the router.
+func (s *Server) Boot() string { return s.boot }
+
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(ln net.Listener) error {
+	s.loop(1)
+	defer s.loop(-1)
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -74,15 +96,22 @@
 	}
 }
 
+func (s *Server) loop(by int) {
+	s.mu.Lock()
+	s.loops += by
+	s.mu.Unlock()
+	s.left()
+}
+
 // admit counts a connection; too many are turned away before a byte is read.
 func (s *Server) admit(nc net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || len(s.conns) >= s.cfg.Sessions.Most {
+	if s.ended || len(s.conns) >= s.cfg.Load().Sessions.Most {
 		return false
 	}
-	s.conns[nc] = true
-	s.wg.Add(1) // under the lock: Shutdown waits only after closing is set
+	s.conns[nc] = time.Now()
+	s.wg.Add(1) // under the lock: End waits only after ended is set
 	return true
 }
 
@@ -91,12 +120,13 @@
 	s.mu.Lock()
 	delete(s.conns, nc)
 	s.mu.Unlock()
+	s.left()
 }
 
 // serve reads one opening handshake. The whole head has one deadline, however
 // slowly its bytes drip.
 func (s *Server) serve(nc net.Conn) {
-	nc.SetDeadline(time.Now().Add(s.cfg.Sessions.Handshake))
+	nc.SetDeadline(time.Now().Add(s.cfg.Load().Sessions.Handshake))
 	br := bufio.NewReaderSize(nc, 1024)
 	bw := bufio.NewWriterSize(nc, 512)
 	req, err := http1.ReadRequest(br)
@@ -105,11 +135,14 @@
 		return
 	}
 	path, _, _ := strings.Cut(req.Target, "?")
-	if path != Path {
+	switch {
+	case path == LivePath, path == ReadyPath && !s.stopping():
+		reply(bw, "200 OK")
+		return
+	case path != Path && path != ReadyPath:
 		reply(bw, "404 Not Found")
 		return
-	}
-	if s.stopping() {
+	case s.stopping() && !s.adopted(nc):
 		reply(bw, "503 Service Unavailable")
 		return
 	}
@@ -117,7 +150,7 @@
 		return
 	}
 	nc.SetDeadline(time.Time{})
-	s.session(ws.New(nc, br, false, s.limits), req)
+	s.session(ws.New(nc, br, false, s.cfg.Load().SessionLimits()), req)
 }
 
 func (s *Server) badHead(bw *bufio.Writer, err error) {
@@ -148,14 +181,24 @@
 	return len(s.sessions)
 }
 
-func (s *Server) join(c *session) bool {
+// adopted tells whether a connection came before the router turned. Its client
+// was promised a router by a listener that was open, so it gets its session; as
+// all others, that one is told at once that the router goes.
+func (s *Server) adopted(nc net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		return false
+	return !s.ended && (s.final || s.conns[nc].Before(s.turned))
+}
+
+// join counts a session in. It is told to go at once if the router has turned.
+func (s *Server) join(c *session) (going, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false, false
 	}
 	s.sessions[c] = true
-	return true
+	return s.closing, true
 }
 
 func (s *Server) leave(c *session) {
@@ -164,36 +207,79 @@
 	s.mu.Unlock()
 }
 
-// lastWords is how long sessions may take to close once their answers are given.
-const lastWords = time.Second
+// Open is how many connections are still to end: after Turn those that came before it.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.final {
+		return len(s.conns) + s.loops
+	}
+	n := 0
+	for _, came := range s.conns {
+		if !s.closing || came.Before(s.turned) {
+			n++
+		}
+	}
+	return n
+}
+
+// Accept takes sessions, as at the start or after Turn. Sessions that were told
+// to go still go.
+func (s *Server) Accept() {
+	s.mu.Lock()
+	s.closing = false
+	s.mu.Unlock()
+}
 
-// Shutdown takes no more sessions or responses and lets the open responses end.
-// Each session is closed with 1001 once it has none. When the context ends,
-// giveUp has every open response answered; what then stays open is cut.
-func (s *Server) Shutdown(ctx context.Context, giveUp func()) {
+// Turn takes no more sessions or responses and lets the open responses end.
+// Each session is closed with 1001 once it has none. final tells that the
+// listeners were closed before, for good.
+func (s *Server) Turn(final bool) {
 	s.mu.Lock()
-	s.closing = true
+	defer s.mu.Unlock()
+	s.closing, s.final, s.turned = true, final, time.Now()
 	for c := range s.sessions {
 		go c.drain()
 	}
-	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() { s.wg.Wait(); close(done) }()
-	select {
-	case <-done:
-		return
-	case <-ctx.Done():
-	}
-	giveUp()
-	select {
-	case <-done:
-		return
-	case <-time.After(lastWords):
-	}
+}
+
+// Cut closes every connection, whatever it is about.
+func (s *Server) Cut() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for nc := range s.conns {
 		nc.Close()
 	}
+}
+
+// End takes no more connections, cuts what is left and waits for it to end.
+func (s *Server) End() {
+	s.mu.Lock()
+	s.ended, s.closing = true, true
 	s.mu.Unlock()
-	<-done
+	s.Cut()
+	s.wg.Wait()
+}
+
+// Sight is a session as operators see it.
+type Sight struct {
+	ID    string
+	Since time.Time
+	Open  int // responses
+	Made  int // responses asked for so far
+	Going bool
+}
+
+// Sights lists the sessions, at most so many, in no order.
+func (s *Server) Sights(most int) []Sight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Sight
+	for c := range s.sessions {
+		if len(list) == most {
+			break
+		}
+		list = append(list, c.sight())
+	}
+	return list
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"gannethook/internal/http1"
 	"gannethook/internal/realtime"
@@ -19,6 +20,7 @@
 	srv   *Server
 	conn  *ws.Conn
 	id    string
+	since time.Time
 	model string
 
 	instructions string
@@ -33,22 +35,27 @@
 	answers []realtime.Item      // ended, not yet of the conversation
 	main    *response            // of the default conversation
 	going   bool                 // the router stops: nothing new
+	asked   int                  // responses so far
 }
 
 func (s *Server) session(conn *ws.Conn, req *http1.Request) {
-	c := &session{srv: s, conn: conn, id: fmt.Sprintf("sess_%s_%d", s.boot, s.serial.Add(1))}
+	c := &session{srv: s, conn: conn, since: time.Now(), id: fmt.Sprintf("sess_%s_%d", s.boot, s.serial.Add(1))}
 	if _, query, ok := strings.Cut(req.Target, "?"); ok {
 		if q, err := url.ParseQuery(query); err == nil {
 			c.model = q.Get("model")
 		}
 	}
-	if !s.join(c) {
+	going, ok := s.join(c)
+	if !ok {
 		conn.Close(ws.CloseGoingAway, "the router stops")
 		conn.Read()
 		return
 	}
 	defer s.leave(c)
 	c.send(&realtime.Server{Type: realtime.SessionCreated, Session: c.describe()})
+	if going {
+		c.drain()
+	}
 	c.read()
 	c.abandonAll()
 }
@@ -136,7 +143,7 @@
 		return
 	}
 	if ev.Session.Instructions != nil {
-		if len(*ev.Session.Instructions) > int(c.srv.cfg.Sessions.Conversation) {
+		if len(*ev.Session.Instructions) > int(c.srv.cfg.Load().Sessions.Conversation) {
 			c.fail(ev.EventID, "invalid_request_error", "too_long", "the instructions are too long", "session.instructions")
 			return
 		}
@@ -164,7 +171,7 @@
 		c.fail(ev.EventID, "invalid_request_error", "invalid_item", "an item's parts are texts; its id has 64 bytes at most", "item")
 		return
 	}
-	if c.size+cost(text) > int(c.srv.cfg.Sessions.Conversation) {
+	if c.size+cost(text) > int(c.srv.cfg.Load().Sessions.Conversation) {
 		c.fail(ev.EventID, "invalid_request_error", "too_long", "the conversation is full; delete items", "item")
 		return
 	}
@@ -229,6 +236,13 @@
 	}
 }
 
+// sight shows the session.
+func (c *session) sight() Sight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Sight{ID: c.id, Since: c.since, Open: len(c.open), Made: c.asked, Going: c.going}
+}
+
 // drain closes the session as soon as no response is open.
 func (c *session) drain() {
 	c.mu.Lock()
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -375,9 +375,13 @@
 	m.deadline = now + m.limit(c)
 	m.to(s)
 	m.do(Turn{})
-	m.settle()
+	// What is open is counted after Turn: a session may have come since the last count, and must not be cut.
+	m.open = unknown
 }
 
+// unknown is how much is open until it is counted.
+const unknown = 1
+
 func (m *Machine) sooner(now time.Duration, c Command) {
 	if at := now + m.limit(c); !m.gaveUp {
 		m.deadline = min(m.deadline, at)
--- /dev/null
+++ b/internal/reload/reload.go
@@ -0,0 +1,164 @@
+// Package reload decides what of a changed settings file a running router takes
+// up at once and what needs a restart. It has no I/O and no clock.
+package reload
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"gannethook/internal/settings"
+)
+
+// Change is one setting that differs.
+type Change struct {
+	Path     string // as in the file: class "question" aim
+	Old, New string // "" where it is not given
+	Live     bool   // taken up at once; else it needs a restart
+}
+
+func (c Change) String() string {
+	s := fmt.Sprintf("%s: %s -> %s", c.Path, orNone(c.Old), orNone(c.New))
+	if !c.Live {
+		s += " (needs a restart)"
+	}
+	return s
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// live are the settings that may change between two events; "*" stands for any
+// name. Everything else is bound to something that lives as long as the process:
+// a port, a table's size, an open connection, or a promise to a request under way.
+var live = []string{
+	"routers",
+	"class * aim", "class * aim-per-1000", "class * give-up", "class * worth", "class * max-tokens",
+	"kind * memory",
+	"tenant * quota",
+	"rules cold-from", "rules warm-after", "rules overload",
+	"limits attempts", "limits retry-after", "limits open",
+	"sessions most", "sessions responses", "sessions message", "sessions conversation", "sessions pending",
+	"sessions idle", "sessions handshake", "sessions bytes-per-token", "sessions drain",
+	"control releases",
+}
+
+// Diff lists the settings in which two files differ, in the order of the file's forms.
+func Diff(old, next *settings.File) []Change {
+	d := differ{}
+	d.structs("", "", reflect.ValueOf(old).Elem(), reflect.ValueOf(next).Elem())
+	return d.changes
+}
+
+type differ struct{ changes []Change }
+
+func (d *differ) add(path, pattern, old, next string) {
+	if old != next {
+		d.changes = append(d.changes, Change{Path: path, Old: old, New: next, Live: slices.Contains(live, pattern)})
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + " " + name
+}
+
+// structs compares two forms; the zero Value stands for one that is not there.
+func (d *differ) structs(path, pattern string, old, next reflect.Value) {
+	t := old.Type()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("gann"), ",")
+		if name == "" || name == "#" {
+			continue
+		}
+		d.value(join(path, name), join(pattern, name), old.Field(i), next.Field(i))
+	}
+}
+
+func (d *differ) value(path, pattern string, old, next reflect.Value) {
+	switch {
+	case old.Kind() == reflect.Slice && old.Type().Elem().Kind() == reflect.Struct:
+		d.lists(path, pattern, old, next)
+	case old.Kind() == reflect.Struct:
+		d.structs(path, pattern, old, next)
+	default:
+		d.add(path, pattern, fmt.Sprint(old.Interface()), fmt.Sprint(next.Interface()))
+	}
+}
+
+// lists compares repeated forms by their names. Their order matters to nobody
+// but requests under way, which know them by number: a change of order needs a restart.
+func (d *differ) lists(path, pattern string, old, next reflect.Value) {
+	names := func(v reflect.Value) []string {
+		var list []string
+		for i := range v.Len() {
+			list = append(list, v.Index(i).FieldByName("Name").String())
+		}
+		return list
+	}
+	was, is := names(old), names(next)
+	for i, name := range was {
+		at := fmt.Sprintf("%s %q", path, name)
+		j := slices.Index(is, name)
+		if j < 0 {
+			d.add(at, "", "given", "")
+			continue
+		}
+		d.structs(at, pattern+" *", old.Index(i), next.Index(j))
+	}
+	for _, name := range is {
+		if !slices.Contains(was, name) {
+			d.add(fmt.Sprintf("%s %q", path, name), "", "", "given")
+		}
+	}
+	if len(was) == len(is) && !slices.Equal(was, is) && sameSet(was, is) {
+		d.add(path+" order", "", strings.Join(was, " "), strings.Join(is, " "))
+	}
+}
+
+func sameSet(a, b []string) bool {
+	a, b = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
+	return slices.Equal(a, b)
+}
+
+// Merge is what a running router goes on with: its own settings with the live
+// changes in their places. The two files stay as they are.
+func Merge(old, next *settings.File) *settings.File {
+	merged := *old
+	merged.Classes, merged.Kinds = slices.Clone(old.Classes), slices.Clone(old.Kinds)
+	merged.Tenants = slices.Clone(old.Tenants)
+	take("", reflect.ValueOf(&merged).Elem(), reflect.ValueOf(next).Elem())
+	return &merged
+}
+
+func take(pattern string, into, from reflect.Value) {
+	t := into.Type()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("gann"), ",")
+		if name == "" || name == "#" {
+			continue
+		}
+		at, a, b := join(pattern, name), into.Field(i), from.Field(i)
+		switch {
+		case a.Kind() == reflect.Slice && a.Type().Elem().Kind() == reflect.Struct:
+			for n := range a.Len() {
+				for m := range b.Len() {
+					if a.Index(n).FieldByName("Name").String() == b.Index(m).FieldByName("Name").String() {
+						take(at+" *", a.Index(n), b.Index(m))
+					}
+				}
+			}
+		case a.Kind() == reflect.Struct:
+			take(at, a, b)
+		case slices.Contains(live, at):
+			a.Set(b)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	_ "embed"
 	"fmt"
 	"net"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -36,6 +37,7 @@
 	Sessions Sessions `gann:"sessions"`
 	Engines  Engines  `gann:"engines"`
 	Roster   Roster   `gann:"roster,need"`
+	Control  Control  `gann:"control"`
 }
 
 // Class is a class of requests.
@@ -124,6 +126,29 @@
 	Silence   time.Duration `gann:"silence"`
 }
 
+// Control is how operators reach the router, and what it keeps on disk for them.
+type Control struct {
+	At        sexp.Pos
+	Run       string        `gann:"run"`       // folder of pid, lock and socket; "" for none of them
+	Listen    string        `gann:"listen"`    // host:port for other machines, with certificates on both sides
+	Domain    string        `gann:"domain"`    // trust domain of the certificates
+	Cert      string        `gann:"cert"`      // PEM files; looked at again while the router runs
+	Key       string        `gann:"key"`       //
+	Authority string        `gann:"authority"` //
+	Releases  string        `gann:"releases"`  // folder with a folder for each release that a restart may name
+	Start     time.Duration `gann:"start"`     // a router that is not ready by then has failed
+	Results   int           `gann:"results"`   // of commands, remembered for repeats
+	Events    int           `gann:"events"`    // kept for those who come late
+}
+
+// Socket is the path of the unix socket; "" for none.
+func (c *Control) Socket() string {
+	if c.Run == "" {
+		return ""
+	}
+	return filepath.Join(c.Run, "control.sock")
+}
+
 // Effect, Group and Role are the module's, by name.
 type (
 	Effect gannethook.Effect
@@ -131,7 +156,24 @@
 	Role   gannethook.Role
 )
 
-func oneOf[T ~int](v *T, text []byte, what string, names ...string) error {
+var (
+	effects = []string{"safe", "keyed", "unsafe"}
+	groups  = []string{"all", "zone", "cell"}
+	roles   = []string{"reader", "writer", "mixed"}
+)
+
+func nameOf(names []string, i int) string {
+	if i < 1 || i > len(names) {
+		return ""
+	}
+	return names[i-1]
+}
+
+func (e Effect) String() string { return nameOf(effects, int(e)) }
+func (g Group) String() string  { return nameOf(groups, int(g)) }
+func (r Role) String() string   { return nameOf(roles, int(r)) }
+
+func oneOf[T ~int](v *T, text []byte, what string, names []string) error {
 	i := slices.Index(names, string(text))
 	if i < 0 {
 		return fmt.Errorf("%q is not %s; known are %q", text, what, names)
@@ -142,15 +184,15 @@
 
 // UnmarshalText reads safe, keyed or unsafe.
 func (e *Effect) UnmarshalText(t []byte) error {
-	return oneOf(e, t, "an effect", "safe", "keyed", "unsafe")
+	return oneOf(e, t, "an effect", effects)
 }
 
 // UnmarshalText reads all, zone or cell.
-func (g *Group) UnmarshalText(t []byte) error { return oneOf(g, t, "a group", "all", "zone", "cell") }
+func (g *Group) UnmarshalText(t []byte) error { return oneOf(g, t, "a group", groups) }
 
 // UnmarshalText reads reader, writer or mixed.
 func (r *Role) UnmarshalText(t []byte) error {
-	return oneOf(r, t, "a role", "reader", "writer", "mixed")
+	return oneOf(r, t, "a role", roles)
 }
 
 // Load reads and checks a file.
@@ -184,7 +226,8 @@
 			Drain: 30 * time.Second},
 		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns, Spare: e.Spare,
 			StreamIdle: e.StreamIdle, Extension: e.Extension},
-		Roster: Roster{Namespace: "default", Every: time.Second, Silence: time.Minute},
+		Control: Control{Start: 15 * time.Second, Results: 256, Events: 1024},
+		Roster:  Roster{Namespace: "default", Every: time.Second, Silence: time.Minute},
 	}
 }
 
@@ -205,6 +248,9 @@
 	if err := f.checkClasses(); err != nil {
 		return err
 	}
+	if err := f.checkControl(); err != nil {
+		return err
+	}
 	seen := map[string]bool{}
 	reads, writes := false, false
 	for _, k := range f.Kinds {
@@ -221,6 +267,27 @@
 	return nil
 }
 
+func (f *File) checkControl() error {
+	c := &f.Control
+	if c.Start <= 0 || c.Results < 1 || c.Events < 1 {
+		return sexp.Errorf(c.At, "start, results and events are above 0")
+	}
+	// A unix socket's path has 108 bytes in the kernel.
+	if s := c.Socket(); len(s) > 100 {
+		return sexp.Errorf(c.At, "(run ...): %q is too long for a socket's path; 100 bytes are the most", s)
+	}
+	if c.Listen == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return sexp.Errorf(c.At, "(listen ...): %q is not host:port", c.Listen)
+	}
+	if c.Run == "" || c.Domain == "" || c.Cert == "" || c.Key == "" || c.Authority == "" {
+		return sexp.Errorf(c.At, "a control port needs (run ...), (domain ...), (cert ...), (key ...) and (authority ...)")
+	}
+	return nil
+}
+
 func (f *File) checkClasses() error {
 	seen := map[string]bool{}
 	for i := range f.Classes {
