--- a/cmd/gannethook/day.go
+++ b/cmd/gannethook/day.go
@@ -101,13 +101,13 @@
 // beRouter makes a test's binary serve; the real one needs nothing.
 const beRouter = "GANNETHOOK_BE_ROUTER"
 
-// command runs this very program as a router.
-func command(config, policy string) *exec.Cmd {
+// command runs this very program.
+func command(args ...string) *exec.Cmd {
 	self, err := os.Executable()
 	if err != nil {
 		self = os.Args[0]
 	}
-	cmd := exec.CommandContext(context.Background(), self, "serve", "--config", config, "--policy", policy)
+	cmd := exec.CommandContext(context.Background(), self, args...)
 	cmd.Env = append(os.Environ(), beRouter+"=1")
 	return cmd
 }
--- /dev/null
+++ b/cmd/gannethook/fleet.go
@@ -0,0 +1,433 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	pb "gannethook/internal/control/controlpb"
+	"gannethook/internal/fleet"
+	"gannethook/internal/rollout"
+)
+
+// fleetFlags are shared by all fleet commands.
+type fleetFlags struct {
+	file  string
+	json  bool
+	quiet bool
+	yes   bool
+}
+
+func fleetCommand() *cobra.Command {
+	f := &fleetFlags{}
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Show and command the routers of a fleet",
+		Long: `Show and command the routers of a fleet.
+
+Routers are given by name, centre=NAME, label=NAME or all; several add up.
+
+Exit codes:
+  0  all done
+  1  the command line, a file or the tool itself was wrong; nothing was sent
+  3  partly done: some routers did it, some did not, each is known
+  4  unknown: of one router at the least it is not known what it did
+  5  all routers refused
+  6  no router could be reached
+  7  a rollout went back
+  8  a rollout ended half way`,
+	}
+	cmd.PersistentFlags().StringVarP(&f.file, "fleet", "f", os.Getenv("GANNETHOOK_FLEET"), "fleet file; by default $GANNETHOOK_FLEET")
+	cmd.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON")
+	cmd.PersistentFlags().BoolVarP(&f.quiet, "quiet", "q", false, "no progress")
+	cmd.AddCommand(f.list(), f.status(), f.order("drain", "Let routers end what is open and take nothing new", pb.Command_DRAIN),
+		f.order("resume", "Have drained routers take sessions again", pb.Command_RESUME),
+		f.order("reload", "Have routers read their settings again", pb.Command_RELOAD),
+		f.order("restart", "Replace routers by successors that take their ports over", pb.Command_RESTART),
+		f.order("stop", "Drain routers and end them", pb.Command_STOP),
+		f.rollout(), f.watch(), f.top(), f.engines(), f.sessions(), f.diff(), f.logLevel(), f.rehearse())
+	return cmd
+}
+
+// tool loads the fleet file.
+func (f *fleetFlags) tool(cmd *cobra.Command) (*fleet.Tool, error) {
+	if f.file == "" {
+		return nil, errors.New("no fleet file: give --fleet or set GANNETHOOK_FLEET")
+	}
+	file, err := fleet.Load(f.file)
+	if err != nil {
+		return nil, err
+	}
+	certs, err := file.Certs()
+	if err != nil {
+		return nil, err
+	}
+	return &fleet.Tool{File: file, Certs: certs, Err: cmd.ErrOrStderr(), Quiet: f.quiet || f.json}, nil
+}
+
+// pick finds the routers of a command line; with none given, all.
+func (f *fleetFlags) pick(cmd *cobra.Command, words []string) (*fleet.Tool, []fleet.Router, error) {
+	t, err := f.tool(cmd)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(words) == 0 {
+		words = []string{"all"}
+	}
+	list, err := t.File.Pick(words)
+	return t, list, err
+}
+
+// complete offers names, centres and labels.
+func (f *fleetFlags) complete(*cobra.Command, []string, string) ([]string, cobra.ShellCompDirective) {
+	file, err := fleet.Load(f.file)
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	seen := map[string]bool{"all": true}
+	words := []string{"all"}
+	for _, r := range file.Routers {
+		for _, w := range append([]string{r.Name, "centre=" + r.Centre}, prefixed("label=", r.Labels)...) {
+			if !seen[w] {
+				seen[w] = true
+				words = append(words, w)
+			}
+		}
+	}
+	return words, cobra.ShellCompDirectiveNoFileComp
+}
+
+func prefixed(prefix string, list []string) (out []string) {
+	for _, s := range list {
+		out = append(out, prefix+s)
+	}
+	return out
+}
+
+func (f *fleetFlags) list() *cobra.Command {
+	return &cobra.Command{Use: "list [ROUTER...]", Short: "List routers as the fleet file has them", ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			_, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			if f.json {
+				return fleet.WriteJSON(cmd.OutOrStdout(), list)
+			}
+			fleet.WriteList(cmd.OutOrStdout(), list)
+			return nil
+		}}
+}
+
+// lookAt prints statuses; routers that can't be reached are an exit code.
+func (f *fleetFlags) lookAt(cmd *cobra.Command, t *fleet.Tool, list []fleet.Router) error {
+	lines := t.Look(cmd.Context(), list)
+	if f.json {
+		if err := fleet.WriteJSON(cmd.OutOrStdout(), fleet.StatusJSON(lines)); err != nil {
+			return err
+		}
+	} else {
+		fleet.WriteStatus(cmd.OutOrStdout(), lines)
+	}
+	var reports []fleet.Report
+	for _, l := range lines {
+		r := fleet.Report{Outcome: fleet.Done}
+		if l.Err != nil {
+			r.Outcome = fleet.Unreachable
+		}
+		reports = append(reports, r)
+	}
+	return fleet.Judge(reports)
+}
+
+func (f *fleetFlags) status() *cobra.Command {
+	return &cobra.Command{Use: "status [ROUTER...]", Short: "Show how routers are", ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			return f.lookAt(cmd, t, list)
+		}}
+}
+
+// confirm asks before a command that is wide: of more than one router.
+func (f *fleetFlags) confirm(cmd *cobra.Command, what string, list []fleet.Router) error {
+	if f.yes || len(list) < 2 {
+		return nil
+	}
+	var names []string
+	for _, r := range list {
+		names = append(names, r.Name)
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "%s %d routers: %s\nGo on? [y/N] ", what, len(list), strings.Join(names, " "))
+	answer, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
+	if a := strings.ToLower(strings.TrimSpace(answer)); a != "y" && a != "yes" {
+		return errors.New("not confirmed; nothing was sent (--yes confirms beforehand)")
+	}
+	return nil
+}
+
+func (f *fleetFlags) order(name, short string, op pb.Command_Op) *cobra.Command {
+	o := fleet.Order{Op: op}
+	var atOnce int
+	var goOn bool
+	cmd := &cobra.Command{Use: name + " ROUTER...", Short: short, Args: cobra.MinimumNArgs(1), ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			if err := f.confirm(cmd, name, list); err != nil {
+				return err
+			}
+			reports := t.Do(cmd.Context(), list, o, atOnce, !goOn)
+			if f.json {
+				if err := fleet.WriteJSON(cmd.OutOrStdout(), reports); err != nil {
+					return err
+				}
+			} else {
+				fleet.WriteReports(cmd.OutOrStdout(), reports)
+			}
+			return fleet.Judge(reports)
+		}}
+	cmd.Flags().BoolVarP(&f.yes, "yes", "y", false, "do not ask before a command to several routers")
+	cmd.Flags().IntVar(&atOnce, "at-once", 1, "so many routers at a time")
+	cmd.Flags().BoolVar(&goOn, "go-on", false, "go on after a router that did not do it")
+	if op != pb.Command_RESUME && op != pb.Command_RELOAD {
+		cmd.Flags().DurationVar(&o.Limit, "limit", 0, "what is open then is failed; by default (times (drain ...)) of the fleet file")
+	}
+	if op == pb.Command_RESTART {
+		cmd.Flags().StringVar(&o.Release, "release", "", "release that the successor runs; by default the same program")
+		cmd.Flags().BoolVar(&o.NoWait, "no-wait", false, "do not wait for the predecessor to end")
+	}
+	return cmd
+}
+
+func (f *fleetFlags) rollout() *cobra.Command {
+	var release, journal string
+	var plan bool
+	cmd := &cobra.Command{Use: "rollout [ROUTER...]", Short: "Restart many routers under the fleet file's constraints", ValidArgsFunction: f.complete,
+		Long: `Restart many routers under the constraints of the fleet file's (rollout ...).
+
+Decisions are kept in a journal on disk: a rollout whose tool died goes on when
+the same command is given again.`,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			if plan {
+				s := t.Plan(list)
+				if f.json {
+					return fleet.WriteJSON(cmd.OutOrStdout(), s)
+				}
+				fleet.WritePlan(cmd.OutOrStdout(), s)
+				return nil
+			}
+			if err := f.confirm(cmd, "roll out over", list); err != nil {
+				return err
+			}
+			if journal == "" {
+				journal = filepath.Join(filepath.Dir(f.file), t.File.Name+".rollout")
+			}
+			return f.roll(cmd, t, list, release, journal)
+		}}
+	cmd.Flags().BoolVarP(&f.yes, "yes", "y", false, "do not ask")
+	cmd.Flags().StringVar(&release, "release", "", "release that the successors run; by default the same program")
+	cmd.Flags().StringVar(&journal, "journal", "", "journal's file; by default beside the fleet file")
+	cmd.Flags().BoolVar(&plan, "plan", false, "print the plan and do nothing")
+	return cmd
+}
+
+func (f *fleetFlags) roll(cmd *cobra.Command, t *fleet.Tool, list []fleet.Router, release, journal string) error {
+	j, err := fleet.OpenJournal(journal)
+	if err != nil {
+		return err
+	}
+	defer j.Close()
+	end, err := t.Roll(cmd.Context(), list, release, j, func(at time.Duration, kind, router, text string) {
+		switch {
+		case f.json:
+			fleet.WriteJSON(cmd.OutOrStdout(), map[string]any{"at_ms": at.Milliseconds(), "kind": kind, "router": router, "text": text})
+		case router != "":
+			fmt.Fprintf(cmd.OutOrStdout(), "%8.1fs  %-9s %s: %s\n", at.Seconds(), kind, router, text)
+		default:
+			fmt.Fprintf(cmd.OutOrStdout(), "%8.1fs  %-9s %s\n", at.Seconds(), kind, text)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), end)
+	switch end {
+	case rollout.AllDone:
+		return nil
+	case rollout.RolledBack:
+		return &fleet.ExitError{Code: fleet.ExitRolledBack, Text: "the rollout went back"}
+	}
+	return &fleet.ExitError{Code: fleet.ExitStuck, Text: "the rollout ended half way; see fleet status"}
+}
+
+func (f *fleetFlags) watch() *cobra.Command {
+	var once bool
+	cmd := &cobra.Command{Use: "watch [ROUTER...]", Short: "Follow what routers report", ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			var mu sync.Mutex
+			var reports []fleet.Report
+			t.Each(list, len(list), func(i int, l *fleet.Link, err error) {
+				if err == nil {
+					err = l.Tail(cmd.Context(), !once, func(router string, at time.Time, e *pb.Event) {
+						mu.Lock()
+						defer mu.Unlock()
+						if e.Missed > 0 {
+							fmt.Fprintf(cmd.OutOrStdout(), "%s  %-12s %d events missed\n", at.Format("15:04:05.000"), router, e.Missed)
+						}
+						fmt.Fprintf(cmd.OutOrStdout(), "%s  %-12s %-9s %s\n", at.Format("15:04:05.000"), router, e.Kind, e.Text)
+					})
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				r := fleet.Report{Router: list[i].Name, Outcome: fleet.Done}
+				if err != nil && cmd.Context().Err() == nil {
+					r.Outcome = fleet.Unreachable
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", list[i].Name, err)
+				}
+				reports = append(reports, r)
+			})
+			return fleet.Judge(reports)
+		}}
+	cmd.Flags().BoolVar(&once, "once", false, "print what there is and end")
+	return cmd
+}
+
+func (f *fleetFlags) top() *cobra.Command {
+	var every time.Duration
+	var times int
+	cmd := &cobra.Command{Use: "top [ROUTER...]", Short: "Show how routers are, again and again", ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			tick := time.NewTicker(max(every, 100*time.Millisecond))
+			defer tick.Stop()
+			for n := 1; ; n++ {
+				if times != 1 {
+					fmt.Fprint(cmd.OutOrStdout(), "\x1b[H\x1b[2J")
+				}
+				if err = f.lookAt(cmd, t, list); n == times {
+					return err
+				}
+				select {
+				case <-tick.C:
+				case <-cmd.Context().Done():
+					return nil
+				}
+			}
+		}}
+	cmd.Flags().DurationVar(&every, "every", 2*time.Second, "between two looks")
+	cmd.Flags().IntVar(&times, "times", 0, "so many looks; 0 goes on until interrupted")
+	return cmd
+}
+
+// one makes a command that asks each router something.
+func (f *fleetFlags) one(use, short string, do func(ctx context.Context, cmd *cobra.Command, l *fleet.Link) error) *cobra.Command {
+	return &cobra.Command{Use: use + " ROUTER...", Short: short, Args: cobra.MinimumNArgs(1), ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			var reports []fleet.Report
+			t.Each(list, 1, func(i int, l *fleet.Link, err error) {
+				if err == nil {
+					err = do(cmd.Context(), cmd, l)
+				}
+				r := fleet.Report{Router: list[i].Name, Outcome: fleet.Done}
+				if err != nil {
+					r.Outcome = fleet.Unreachable
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", list[i].Name, err)
+				}
+				reports = append(reports, r)
+			})
+			return fleet.Judge(reports)
+		}}
+}
+
+func (f *fleetFlags) engines() *cobra.Command {
+	return f.one("engines", "Show the engines as routers see them", func(ctx context.Context, cmd *cobra.Command, l *fleet.Link) error {
+		return l.Engines(ctx, cmd.OutOrStdout())
+	})
+}
+
+func (f *fleetFlags) sessions() *cobra.Command {
+	var most int
+	cmd := f.one("sessions", "Show open sessions", func(ctx context.Context, cmd *cobra.Command, l *fleet.Link) error {
+		return l.Sessions(ctx, cmd.OutOrStdout(), most)
+	})
+	cmd.Flags().IntVar(&most, "most", 100, "show so many at the most")
+	return cmd
+}
+
+func (f *fleetFlags) diff() *cobra.Command {
+	return f.one("diff", "Compare the settings that run with their files", func(ctx context.Context, cmd *cobra.Command, l *fleet.Link) error {
+		return l.Diff(ctx, cmd.OutOrStdout())
+	})
+}
+
+func (f *fleetFlags) logLevel() *cobra.Command {
+	var level string
+	cmd := f.one("log-level", "Show or set the log's level", func(ctx context.Context, cmd *cobra.Command, l *fleet.Link) error {
+		got, err := l.LogLevel(ctx, level)
+		if err == nil {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", l.Name, got)
+		}
+		return err
+	})
+	cmd.Flags().StringVar(&level, "set", "", "debug, info, warn or error")
+	return cmd
+}
+
+func (f *fleetFlags) rehearse() *cobra.Command {
+	r := rollout.Rehearsal{Target: "new"}
+	var seeds int
+	cmd := &cobra.Command{Use: "rehearse [ROUTER...]", Short: "Play a rollout against simulated routers, in simulated time", ValidArgsFunction: f.complete,
+		RunE: func(cmd *cobra.Command, words []string) error {
+			t, list, err := f.pick(cmd, words)
+			if err != nil {
+				return err
+			}
+			plan := t.Plan(list)
+			r.All, r.Todo, r.Lim, r.Order = t.File.Members(t.File.Routers), t.File.Members(list), t.File.Limits(), plan.Order()
+			r.Every = t.File.Rollout.Look
+			fmt.Fprintf(cmd.OutOrStdout(), "plan %v, no order is shorter than %v (simulated)\n", plan.Length.Round(time.Second), plan.Bound.Round(time.Second))
+			for seed := range seeds {
+				r.Seed = uint64(seed) + 1
+				p := r.Play()
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %v after %v, %.2f times the bound; %d restarts; at the least %.0f%% up, at the most %d down in a centre; limits broken %d times\n",
+					r.Seed, p.How, p.Took.Round(time.Second), p.Took.Seconds()/max(plan.Bound.Seconds(), 1), p.Restarts, 100*p.LeastUp, p.MostDown, len(p.Broken))
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&seeds, "seeds", 3, "play it so many times")
+	cmd.Flags().Float64Var(&r.Spread, "spread", 0.2, "restarts take this part more or less than expected")
+	cmd.Flags().IntVar(&r.Lose, "lose", 0, "so many routers die in the middle of their restart")
+	cmd.Flags().DurationVar(&r.Back, "back", time.Minute, "and are back after so long")
+	cmd.Flags().DurationVar(&r.Kill, "kill-tool", 0, "the tool dies then, and is run again")
+	cmd.Flags().BoolVar(&r.Bad, "bad", false, "the release does not come up")
+	cmd.Flags().Float64Var(&r.Worse, "worse", 0, "the release serves this part fewer")
+	return cmd
+}
--- a/cmd/gannethook/main.go
+++ b/cmd/gannethook/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +12,8 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"gannethook/internal/fleet"
 )
 
 func main() {
@@ -18,8 +21,17 @@
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "gannethook:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
+	}
+}
+
+// exitCode is 1 unless the error has its own.
+func exitCode(err error) int {
+	var e *fleet.ExitError
+	if errors.As(err, &e) {
+		return e.Code
 	}
+	return 1
 }
 
 func root() *cobra.Command {
@@ -29,7 +41,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), idleCommand(), engineCommand(), rosterCommand())
+	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), idleCommand(), engineCommand(), rosterCommand(),
+		fleetCommand(), certCommand())
 	return cmd
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -29,10 +29,14 @@
 	Engines(ctx context.Context) (*pb.Engines, error)
 	Diff() *pb.Diff
 	Command(ctx context.Context, c life.Command) (life.Result, error)
-	LogLevel(level string) (string, error) // "" only asks
+	Recall(ctx context.Context, id string) (life.Result, error) // of a command given before, or ErrNotKnown
+	LogLevel(level string) (string, error)                      // "" only asks
 	Tape() *Tape
 }
 
+// ErrNotKnown tells that no command of an id was given in this life of a router.
+var ErrNotKnown = errors.New("no such command was given in this life")
+
 // Bounds of the control plane. Operators and their tools are few.
 const (
 	maxMessage  = 1 << 20
@@ -148,7 +152,7 @@
 	if req.GetId() == "" || len(req.GetId()) > maxID {
 		return status.Errorf(codes.InvalidArgument, "a command has an id of 1 to %d bytes", maxID)
 	}
-	if req.GetOp() <= pb.Command_NONE || req.GetOp() > pb.Command_RESTART || req.GetLimitMs() < 0 {
+	if !req.GetRecall() && req.GetOp() <= pb.Command_NONE || req.GetOp() > pb.Command_RESTART || req.GetLimitMs() < 0 {
 		return status.Error(codes.InvalidArgument, "no such command")
 	}
 	boot := s.router.Status().GetBoot()
@@ -158,6 +162,11 @@
 	}
 	ended := make(chan end, 1)
 	go func() {
+		if req.GetRecall() {
+			r, err := s.router.Recall(stream.Context(), req.GetId())
+			ended <- end{r, err}
+			return
+		}
 		r, err := s.router.Command(stream.Context(), life.Command{ID: req.GetId(), Op: life.Op(req.GetOp()),
 			Limit: time.Duration(req.GetLimitMs()) * time.Millisecond, Release: req.GetRelease()})
 		ended <- end{r, err}
@@ -167,6 +176,9 @@
 	for {
 		select {
 		case e := <-ended:
+			if errors.Is(e.err, ErrNotKnown) {
+				return status.Error(codes.NotFound, e.err.Error())
+			}
 			if e.err != nil {
 				return status.Error(codes.Unavailable, e.err.Error())
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -317,7 +317,7 @@
 // Command gives a command and waits for its result, or for the context.
 func (d *Daemon) Command(ctx context.Context, c life.Command) (life.Result, error) {
 	d.tape.Add("command", fmt.Sprintf("%v, id %s", c.Op, c.ID))
-	r, err := d.keeper.command(ctx, c)
+	r, err := d.keeper.command(ctx, c, false)
 	switch {
 	case err != nil:
 		d.log.Warn("command", zap.Stringer("op", c.Op), zap.String("command", c.ID), zap.Error(err))
@@ -337,11 +337,11 @@
 func (d *Daemon) stop(ctx context.Context) {
 	from := time.Now()
 	limit := d.settings().Sessions.Drain
-	go d.keeper.command(context.Background(), life.Command{ID: "stop", Op: life.Stop, Limit: limit})
+	go d.keeper.command(context.Background(), life.Command{ID: "stop", Op: life.Stop, Limit: limit}, false)
 	select {
 	case <-d.keeper.ended:
 	case <-ctx.Done(): // a second stop cuts the first short
-		go d.keeper.command(context.Background(), life.Command{ID: "stop now", Op: life.Stop, Limit: limit})
+		go d.keeper.command(context.Background(), life.Command{ID: "stop now", Op: life.Stop, Limit: limit}, false)
 		<-d.keeper.ended
 	}
 	d.closeListeners()
--- a/internal/daemon/face.go
+++ b/internal/daemon/face.go
@@ -104,6 +104,11 @@
 	return f.d().Command(ctx, c)
 }
 
+// Recall waits for the result of a command that was given before.
+func (f *face) Recall(ctx context.Context, id string) (life.Result, error) {
+	return f.keeper.command(ctx, life.Command{ID: id}, true)
+}
+
 // LogLevel sets the log's level, and tells it.
 func (f *face) LogLevel(level string) (string, error) {
 	if f.opt.Level == nil {
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"gannethook/internal/control"
 	"gannethook/internal/life"
 )
 
@@ -128,10 +129,15 @@
 	}
 }
 
-// command gives a command and waits for its result.
-func (k *keeper) command(ctx context.Context, c life.Command) (life.Result, error) {
+// command gives a command and waits for its result. recall only waits for one
+// that was given before; control.ErrNotKnown tells that there was none.
+func (k *keeper) command(ctx context.Context, c life.Command, recall bool) (life.Result, error) {
 	got := make(chan life.Result, 1)
 	k.post(func() {
+		if _, known, pending := k.m.Recall(c.ID); recall && !known && !pending {
+			got <- life.Result{}
+			return
+		}
 		k.wait[c.ID] = append(k.wait[c.ID], got)
 		// What is open is asked for first: a drain of an idle router is done at once.
 		k.do(k.m.Open(k.now(), k.hands.open()))
@@ -139,8 +145,11 @@
 	})
 	select {
 	case r, ok := <-got:
-		if !ok {
+		switch {
+		case !ok:
 			return r, errEnded
+		case r.ID == "":
+			return r, control.ErrNotKnown
 		}
 		return r, nil
 	case <-k.over:
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -89,10 +89,12 @@
 	Note string        `gann:"class"`
 }
 
-// Kinds of faults, every kind of trouble that a bench day brings.
+// Kinds of faults, every kind of trouble that a bench day brings, and what
+// operators do to routers with the fleet tool.
 var Kinds = []string{"crash", "vanish", "slow", "hang", "fast-errors", "late-reports", "burst", "deploy",
 	"router-crash", "router-roll", "shared-slow", "ageing", "slow-handshakes", "throttle", "eager-retries",
-	"break-streams", "stall-streams", "roster-cut"}
+	"break-streams", "stall-streams", "roster-cut",
+	"fleet-restart", "fleet-drain", "kill-restart", "kill-drain", "hang-drain"}
 
 // Parse reads a script; name stands for it in errors.
 func Parse(name, text string) (*Script, error) {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -143,6 +143,12 @@
 	return list
 }
 
+// Recall is the result of a command; pending tells that there is none yet.
+func (m *Machine) Recall(id string) (r Result, known, pending bool) {
+	r, known = m.results[id]
+	return r, known, m.pending[id]
+}
+
 // State is the present state.
 func (m *Machine) State() State { return m.state }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -21,25 +21,32 @@
 	After = "after" // something came for a try that had its final answer
 	Lost  = "lost"  // the connection ended, or the client gave up, without a final answer; Note tells which
 	// Engines'.
-	Arrive   = "arrive"  // an attempt: Key, Req; Note is read or write
-	Swallow  = "swallow" // an attempt came to a frozen engine; as Arrive
-	End      = "end"     // of an attempt: Note tells how
-	Apply    = "apply"   // the request's effect happened
-	Drop     = "drop"    // a repeat was dropped
-	Held     = "held"    // a state or place is held for Key: Note tells which
-	Freed    = "freed"   // and no longer: Note tells why
-	Fell     = "fell"    // pushed over while cold
-	Started  = "started"
-	Dead     = "dead"
-	Frozen   = "frozen" // it answers nothing from now on
-	Thawed   = "thawed"
-	Jammed   = "jammed"        // new connections to it time out from now on
-	Opened   = "opened"        // and no longer
-	Told     = "told"          // the roster told Router of a server: Note is ready, draining or gone
-	RouterUp = "router-up"     // Router
-	Killed   = "router-killed" // it is about to be
-	Reaped   = "router-reaped" // and it was
-	Fault    = "fault"         // Note tells which
+	Arrive      = "arrive"  // an attempt: Key, Req; Note is read or write
+	Swallow     = "swallow" // an attempt came to a frozen engine; as Arrive
+	End         = "end"     // of an attempt: Note tells how
+	Apply       = "apply"   // the request's effect happened
+	Drop        = "drop"    // a repeat was dropped
+	Held        = "held"    // a state or place is held for Key: Note tells which
+	Freed       = "freed"   // and no longer: Note tells why
+	Fell        = "fell"    // pushed over while cold
+	Started     = "started"
+	Dead        = "dead"
+	Frozen      = "frozen" // it answers nothing from now on
+	Thawed      = "thawed"
+	Jammed      = "jammed"         // new connections to it time out from now on
+	Opened      = "opened"         // and no longer
+	Told        = "told"           // the roster told Router of a server: Note is ready, draining or gone
+	RouterUp    = "router-up"      // Router
+	RouterReady = "router-ready"   // it takes connections
+	Stopped     = "router-stopped" // it was asked to end
+	Killed      = "router-killed"  // it is about to be
+	Reaped      = "router-reaped"  // and it was
+	Fault       = "fault"          // Note tells which
+	// The fleet tool's. Note is the command; Key names one run of the tool.
+	ToolBegin = "tool-begin"
+	ToolEnd   = "tool-end" // N is the exit status
+	Probe     = "probe"    // what Router is outside of a run: N is its process, 0 for none; Note tells whether it is ready
+	ShutOut   = "shut-out" // a client got no session at Router; Note tells why
 )
 
 // Event is one thing seen.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -263,7 +263,8 @@
 			c.broken(1, req, "try %d: something was sent after the final answer", t.offer.Try)
 		case len(t.finals) == 0 && !excused:
 			c.broken(1, req, "try %d has no final answer from router %s", t.offer.Try, t.offer.Router)
-		case len(t.finals) == 1 && t.token < 0 && t.finals[0].T > t.offer.T+t.offer.N+c.cfg.Slack:
+		case len(t.finals) == 1 && t.token < 0 && t.finals[0].T > t.offer.T+t.offer.N+c.cfg.Slack &&
+			!c.died(t.offer.Router, t.offer.T, t.finals[0].T): // stopped in its tracks, it can't answer
 			c.broken(1, req, "try %d: the final answer came %.0f ms after its client gave up", t.offer.Try,
 				t.finals[0].T-t.offer.T-t.offer.N)
 		}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -56,6 +56,8 @@
 		{"two final answers", 1, append(served("q"), client(52, record.Final, "failed", 1))},
 		{"a token after the final answer", 1, append(served("q"), client(52, record.After, "delta", 1))},
 		{"a refusal after the client's time", 1, []record.Event{offer(0, "q", 1), client(1200, record.Final, "refused", 1)}},
+		{"a late refusal by a router that was stopped in its tracks", 0, []record.Event{offer(0, "q", 1), {T: 500, Kind: record.Killed, Router: "r0", Note: "hangs"},
+			{T: 1100, Kind: record.Reaped, Router: "r0"}, client(1200, record.Final, "refused", 1)}},
 		{"a stream may end after the client's time", 0, []record.Event{offer(0, "q", 1), client(900, record.Token, "", 1), client(1200, record.Final, "served", 1)}},
 		{"its effect happened twice", 2, append(served("a"), engine(60, "w2", record.Apply, ""))},
 		{"safe may happen twice", 0, append(served("q"), engine(60, "w2", record.Apply, ""))},
