--- a/internal/rules/operators.go
+++ b/internal/rules/operators.go
@@ -36,7 +36,6 @@
 // kill within it comes after the tool's judgement.
 const leaving = 50
 
-
 // Operators judges the tool's exit statuses and the doors of ready routers.
 // dial is how long a client's try for a session may take, in ms.
 func Operators(events []record.Event, dial float64) *Operations {
