Tests of the fleet tool against routers, scripted control planes and cut journals

What the tool says of a command must hold in every way that one can go wrong. A scripted control plane hangs, breaks off, dies and comes back; real routers are restarted twice over, drained by two operators, given broken settings, rolled out with the tool killed half way and with a release that does not come up, and asked with certificates that may not, or have ended.

--- a/cmd/gannethook/fleet.go
+++ b/cmd/gannethook/fleet.go
@@ -225,6 +225,9 @@
 			if err != nil {
 				return err
 			}
+			if err := t.File.Possible(list); err != nil {
+				return err
+			}
 			if plan {
 				s := t.Plan(list)
 				if f.json {
@@ -410,6 +413,9 @@
 			if err != nil {
 				return err
 			}
+			if err := t.File.Possible(list); err != nil {
+				return err
+			}
 			plan := t.Plan(list)
 			r.All, r.Todo, r.Lim, r.Order = t.File.Members(t.File.Routers), t.File.Members(list), t.File.Limits(), plan.Order()
 			r.Every = t.File.Rollout.Look
--- /dev/null
+++ b/cmd/gannethook/fleet_test.go
@@ -0,0 +1,425 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gannethook/internal/client"
+	"gannethook/internal/fleet"
+	"gannethook/internal/settings"
+	"gannethook/internal/standin"
+)
+
+// rig is a few routers as processes, before stand-ins in this one.
+type rig struct {
+	t     *testing.T
+	dir   string
+	file  string
+	names []string
+	addrs map[string]string
+	start map[string]func()
+}
+
+// newRig starts routers; extra goes into each one's (control ...), rollout into the fleet file.
+func newRig(t *testing.T, n int, extra, rollout string) *rig {
+	t.Helper()
+	r := &rig{t: t, dir: t.TempDir(), addrs: map[string]string{}, start: map[string]func(){}}
+	roster := standin.NewRoster("engines", nil)
+	for i, kind := range []string{"prompt", "answer"} {
+		e := standin.NewEngine(standin.Config{Addr: "127.0.0.1:0", Writes: i == 1, Slots: 64, Queue: 64, Memory: 1e6, ReadRate: 1e6,
+			FetchRate: 1e7, TokenGap: 20 * time.Millisecond, Early: 0.7, Keep: 2 * time.Second, Extended: true, Seed: 3}, nil, nil)
+		if err := e.Start(false); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Kill)
+		roster.Set(standin.Listed{Addr: e.Addr(), Kind: kind, Zone: "north", State: "ready"})
+	}
+	api, err := roster.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(roster.Stop)
+	text := "(fleet f)\n(times (call 2s) (drain 8s) (start 8s) (hang 2s) (again 4s))\n" + rollout + "\n"
+	for i := range n {
+		name := fmt.Sprintf("r%d", i)
+		r.names = append(r.names, name)
+		text += fmt.Sprintf("(router %s (at %q) (centre %s))\n", name, "unix:"+filepath.Join(r.dir, name, "control.sock"), []string{"north", "south"}[i%2])
+		r.config(name, api, extra)
+		r.start[name] = func() { r.run(name) }
+		r.run(name)
+	}
+	r.file = filepath.Join(r.dir, "fleet.gann")
+	if err := os.WriteFile(r.file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	r.ready()
+	return r
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func (r *rig) path(name string) string { return filepath.Join(r.dir, name+".gann") }
+
+func (r *rig) config(name, api, extra string) {
+	r.addrs[name] = freeAddr(r.t)
+	text := strings.Replace(settings.Default, "(name demo)", "(name "+name+")", 1)
+	text = strings.Replace(text, `(listen "127.0.0.1:0")`, `(listen "`+r.addrs[name]+`")`, 1)
+	text = strings.Replace(text, `(watch "127.0.0.1:0")`, `(watch "`+api+`")`, 1)
+	text += fmt.Sprintf("(control (run %q) %s)\n(sessions (drain 8s))\n", filepath.Join(r.dir, name), strings.ReplaceAll(extra, "NAME", name))
+	if err := os.WriteFile(r.path(name), []byte(text), 0o644); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// run starts a router in a process group of its own, which ends with the test.
+func (r *rig) run(name string) {
+	r.t.Helper()
+	cmd := exec.Command(os.Args[0], "serve", "--config", r.path(name), "--log", "error")
+	if b := filepath.Join(r.dir, "releases", "v1", "gannethook"); unix.Access(b, unix.X_OK) == nil {
+		cmd.Path, cmd.Args[0] = b, b
+	}
+	cmd.Env = append(os.Environ(), beRouter+"=1")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() {
+		syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
+		cmd.Wait()
+	})
+}
+
+// ready waits until every router is.
+func (r *rig) ready() {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, code := r.fleet("status"); code == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			out, _ := r.fleet("status")
+			r.t.Fatalf("not ready: %s", out)
+		}
+	}
+}
+
+// fleet runs the tool and returns what it prints and its exit status.
+func (r *rig) fleet(args ...string) (string, int) {
+	r.t.Helper()
+	out, err := run(r.t, append([]string{"fleet", "--fleet", r.file}, args...)...)
+	if err != nil {
+		return out + err.Error(), exitCode(err)
+	}
+	return out, 0
+}
+
+// expect runs the tool and checks its exit status and a part of what it prints.
+func (r *rig) expect(code int, part string, args ...string) string {
+	r.t.Helper()
+	out, got := r.fleet(args...)
+	if got != code || !strings.Contains(out, part) {
+		r.t.Errorf("fleet %v: exit status %d, want %d, with %q in\n%s", args, got, code, part, out)
+	}
+	return out
+}
+
+func (r *rig) pid(name string) int {
+	r.t.Helper()
+	text, err := os.ReadFile(filepath.Join(r.dir, name, "pid"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	n := 0
+	fmt.Sscan(string(text), &n)
+	return n
+}
+
+// status is one router's, as JSON has it.
+func (r *rig) status(name string) map[string]any {
+	r.t.Helper()
+	out, _ := r.fleet("--json", "status", name)
+	var list []struct{ Status map[string]any }
+	if err := json.NewDecoder(strings.NewReader(out)).Decode(&list); err != nil || len(list) != 1 {
+		r.t.Fatalf("%v: %s", err, out)
+	}
+	return list[0].Status
+}
+
+// answer asks a router for tokens in a session of its own; the answer comes later.
+func (r *rig) answer(name string, tokens int) <-chan *client.Answer {
+	r.t.Helper()
+	s, err := client.Open(context.Background(), r.addrs[name], "m")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if s.Say("hello") != nil || s.Request(map[string]string{"class": "adjustment", "idempotency_key": fmt.Sprint(time.Now().UnixNano())}, tokens) != nil {
+		r.t.Fatal("the session takes nothing")
+	}
+	got := make(chan *client.Answer, 1)
+	go func() {
+		a, _ := s.Wait(nil)
+		got <- a
+		s.Cut()
+	}()
+	for end := time.Now().Add(5 * time.Second); r.status(name)["open"] == float64(0) && time.Now().Before(end); {
+	}
+	return got
+}
+
+func served(a *client.Answer) bool { return a != nil && a.Status == "completed" }
+
+// A restart hands the ports over: the answer under way ends at the old process,
+// new sessions open at the new one, and a second restart works as the first.
+func TestRestart(t *testing.T) {
+	r := newRig(t, 1, "", "")
+	for range 2 {
+		before, a := r.pid("r0"), r.answer("r0", 60)
+		r.expect(0, "done", "restart", "r0")
+		if !served(<-a) {
+			t.Error("the answer under way was not served")
+		}
+		if r.pid("r0") == before || !served(<-r.answer("r0", 3)) {
+			t.Error("no new life, or it serves nothing")
+		}
+	}
+	r.expect(0, "", "stop", "r0")
+	r.expect(fleet.ExitUnreachable, "unreachable", "status", "r0")
+	r.expect(fleet.ExitUnreachable, "unreachable", "drain", "r0")
+}
+
+// An adjustment is in flight when its router drains: it is served. What does
+// not end by the deadline is failed, and the tool says so.
+func TestDrain(t *testing.T) {
+	r := newRig(t, 1, "", "")
+	a := r.answer("r0", 40)
+	out := make(chan int, 2)
+	for range 2 { // two operators
+		go func() {
+			_, code := r.fleet("drain", "r0")
+			out <- code
+		}()
+	}
+	if !served(<-a) || <-out != 0 || <-out != 0 {
+		t.Error("the adjustment was not served, or a drain was not done")
+	}
+	if _, err := client.Open(context.Background(), r.addrs["r0"], "m"); err == nil {
+		t.Error("a drained router opens a session")
+	}
+	r.expect(0, "done", "restart", "r0") // a restart does not undo the drain
+	if st := r.status("r0"); st["state"] != "drained" {
+		t.Errorf("after a restart: %v", st["state"])
+	}
+	r.expect(0, "done", "resume", "r0")
+	a = r.answer("r0", 190)
+	r.expect(0, "some answers failed at the deadline", "drain", "r0", "--limit", "300ms")
+	if end := <-a; end == nil || end.Status == "completed" {
+		t.Errorf("%+v: an answer beyond the deadline", end)
+	}
+}
+
+// Broken settings change nothing: not by a reload, and not by a restart.
+func TestBrokenSettings(t *testing.T) {
+	r := newRig(t, 1, "", "")
+	before := r.pid("r0")
+	good, _ := os.ReadFile(r.path("r0"))
+	os.WriteFile(r.path("r0"), append(good, "(lissen x)"...), 0o644)
+	r.expect(fleet.ExitRefused, `"lissen" is not known here`, "reload", "r0")
+	r.expect(fleet.ExitRefused, `r0.gann:`, "restart", "r0")
+	r.expect(fleet.ExitUnreachable, "can't be taken", "diff", "r0")
+	if r.pid("r0") != before || !served(<-r.answer("r0", 3)) {
+		t.Error("the router did not go on")
+	}
+	text := strings.Replace(string(good), "(aim 1500ms)", "(aim 1200ms)", 1)
+	text = strings.Replace(text, r.addrs["r0"], freeAddr(t), 1)
+	os.WriteFile(r.path("r0"), []byte(text), 0o644)
+	out := r.expect(0, "by a reload", "diff", "r0")
+	if !strings.Contains(out, `class "question" aim  1.5s`) || !strings.Contains(out, "listen") {
+		t.Error(out)
+	}
+	r.expect(0, "done", "reload", "r0")
+	r.expect(0, "1 settings wait for a restart", "status")
+	if out := r.expect(0, "by a restart", "diff", "r0"); strings.Contains(out, "aim") {
+		t.Error(out)
+	}
+	if !served(<-r.answer("r0", 3)) {
+		t.Error("nothing is served after the reload")
+	}
+}
+
+func TestViews(t *testing.T) {
+	r := newRig(t, 2, "", "")
+	a := r.answer("r0", 60)
+	r.expect(0, "r1", "list")
+	r.expect(0, "1 of 1 sessions", "sessions", "r0")
+	r.expect(0, "writer", "engines", "r0")
+	r.expect(0, "r0: debug", "log-level", "r0", "--set", "debug")
+	r.expect(fleet.ExitUnreachable, "unrecognized level", "log-level", "r0", "--set", "loud")
+	r.expect(0, "state     ready", "watch", "--once", "r0")
+	r.expect(0, "ready", "top", "--times", "1")
+	r.expect(1, "not confirmed", "drain", "all")
+	r.expect(1, `no router of fleet f is "r9"`, "drain", "r9")
+	if !served(<-a) {
+		t.Error("not served")
+	}
+	if out, err := run(t, "__complete", "fleet", "--fleet", r.file, "drain", ""); err != nil || !strings.Contains(out, "centre=south") {
+		t.Errorf("%s, %v", out, err)
+	}
+}
+
+// releases makes folders of releases: two that work, and one that does not come up.
+func releases(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, name := range []string{"v1", "v2", "bad"} {
+		os.MkdirAll(filepath.Join(dir, name), 0o755)
+		path := filepath.Join(dir, name, "gannethook")
+		var err error
+		if name == "bad" {
+			err = os.WriteFile(path, []byte("#!/bin/sh\nexit 1\n"), 0o755)
+		} else {
+			err = os.Symlink(os.Args[0], path)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+const quickly = "(rollout (share 0.5) (centre-share 0) (down 1) (canaries 1) (watch 300ms) (settle 200ms) (look 100ms) (silence 500ms) (expect 2s) (patience 20s) (service 0))"
+
+func (r *rig) onRelease(want string) {
+	r.t.Helper()
+	for _, name := range r.names {
+		if got := r.status(name)["release"]; got != want {
+			r.t.Errorf("%s runs %q, want %q", name, got, want)
+		}
+	}
+}
+
+// A rollout over real routers: to a release that works, with the tool killed
+// half way, and to one that does not come up.
+func TestRollout(t *testing.T) {
+	dir := releases(t)
+	r := newRig(t, 4, fmt.Sprintf("(releases %q)", dir), quickly)
+	r.expect(0, "4 restarts", "rollout", "--plan")
+	r.expect(0, "all done after", "rehearse", "--seeds", "1")
+	tool := command("fleet", "--fleet", r.file, "rollout", "--yes", "--release", "v1")
+	var out bytes.Buffer
+	pipe, err := tool.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tool.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for buf := make([]byte, 4096); !strings.Contains(out.String(), "r0: done") && !strings.Contains(out.String(), "r1: done"); {
+		n, err := pipe.Read(buf)
+		if out.Write(buf[:n]); err != nil {
+			t.Fatalf("%v: %s", err, out.String())
+		}
+	}
+	tool.Process.Kill()
+	tool.Wait()
+	r.expect(1, "has an open rollout", "rollout", "--yes", "--release", "v2")
+	if out := r.expect(0, "going on with rollout", "rollout", "--yes", "--release", "v1"); strings.Count(out, ": to release") > 4 {
+		t.Error(out)
+	}
+	r.onRelease("v1")
+	r.expect(fleet.ExitRolledBack, "rolled back", "rollout", "--yes", "--release", "bad")
+	r.onRelease("v1")
+	r.expect(fleet.ExitRefused, "a name without / is due", "restart", "r0", "--release", "../v1")
+	if !served(<-r.answer("r3", 3)) {
+		t.Error("not served after the rollouts")
+	}
+}
+
+// Certificates: who may do what, an end in the middle of a rollout, renewal.
+func TestCertificates(t *testing.T) {
+	dir := t.TempDir()
+	at := func(name string) string { return filepath.Join(dir, name) }
+	cert := func(args ...string) {
+		t.Helper()
+		if out, err := run(t, append([]string{"cert", "--authority", at("authority")}, args...)...); err != nil {
+			t.Fatal(out, err)
+		}
+	}
+	cert("authority", "--domain", "fleet.test")
+	cert("router", "r0", "--out", dir)
+	cert("operator", "ann", "--out", dir)
+	cert("read-only", "bob", "--out", dir)
+	port := freeAddr(t)
+	r := newRig(t, 1, fmt.Sprintf("(listen %q) (domain fleet.test) (cert %q) (key %q) (authority %q)", port, at("r0.pem"), at("r0.key"),
+		at("authority/authority.pem")), "")
+	as := func(who, router string) {
+		text := fmt.Sprintf("(fleet f) (domain fleet.test) (cert %q) (key %q) (authority %q) (times (call 1s) (start 8s)) %s\n(router %s (at %q) (centre n))",
+			at(who+".pem"), at(who+".key"), at("authority/authority.pem"), strings.Replace(quickly, "0.5", "0", 1), router, port)
+		os.WriteFile(r.file, []byte(text), 0o644)
+	}
+	as("bob", "r0")
+	r.expect(0, "ready", "status")
+	r.expect(fleet.ExitRefused, "PermissionDenied", "drain", "r0")
+	as("ann", "r0")
+	r.expect(0, "done", "restart", "r0")
+	as("ann", "r1") // another router answers there than the file says
+	r.expect(fleet.ExitUnreachable, "", "status")
+	as("r0", "r0") // a router's certificate is no operator's
+	r.expect(fleet.ExitUnreachable, "PermissionDenied", "status")
+
+	// The operator's certificate ends before the rollout and is renewed in the middle of it.
+	cert("operator", "eve", "--out", dir, "--valid", "-1s")
+	as("eve", "r0")
+	r.expect(fleet.ExitUnreachable, "", "status")
+	done := make(chan string, 1)
+	go func() {
+		out, code := r.fleet("rollout", "--yes")
+		done <- fmt.Sprint(code, out)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	cert("operator", "eve", "--out", dir)
+	if out := <-done; !strings.HasPrefix(out, "0") || !strings.Contains(out, "unseen") {
+		t.Error(out)
+	}
+}
+
+// A router that died is taken up by its next life; a second process is kept out.
+func TestLock(t *testing.T) {
+	r := newRig(t, 1, "", "")
+	second := command("serve", "--config", r.path("r0"), "--log", "error")
+	out, err := second.CombinedOutput()
+	var ee *exec.ExitError
+	if !errors.As(err, &ee) || !strings.Contains(string(out), fmt.Sprintf("is held by process %d", r.pid("r0"))) {
+		t.Errorf("%v: %s", err, out)
+	}
+	syscall.Kill(r.pid("r0"), syscall.SIGKILL)
+	for code := 0; code == 0; {
+		_, code = r.fleet("status")
+	}
+	r.start["r0"]()
+	r.ready()
+	if !served(<-r.answer("r0", 3)) {
+		t.Error("not served after a death")
+	}
+}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -139,13 +139,27 @@
 		return sexp.Errorf(f.At, "(rollout ...): share, centre-share and service are 1 at the most")
 	case o.Look <= 0 || o.Silence < 2*o.Look:
 		return sexp.Errorf(f.At, "(rollout ...): silence is two looks at the least, and a look above 0")
+	case slices.ContainsFunc(f.Routers, func(r Router) bool { return o.Patience > 0 && r.Expect >= o.Patience }):
+		return sexp.Errorf(f.At, "(rollout ...): patience is longer than a restart is expected to take")
 	case o.Service > 0 && (o.Window <= 0 || o.Enough < 1):
 		return sexp.Errorf(f.At, "(rollout ...): service needs a window and enough")
 	case f.Times.Call <= 0 || f.Times.Drain <= 0 || f.Times.Start <= 0:
 		return sexp.Errorf(f.At, "(times ...): call, drain and start are above 0")
 	}
-	if bad := rollout.Impossible(f.Members(f.Routers), f.Limits()); len(bad) > 0 {
-		return sexp.Errorf(f.At, "(rollout ...): %s can never be down under share, centre-share and down", strings.Join(bad, ", "))
+	return nil
+}
+
+// Possible tells which of the routers no rollout can restart. It is no error
+// of the file: a fleet may be too small for rollouts and take drains all the same.
+func (f *File) Possible(todo []Router) error {
+	var names []string
+	for _, name := range rollout.Impossible(f.Members(f.Routers), f.Limits()) {
+		if slices.ContainsFunc(todo, func(r Router) bool { return r.Name == name }) {
+			names = append(names, name)
+		}
+	}
+	if len(names) > 0 {
+		return sexp.Errorf(f.At, "(rollout ...): %s can never be down under share, centre-share and down", strings.Join(names, ", "))
 	}
 	return nil
 }
