Rehearsals of rollouts over made-up fleets; what drains and restarts take, as a chart

The plan's worth had no figure. fleet rehearse plays the planner against simulated routers and prints time over the lower bound; losses strike drawn restarts and no longer the canaries alone. Service is counted in one pass.

--- a/cmd/gannethook/day.go
+++ b/cmd/gannethook/day.go
@@ -18,7 +18,7 @@
 var errRules = errors.New("a rule broke; see breaks.txt in the day's folder")
 
 func dayCommand() *cobra.Command {
-	var dir, policies, chart string
+	var dir, policies, chart, ops string
 	var seeds []uint
 	var short float64
 	cmd := &cobra.Command{
@@ -39,20 +39,21 @@
 					return err
 				}
 			}
-			return days(cmd, script, strings.Split(policies, ","), seeds, short, dir, chart)
+			return days(cmd, script, strings.Split(policies, ","), seeds, short, dir, chart, ops)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&dir, "dir", "", "folder for settings, logs and records; a new one if not given")
 	f.StringVar(&policies, "policy", "module", "module, random or round-robin; several with commas play one after the other")
 	f.StringVar(&chart, "chart", "", "draw the share served in time over the day into this file (svg, png or pdf)")
+	f.StringVar(&ops, "operations", "", "draw what drains and restarts took into this file; of the last day")
 	f.UintSliceVar(&seeds, "seed", nil, "seeds to play; the script's if not given")
 	f.Float64Var(&short, "times", 1, "stretch all times of the script by this")
 	return cmd
 }
 
 // days plays a script with each policy and seed.
-func days(cmd *cobra.Command, load func() (*day.Script, error), policies []string, seeds []uint, times float64, dir, chart string) error {
+func days(cmd *cobra.Command, load func() (*day.Script, error), policies []string, seeds []uint, times float64, dir, chart, ops string) error {
 	var list []*day.Result
 	ok := true
 	first, err := load()
@@ -87,6 +88,11 @@
 	if len(list) > 1 {
 		day.Compare(cmd.OutOrStdout(), list)
 	}
+	if ops != "" {
+		if err := list[len(list)-1].ChartOperations(ops); err != nil {
+			return err
+		}
+	}
 	if chart != "" {
 		if err := day.Chart(chart, list); err != nil {
 			return err
--- a/cmd/gannethook/fleet.go
+++ b/cmd/gannethook/fleet.go
@@ -406,18 +406,22 @@
 
 func (f *fleetFlags) rehearse() *cobra.Command {
 	r := rollout.Rehearsal{Target: "new"}
-	var seeds int
+	var seeds, madeUp int
 	cmd := &cobra.Command{Use: "rehearse [ROUTER...]", Short: "Play a rollout against simulated routers, in simulated time", ValidArgsFunction: f.complete,
 		RunE: func(cmd *cobra.Command, words []string) error {
 			t, list, err := f.pick(cmd, words)
 			if err != nil {
 				return err
 			}
-			if err := t.File.Possible(list); err != nil {
+			r.All, r.Todo, r.Lim = t.File.Members(t.File.Routers), t.File.Members(list), t.File.Limits()
+			if madeUp > 0 {
+				r.All = rollout.MadeUp(madeUp, 2, t.File.Rollout.Expect, 1)
+				r.Todo = r.All
+			} else if err := t.File.Possible(list); err != nil {
 				return err
 			}
-			plan := t.Plan(list)
-			r.All, r.Todo, r.Lim, r.Order = t.File.Members(t.File.Routers), t.File.Members(list), t.File.Limits(), plan.Order()
+			plan := rollout.Plan(r.All, r.Todo, r.Lim, 2000, 1)
+			r.Order = plan.Order()
 			r.Every = t.File.Rollout.Look
 			fmt.Fprintf(cmd.OutOrStdout(), "plan %v, no order is shorter than %v (simulated)\n", plan.Length.Round(time.Second), plan.Bound.Round(time.Second))
 			for seed := range seeds {
@@ -429,6 +433,7 @@
 			return nil
 		}}
 	cmd.Flags().IntVar(&seeds, "seeds", 3, "play it so many times")
+	cmd.Flags().IntVar(&madeUp, "made-up", 0, "so many made-up routers in two centres, in place of the fleet file's")
 	cmd.Flags().Float64Var(&r.Spread, "spread", 0.2, "restarts take this part more or less than expected")
 	cmd.Flags().IntVar(&r.Lose, "lose", 0, "so many routers die in the middle of their restart")
 	cmd.Flags().DurationVar(&r.Back, "back", time.Minute, "and are back after so long")
--- a/internal/day/chart.go
+++ b/internal/day/chart.go
@@ -40,7 +40,7 @@
 	for _, d := range days {
 		byPolicy[d.Policy] = append(byPolicy[d.Policy], d)
 	}
-	colors := []color.Color{color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}, color.RGBA{G: 140, A: 255}}
+	colors := palette()
 	for i, policy := range slices.Sorted(maps.Keys(byPolicy)) {
 		line, err := plotter.NewLine(inTime(byPolicy[policy]))
 		if err != nil {
@@ -92,3 +92,8 @@
 	}
 	return points
 }
+
+// palette has the colours of what a chart compares.
+func palette() []color.Color {
+	return []color.Color{color.RGBA{B: 200, A: 255}, color.RGBA{R: 200, A: 255}, color.RGBA{G: 140, A: 255}}
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -211,6 +211,7 @@
 	for _, b := range r.Ops.Breaks[:min(len(r.Ops.Breaks), 5)] {
 		fmt.Fprintf(w, "  %s\n", b)
 	}
+	r.WriteOperations(w)
 	fmt.Fprintf(w, "clients without a session %d, of these at routers dead, stopping or drained %d\n", r.Ops.ShutOut, r.Ops.Excused)
 	if r.Lower != nil {
 		fmt.Fprintf(w, "at the end: %v\n", r.Lower)
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -359,21 +359,26 @@
 	}
 }
 
-// service is the share served in the window: of all, or of the routers that are
-// or are not yet on the target. ok is false where too few requests tell.
-func (p *Planner) service(now time.Duration, which func(point) bool) (share float64, ok bool) {
-	var served, total uint64
+// share is what was served of what was asked for.
+type share struct{ served, total uint64 }
+
+func (s share) of() float64 { return float64(s.served) / float64(max(s.total, 1)) }
+
+// service counts the window's requests: those of routers that are on the target
+// already, and the others'.
+func (p *Planner) service(now time.Duration) (fresh, old share) {
 	for _, m := range p.byName {
 		for _, x := range m.points {
-			if x.at >= now-p.lim.Window && which(x) {
-				served, total = served+x.served, total+x.total
+			switch {
+			case x.at < now-p.lim.Window:
+			case x.fresh:
+				fresh.served, fresh.total = fresh.served+x.served, fresh.total+x.total
+			default:
+				old.served, old.total = old.served+x.served, old.total+x.total
 			}
 		}
 	}
-	if total == 0 || total < uint64(p.lim.Enough) {
-		return 0, false
-	}
-	return float64(served) / float64(total), true
+	return fresh, old
 }
 
 // Tick lets time pass.
@@ -404,17 +409,18 @@
 	if p.lim.Service <= 0 {
 		return
 	}
-	fresh, freshOK := p.service(now, func(x point) bool { return x.fresh })
-	old, oldOK := p.service(now, func(x point) bool { return !x.fresh })
-	all, allOK := p.service(now, func(point) bool { return true })
+	fresh, old := p.service(now)
+	all := share{fresh.served + old.served, fresh.total + old.total}
+	tells := func(x share) bool { return x.total > 0 && x.total >= uint64(p.lim.Enough) }
+	low := func(x share) bool { return tells(x) && x.of() < p.lim.Service }
 	switch {
-	case p.target != "" && !p.backward() && freshOK && fresh < p.lim.Service && oldOK && old >= p.lim.Service:
+	case p.target != "" && !p.backward() && low(fresh) && tells(old) && !low(old):
 		// Guards the fleet against a release that serves worse: the old ones do well at the same time. Harms a
 		// rollout whose first routers get the worse clients.
-		p.goBack(now, fmt.Sprintf("restarted routers serve %.1f%%, the others %.1f%%", 100*fresh, 100*old))
-	case p.phase != Paused && allOK && all < p.lim.Service:
-		p.pause(now, fmt.Sprintf("service fell to %.1f%%", 100*all))
-	case p.phase == Paused && (!allOK || all >= p.lim.Service):
+		p.goBack(now, fmt.Sprintf("restarted routers serve %.1f%%, the others %.1f%%", 100*fresh.of(), 100*old.of()))
+	case p.phase != Paused && low(all):
+		p.pause(now, fmt.Sprintf("service fell to %.1f%%", 100*all.of()))
+	case p.phase == Paused && !low(all):
 		p.phase, p.why = Forward, ""
 		if p.back {
 			p.phase = Back
--- a/internal/rollout/rehearse.go
+++ b/internal/rollout/rehearse.go
@@ -80,11 +80,23 @@
 	planner *Planner
 	journal []Entry
 	lost    int
+	fatal   map[int]bool // restarts, by number, in which the router dies
 	over    bool
 	tool    int // life of the tool; happenings of an earlier one are nothing
 	res     *Played
 }
 
+// MadeUp is a fleet of n routers in so many centres, of one to four units of
+// capacity each, whose restarts take three quarters to five quarters of expect.
+func MadeUp(n, centres int, expect time.Duration, seed uint64) (list []Router) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	for i := range n {
+		list = append(list, Router{Name: fmt.Sprintf("r%03d", i), Centre: fmt.Sprintf("c%d", i%max(centres, 1)),
+			Capacity: float64(1 + rnd.IntN(4)), Expect: time.Duration((0.75 + rnd.Float64()/2) * float64(expect))})
+	}
+	return list
+}
+
 // Play plays it. The most simulated time is a day.
 func (r Rehearsal) Play() *Played {
 	if r.Every <= 0 {
@@ -94,6 +106,10 @@
 	for _, x := range r.All {
 		s.sims[x.Name] = &sim{Router: x, boot: 1, release: "old", results: map[string]Outcome{}}
 	}
+	s.fatal = map[int]bool{}
+	for _, n := range s.rnd.Perm(len(r.Todo))[:min(r.Lose, len(r.Todo))] {
+		s.fatal[n+1] = true
+	}
 	s.raise()
 	if r.Kill > 0 {
 		s.at(r.Kill, func() { s.tool++; s.raise() })
@@ -183,7 +199,7 @@
 	}
 	took := time.Duration(float64(x.Expect-s.Lim.Settle) * (1 + s.Spread*(2*s.rnd.Float64()-1)))
 	switch {
-	case s.lost < s.Lose:
+	case s.fatal[s.res.Restarts]:
 		s.lost++
 		x.upAt, x.results = s.now+s.Back, map[string]Outcome{}
 		x.boot++
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
@@ -20,16 +19,8 @@
 
 const sec = time.Second
 
-// fleet is n routers in two centres; sizes and times vary with the seed.
-func fleet(n int, seed uint64) []Router {
-	rnd := rand.New(rand.NewPCG(seed, 2))
-	var list []Router
-	for i := range n {
-		list = append(list, Router{Name: fmt.Sprintf("r%03d", i), Centre: []string{"north", "south"}[i%2],
-			Capacity: float64(1 + rnd.IntN(4)), Expect: time.Duration(20+rnd.IntN(40)) * sec})
-	}
-	return list
-}
+// fleet is n made-up routers in two centres.
+func fleet(n int, seed uint64) []Router { return MadeUp(n, 2, 40*sec, seed) }
 
 var lim = Limits{Share: 0.8, CentreShare: 0.7, Down: 8, Canaries: 1, Watch: 30 * sec, Settle: 5 * sec, Silence: 10 * sec,
 	Patience: 10 * time.Minute, Failures: 2, Service: 0.9, Window: 10 * sec, Enough: 50}
