--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -23,6 +23,8 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/client"
+	"gannethook/internal/control"
+	pb "gannethook/internal/control/controlpb"
 	"gannethook/internal/daemon"
 	"gannethook/internal/engine"
 	"gannethook/internal/http1"
@@ -82,7 +84,7 @@
 }
 
 // quickRouter is a router in front of a quick reader and a quick writer.
-func quickRouter(t testing.TB, tokens int, most int) (d *daemon.Daemon, writer string) {
+func quickRouter(t testing.TB, tokens int, most int, change ...func(*settings.File)) (d *daemon.Daemon, writer string) {
 	roster := standin.NewRoster("engines", nil)
 	writer = quickEngine(t, true, tokens)
 	roster.Set(standin.Listed{Addr: quickEngine(t, false, 0), Kind: "prompt", Zone: "north", State: "ready"})
@@ -98,6 +100,9 @@
 	}
 	cfg.Roster.Watch, cfg.Sessions.Most = addr, most
 	cfg.Classes[0].MaxTokens = 1 << 20
+	for _, c := range change {
+		c(cfg)
+	}
 	if d, err = daemon.Start(cfg, "", zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
@@ -273,3 +278,57 @@
 		}
 	}
 }
+
+// BenchmarkControl measures requests with and without 100 status calls a second
+// on the control plane, in blocks that take turns.
+func BenchmarkControl(b *testing.B) {
+	d, _ := quickRouter(b, 32, 100, func(cfg *settings.File) { cfg.Control.Run = b.TempDir() })
+	ctl, shut, err := control.Dial("unix:"+d.Settings().Control.Socket(), "demo", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer shut()
+	s, err := client.Open(context.Background(), d.Addr(), "m")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	ask := func(h *hdrhistogram.Histogram) {
+		s.RequestApart("hello", map[string]string{"prompt_tokens": "100"}, 32)
+		a, err := s.Wait(nil)
+		if err != nil || a.Kind() != "served" {
+			b.Fatalf("%+v, %v", a, err)
+		}
+		h.RecordValue(max(a.Whole.Microseconds(), 1))
+	}
+	quiet, asked, calls := hdrhistogram.New(1, 1e7, 3), hdrhistogram.New(1, 1e7, 3), 0
+	block := func(h *hdrhistogram.Histogram) {
+		for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); {
+			ask(h)
+		}
+	}
+	for b.Loop() {
+		block(quiet)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			tick := time.NewTicker(10 * time.Millisecond)
+			defer tick.Stop()
+			for ctx.Err() == nil {
+				if _, err := ctl.GetStatus(ctx, &pb.StatusRequest{}); err == nil {
+					calls++
+				}
+				<-tick.C
+			}
+		})
+		block(asked)
+		cancel()
+		wg.Wait()
+	}
+	b.ReportMetric(float64(quiet.ValueAtQuantile(50)), "quiet-p50-us")
+	b.ReportMetric(float64(asked.ValueAtQuantile(50)), "asked-p50-us")
+	b.ReportMetric(float64(quiet.ValueAtQuantile(99)), "quiet-p99-us")
+	b.ReportMetric(float64(asked.ValueAtQuantile(99)), "asked-p99-us")
+	b.ReportMetric(float64(asked.TotalCount())/float64(quiet.TotalCount()), "requests-asked/quiet")
+	b.ReportMetric(float64(calls)/float64(b.N)*2, "calls/s")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -296,7 +296,8 @@
 	return d.state
 }
 
-func (d *Daemon) settings() *settings.File {
+// Settings are those that run.
+func (d *Daemon) Settings() *settings.File {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.cfg
@@ -304,7 +305,7 @@
 
 // done logs one line a request, and counts it.
 func (d *Daemon) done(s driver.Summary) {
-	d.counts.add(d.settings(), s)
+	d.counts.add(d.Settings(), s)
 	d.keeper.changed()
 	ends := slices.DeleteFunc(s.Ends, func(e string) bool { return e == "" })
 	d.log.Info("request", zap.Uint64("id", s.ID), zap.String("session", s.Session), zap.String("class", s.Class),
@@ -336,7 +337,7 @@
 
 func (d *Daemon) stop(ctx context.Context) {
 	from := time.Now()
-	limit := d.settings().Sessions.Drain
+	limit := d.Settings().Sessions.Drain
 	go d.keeper.command(context.Background(), life.Command{ID: "stop", Op: life.Stop, Limit: limit}, false)
 	select {
 	case <-d.keeper.ended:
--- a/internal/daemon/face.go
+++ b/internal/daemon/face.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, list := f.d().settings(), &pb.Engines{}
+	cfg, list := f.d().Settings(), &pb.Engines{}
 	for _, v := range view {
 		e := &pb.Engine{Addr: string(v.ID), Role: roleNames[v.Role], Cell: int32(v.Cell), State: stateNames[v.State],
 			Freeness: v.Freeness, Charge: v.Charge, Backlog: v.Backlog, Holds: int32(v.Holds), Memory: v.Memory, HeardMs: -1}
@@ -93,7 +93,7 @@
 		return &pb.Diff{Error: err.Error()}
 	}
 	diff := &pb.Diff{}
-	for _, c := range reload.Diff(f.d().settings(), next) {
+	for _, c := range reload.Diff(f.d().Settings(), next) {
 		diff.Changes = append(diff.Changes, &pb.Change{Path: c.Path, Old: c.Old, New: c.New, Live: c.Live})
 	}
 	return diff
--- a/internal/daemon/hand.go
+++ b/internal/daemon/hand.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	old := d.settings()
+	old := d.Settings()
 	merged := reload.Merge(old, next)
 	was, is := old.Module(), merged.Module()
 	if err := was.Compatible(&is); err != nil {
@@ -144,7 +144,7 @@
 	h.work.Go(func() {
 		if err == nil {
 			// The successor has a limit of its own; the margin is its way to tell.
-			_, err = heir.Wait(h.d().settings().Control.Start + 2*time.Second)
+			_, err = heir.Wait(h.d().Settings().Control.Start + 2*time.Second)
 		}
 		h.keeper.post(func() {
 			if err != nil {
@@ -169,7 +169,7 @@
 }
 
 func (d *Daemon) startHeir(e life.Spawn, results []life.Result) (*handover.Heir, error) {
-	cfg := d.settings()
+	cfg := d.Settings()
 	argv, err := d.program(cfg, e.Release)
 	if err != nil {
 		return nil, err
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -321,3 +321,18 @@
 		t.Error(got)
 	}
 }
+
+// A router that is not seen any more counts as down, though it has nothing to do.
+func TestSilence(t *testing.T) {
+	all := []Router{{Name: "a", Centre: "c", Capacity: 1}, {Name: "b", Centre: "c", Capacity: 1}}
+	l := lim
+	l.Share, l.CentreShare, l.Canaries, l.Down, l.Service = 0, 0, 0, 1, 0
+	p := New("x", "new", all, all[:1], nil, l, 0)
+	at(p, 1*sec, "b", "1", "old")
+	if got := at(p, 20*sec, "a", "1", "old"); got != "[]" {
+		t.Errorf("%s with the other one silent for 19 s", got)
+	}
+	if got := at(p, 21*sec, "b", "1", "old"); got != "[{a new x/a/1}]" {
+		t.Errorf("%s with the other one seen again", got)
+	}
+}
