--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -54,6 +54,7 @@
 	seconds sync.WaitGroup
 	runs    sync.Mutex
 	serial  int // of the tool's runs
+	ports   []func()
 }
 
 var zones = [...]string{"north", "south"}
@@ -153,14 +154,13 @@
 	f.roster.Set(standin.Listed{Addr: e.Addr(), Kind: kind, Zone: zone, Cell: cell, Started: started, State: state})
 }
 
-// newRouter writes a router's settings; its port is one that the kernel just gave.
+// newRouter writes a router's settings; its port is held for all its lives.
 func (f *fleet) newRouter(i int) (*router, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, release, err := standin.HoldPort()
 	if err != nil {
 		return nil, err
 	}
-	addr := ln.Addr().String()
-	ln.Close()
+	f.ports = append(f.ports, release)
 	r := &router{name: fmt.Sprintf("r%d", i), addr: addr, f: f, dir: f.dir}
 	r.config = filepath.Join(f.dir, r.name+".gann")
 	os.Remove(r.list()) // of an earlier day in the same folder
@@ -330,6 +330,9 @@
 		})
 	}
 	wg.Wait()
+	for _, release := range f.ports {
+		release()
+	}
 	for _, e := range f.engines() {
 		e.Kill()
 	}
--- a/internal/day/operations.go
+++ b/internal/day/operations.go
@@ -76,10 +76,17 @@
 	return list
 }
 
-// firstTokens are the ms to the first token of first tries, before the first
-// restart and while one runs.
+// firstTokens are the ms to the first token of first tries: in the second half
+// of the time before the first restart, when engines are warm, and while one runs.
 func firstTokens(events []record.Event) (before, during []float64) {
 	first, running := false, map[string]bool{}
+	warm := 0.0
+	for _, e := range events {
+		if e.Kind == record.ToolBegin {
+			warm = e.T / 2
+			break
+		}
+	}
 	offered := map[string]record.Event{}
 	while := map[string]bool{}
 	for _, e := range events {
@@ -103,7 +110,7 @@
 			switch {
 			case while[e.Req]:
 				during = append(during, e.T-o.T)
-			case !first:
+			case !first && o.T >= warm:
 				before = append(before, e.T-o.T)
 			}
 		}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -230,3 +230,34 @@
 		t.Errorf("a cut watch hears %v", c)
 	}
 }
+
+// A held port can be listened on again and again, and is given to nobody else.
+func TestHoldPort(t *testing.T) {
+	addr, release, err := HoldPort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	for range 3 {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+		ln.Close()
+	}
+	for range 2000 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ln.Addr().String() == addr {
+			t.Fatal("a held port was given away")
+		}
+		defer ln.Close()
+	}
+}
