--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -198,3 +198,81 @@
 		}
 	})
 }
+
+// Over lives, hand-overs, deaths and reloads: a command's repeat gets the first
+// result for as long as lives hand it on; a life that came after a death knows
+// none; a drained router is drained in its successor.
+func TestRepeatsOverLives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keep := lim
+		keep.Keep = 100
+		now, m := time.Duration(0), New(keep, 0)
+		m.Started(0, nil)
+		first := map[string]Result{}
+		loading, heir, drained := "", "", false
+		take := func(list []Effect) {
+			for _, e := range list {
+				switch e := e.(type) {
+				case Load:
+					loading = e.ID
+				case Spawn:
+					heir, drained = e.ID, e.Drained
+				case Abort:
+					heir = ""
+				case Reply:
+					if was, known := first[e.Result.ID]; known && was != e.Result {
+						t.Fatalf("command %s got %v, then %v", e.Result.ID, was, e.Result)
+					}
+					first[e.Result.ID] = e.Result
+				}
+			}
+		}
+		begin := func(results []Result, drained bool) {
+			m = New(keep, now)
+			m.Inherit(results, drained)
+			take(m.Started(now, nil))
+			loading, heir = "", ""
+			if want := map[bool]State{true: Drained, false: Ready}[drained]; m.State() != want {
+				t.Fatalf("a successor is %v, want %v", m.State(), want)
+			}
+		}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			take(m.Tick(now))
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0:
+				take(m.Open(now, rapid.IntRange(0, 1).Draw(t, "open")))
+			case 1:
+				take(m.Loaded(now, loading, nil))
+				loading = ""
+			case 2:
+				if heir == "" {
+					continue
+				}
+				id, bad := heir, rapid.Bool().Draw(t, "bad")
+				if heir = ""; bad {
+					take(m.Spawned(now, id, errors.New("bad")))
+					continue
+				}
+				results := append(m.Results(), Result{ID: id, Done: true})
+				take(m.Spawned(now, id, nil))
+				begin(results, drained)
+			case 3:
+				if rapid.IntRange(0, 3).Draw(t, "dies") == 0 {
+					clear(first)
+					begin(nil, false)
+				}
+			default:
+				id := fmt.Sprint("c", i)
+				if rapid.Bool().Draw(t, "repeat") {
+					id = fmt.Sprint("c", rapid.IntRange(0, i).Draw(t, "of"))
+				}
+				take(m.Command(now, Command{ID: id, Op: Op(rapid.IntRange(1, 5).Draw(t, "op"))}))
+			}
+			if m.State() == Ended || m.State() == Failed { // its supervisor starts it again
+				clear(first)
+				begin(nil, false)
+			}
+		}
+	})
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -20,10 +20,6 @@
 	Refused // the router goes on as it was
 )
 
-func (s Stage) String() string {
-	return [...]string{"", "waiting", "going", "checking", "settling", "done", "unknown", "refused"}[s]
-}
-
 // Phase is where the rollout is.
 type Phase int
 
@@ -156,14 +152,6 @@
 // Phase is the present phase, and why it is a pause.
 func (p *Planner) Phase() (Phase, string) { return p.phase, p.why }
 
-// Stage is where a router is.
-func (p *Planner) Stage(router string) Stage {
-	if m := p.byName[router]; m != nil {
-		return m.stage
-	}
-	return 0
-}
-
 func (p *Planner) do(e Effect) { p.out = append(p.out, e) }
 
 func (p *Planner) note(kind, router, format string, args ...any) {
--- a/internal/rollout/rehearse.go
+++ b/internal/rollout/rehearse.go
@@ -40,14 +40,13 @@
 // sim is one simulated router.
 type sim struct {
 	Router
-	boot     int
-	release  string
-	results  map[string]Outcome // of commands, as a router remembers them
-	upAt     time.Duration      // down before it
-	settled  time.Duration
-	served   uint64
-	total    uint64
-	lastLook time.Duration
+	boot    int
+	release string
+	results map[string]Outcome // of commands, as a router remembers them
+	upAt    time.Duration      // down before it
+	settled time.Duration
+	served  uint64
+	total   uint64
 }
 
 type happening struct {
