A successor that does not come up leaves its predecessor's socket and pid alone

Found in rereading: one that failed after its ports were opened (no roster in time) took the pid file and the control socket away as it ended, so that the old router, which went on, could not be reached. Only a process that serves removes them. A resume is refused while a drained router restarts: the successor was started drained and would not have known. Tests fail without either.

--- a/cmd/gannethook/fleet_test.go
+++ b/cmd/gannethook/fleet_test.go
@@ -241,13 +241,18 @@
 
 // Broken settings change nothing: not by a reload, and not by a restart.
 func TestBrokenSettings(t *testing.T) {
-	r := newRig(t, 1, "", "")
+	r := newRig(t, 1, "(start 1s)", "")
 	before := r.pid("r0")
 	good, _ := os.ReadFile(r.path("r0"))
 	os.WriteFile(r.path("r0"), append(good, "(lissen x)"...), 0o644)
 	r.expect(fleet.ExitRefused, `"lissen" is not known here`, "reload", "r0")
 	r.expect(fleet.ExitRefused, `r0.gann:`, "restart", "r0")
 	r.expect(fleet.ExitUnreachable, "can't be taken", "diff", "r0")
+	noRoster := strings.Replace(string(good), "(watch ", "(silence 5s) (watch ", 1)
+	noRoster = noRoster[:strings.Index(noRoster, `(watch "`)] + `(watch "127.0.0.1:1"` + noRoster[strings.Index(noRoster, `") (service`)+1:]
+	os.WriteFile(r.path("r0"), []byte(noRoster), 0o644)
+	r.expect(fleet.ExitRefused, "the roster was not heard in time", "restart", "r0")
+	r.expect(0, "ready", "status", "r0") // its socket and pid are where they were
 	if r.pid("r0") != before || !served(<-r.answer("r0", 3)) {
 		t.Error("the router did not go on")
 	}
--- a/internal/daemon/runfiles.go
+++ b/internal/daemon/runfiles.go
@@ -32,6 +32,7 @@
 	lock *os.File
 
 	socket string // of the control plane
+	mine   bool   // this process serves: pid and socket are its own
 }
 
 func openRun(c *settings.Control, link *handover.Link) (*runFiles, error) {
@@ -90,15 +91,17 @@
 	if err := os.Rename(tmp, r.pidPath()); err != nil {
 		return fmt.Errorf("pid: %w", err)
 	}
+	r.mine = true
 	return nil
 }
 
-// close lets go of the lock. The files stay a successor's where there is one.
+// close lets go of the lock. The files stay where they are another process's: a
+// successor's, or the predecessor's of one that did not come up.
 func (r *runFiles) close(handedOn bool) {
 	if r.dir == "" {
 		return
 	}
-	if !handedOn {
+	if r.mine && !handedOn {
 		os.Remove(r.pidPath())
 		os.Remove(r.socket)
 	}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -395,6 +395,12 @@
 }
 
 func (m *Machine) resume(c Command) {
+	if m.heir != "" && m.state != Ready {
+		// Guards an operator's resume: the successor was started drained and would not know of it. Harms nothing:
+		// it may be given again once the restart has ended.
+		m.refuse(c, "a restart runs")
+		return
+	}
 	switch m.state {
 	case Draining, Drained:
 		m.flush(false, "resumed before it was drained")
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -91,6 +91,8 @@
 			"Abort{} Reply{{a false false a stop came}} Announce{stopping} Turn{}", Stopping},
 		{"a drain during a restart", []func(*Machine) []Effect{started, open(0, 1), cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Drain, 0), spawned(3*s, nil)},
 			"Reply{{a true false }} Reply{{b false false a restart came}} Announce{stopping}", Stopping},
+		{"a resume while a drained router restarts", []func(*Machine) []Effect{started, cmd(1*s, "d", Drain, 0), open(1*s, 0), cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Resume, 0)},
+			"Reply{{b false false a restart runs}}", Drained},
 		{"a reload during a restart", []func(*Machine) []Effect{started, cmd(1*s, "a", Restart, 0), cmd(2*s, "b", Reload, 0)},
 			"Reply{{b false false a restart runs; the successor reads the settings}}", Ready},
 		{"a successor of a drained router", []func(*Machine) []Effect{func(m *Machine) []Effect {
