--- a/cmd/gannethook/fleet_test.go
+++ b/cmd/gannethook/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -428,3 +429,67 @@
 		t.Error("not served after a death")
 	}
 }
+
+// As systemd has it: the socket is handed in, readiness and the new main process are told.
+func TestSystemd(t *testing.T) {
+	r := newRig(t, 1, "", "")
+	r.expect(0, "done", "stop", "r0")
+	told, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Net: "unixgram", Name: filepath.Join(r.dir, "notify")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer told.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // not the settings' port: only the one handed in can answer here
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	file, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	r.addrs["r0"] = ln.Addr().String()
+	cmd := exec.Command("/bin/sh", "-c", `LISTEN_PID=$$ exec "$0" serve --config "$1" --log error`, os.Args[0], r.path("r0"))
+	cmd.Env = append(os.Environ(), beRouter+"=1", "LISTEN_FDS=1", "LISTEN_FDNAMES=listen", "NOTIFY_SOCKET="+told.LocalAddr().String())
+	cmd.ExtraFiles, cmd.Stderr = []*os.File{file}, os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL); cmd.Wait() }()
+	hear := func(part string) {
+		t.Helper()
+		told.SetReadDeadline(time.Now().Add(10 * time.Second))
+		for buf := make([]byte, 4096); ; {
+			n, err := told.Read(buf)
+			if err != nil {
+				t.Fatalf("%q was not told: %v", part, err)
+			}
+			if strings.Contains(string(buf[:n]), part) {
+				return
+			}
+		}
+	}
+	hear(fmt.Sprintf("READY=1\nMAINPID=%d", cmd.Process.Pid))
+	r.ready()
+	if !served(<-r.answer("r0", 3)) {
+		t.Error("the socket that was handed in serves nothing")
+	}
+	syscall.Kill(cmd.Process.Pid, syscall.SIGHUP)
+	hear("RELOADING=1\nMONOTONIC_USEC=")
+	syscall.Kill(cmd.Process.Pid, syscall.SIGUSR2)
+	hear("READY=1\nMAINPID=")
+	if pid := r.pid("r0"); pid == cmd.Process.Pid || !served(<-r.answer("r0", 3)) {
+		t.Errorf("process %d after SIGUSR2, or it serves nothing", pid)
+	}
+	// A second signal cuts a stop short.
+	a := r.answer("r0", 190)
+	pid := r.pid("r0")
+	syscall.Kill(pid, syscall.SIGTERM)
+	hear("STOPPING=1")
+	syscall.Kill(pid, syscall.SIGTERM)
+	if end := <-a; end == nil || end.Status == "completed" {
+		t.Errorf("%+v after two signals", end)
+	}
+}
