--- a/cmd/gannethook/fleet_test.go
+++ b/cmd/gannethook/fleet_test.go
@@ -478,6 +478,7 @@
 	}
 	syscall.Kill(cmd.Process.Pid, syscall.SIGHUP)
 	hear("RELOADING=1\nMONOTONIC_USEC=")
+	hear("READY=1")
 	syscall.Kill(cmd.Process.Pid, syscall.SIGUSR2)
 	hear("READY=1\nMAINPID=")
 	if pid := r.pid("r0"); pid == cmd.Process.Pid || !served(<-r.answer("r0", 3)) {
--- a/internal/daemon/hand.go
+++ b/internal/daemon/hand.go
@@ -86,8 +86,10 @@
 	h.work.Go(func() {
 		sd.SdNotify(false, fmt.Sprintf("%s\nMONOTONIC_USEC=%d", sd.SdNotifyReloading, monotonic()))
 		err := h.d().reload()
-		sd.SdNotify(false, sd.SdNotifyReady)
-		h.keeper.post(func() { h.keeper.do(h.keeper.m.Loaded(h.keeper.now(), id, err)) })
+		h.keeper.post(func() {
+			h.keeper.do(h.keeper.m.Loaded(h.keeper.now(), id, err))
+			sd.SdNotify(false, sd.SdNotifyReady) // from now on a restart may come
+		})
 	})
 }
 
