--- a/cmd/gannethook/fleet_test.go
+++ b/cmd/gannethook/fleet_test.go
@@ -481,6 +481,8 @@
 	hear("READY=1")
 	syscall.Kill(cmd.Process.Pid, syscall.SIGUSR2)
 	hear("READY=1\nMAINPID=")
+	for end := time.Now().Add(5 * time.Second); r.status("r0")["predecessor"] != nil && time.Now().Before(end); {
+	}
 	if pid := r.pid("r0"); pid == cmd.Process.Pid || !served(<-r.answer("r0", 3)) {
 		t.Errorf("process %d after SIGUSR2, or it serves nothing", pid)
 	}
