--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -99,19 +99,13 @@
 // Parse reads a script; name stands for it in errors.
 func Parse(name, text string) (*Script, error) {
 	s := defaults()
-	if err := sexp.Read(name, text, s); err != nil {
-		return nil, err
-	}
-	return s, s.check()
+	return sexp.Checked(s, sexp.Read(name, text, s), s.check)
 }
 
 // Load reads a script's file.
 func Load(path string) (*Script, error) {
 	s := defaults()
-	if err := sexp.ReadFile(path, s); err != nil {
-		return nil, err
-	}
-	return s, s.check()
+	return sexp.Checked(s, sexp.ReadFile(path, s), s.check)
 }
 
 // defaults hold where the script is silent.
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -82,20 +82,14 @@
 // Load reads and checks a fleet file. Relative paths in it start at its folder.
 func Load(path string) (*File, error) {
 	f := defaults()
-	if err := sexp.ReadFile(path, f); err != nil {
-		return nil, err
-	}
 	f.dir = filepath.Dir(path)
-	return f, f.check()
+	return sexp.Checked(f, sexp.ReadFile(path, f), f.check)
 }
 
 // Parse reads and checks a text; name stands for its file in errors.
 func Parse(name, text string) (*File, error) {
 	f := defaults()
-	if err := sexp.Read(name, text, f); err != nil {
-		return nil, err
-	}
-	return f, f.check()
+	return sexp.Checked(f, sexp.Read(name, text, f), f.check)
 }
 
 func (f *File) check() error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -198,19 +198,13 @@
 // Load reads and checks a file.
 func Load(path string) (*File, error) {
 	f := defaults()
-	if err := sexp.ReadFile(path, f); err != nil {
-		return nil, err
-	}
-	return f, f.check()
+	return sexp.Checked(f, sexp.ReadFile(path, f), f.check)
 }
 
 // Parse reads and checks a text; name stands for it in errors.
 func Parse(name, text string) (*File, error) {
 	f := defaults()
-	if err := sexp.Read(name, text, f); err != nil {
-		return nil, err
-	}
-	return f, f.check()
+	return sexp.Checked(f, sexp.Read(name, text, f), f.check)
 }
 
 // defaults hold where the file is silent.
--- a/internal/sexp/decode.go
+++ b/internal/sexp/decode.go
@@ -46,6 +46,14 @@
 	return Decode(Pos{File: name, Line: 1, Col: 1}, forms, out)
 }
 
+// Checked returns what was read, once its own check has passed.
+func Checked[F any](f *F, read error, check func() error) (*F, error) {
+	if read != nil {
+		return nil, read
+	}
+	return f, check()
+}
+
 type field struct {
 	v    reflect.Value
 	need bool
