Groundwork of limits: a rate with bursts, and a fair queue between tenants

Three fronts will compete for one fleet, and a tenant that floods must cost itself alone. internal/limits is pure: a cell rate meter whose work can be given back, and a bounded weighted fair queue that pushes out the work of who waits with most, worth least first.

--- /dev/null
+++ b/internal/limits/queue_test.go
@@ -0,0 +1,152 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// While two tenants wait, each gets work done by its weight, to within one item
+// of each, whatever the sizes.
+func TestFairness(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := map[int]float64{1: rapid.Float64Range(0.5, 4).Draw(t, "weight"), 2: 1}
+		q := NewQueue(1000, weights)
+		largest := map[int]float64{}
+		for i := range 200 {
+			tenant := 1 + i%2
+			size := rapid.Float64Range(0.1, 20).Draw(t, "size")
+			largest[tenant] = max(largest[tenant], size)
+			q.Add(Item{ID: uint64(i), Tenant: tenant, Size: size, Deadline: time.Hour})
+		}
+		done := map[int]float64{}
+		for len(q.lanes[1]) > 0 && len(q.lanes[2]) > 0 {
+			x := q.Next()
+			done[x.Tenant] += x.Size / weights[x.Tenant]
+			if gap := done[1] - done[2]; gap > largest[1]/weights[1]+largest[2] || -gap > largest[1]/weights[1]+largest[2] {
+				t.Fatalf("for their weights %g and %g were done", done[1], done[2])
+			}
+		}
+	})
+}
+
+// One who asks for twenty times as much pushes out its own, and keeps nobody
+// waiting who asks for little.
+func TestFlood(t *testing.T) {
+	q := NewQueue(10, nil)
+	for i := range 200 {
+		q.Add(Item{ID: uint64(i), Tenant: 1, Size: 1, Deadline: time.Hour})
+	}
+	if out := q.Add(Item{ID: 1000, Tenant: 2, Size: 1, Worth: 1, Deadline: time.Hour}); out == nil || out.Tenant != 1 || q.Len() != 10 {
+		t.Fatalf("%+v was pushed out, %d wait", out, q.Len())
+	}
+	for i := range 2 {
+		if x := q.Next(); x.Tenant == 2 {
+			return
+		} else if i == 1 {
+			t.Errorf("the other tenant is not among the first two")
+		}
+	}
+}
+
+// Nothing is lost and nothing comes twice, whatever is added, taken, removed,
+// late or pushed out; each tenant's come in order; the bound holds.
+func TestQueueKeepsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(8, map[int]float64{0: 2})
+		in, lastOf := map[uint64]int{}, map[int]uint64{}
+		out := func(x *Item, what string) {
+			if tenant, known := in[x.ID]; !known || tenant != x.Tenant {
+				t.Fatalf("%s: %+v does not wait", what, x)
+			}
+			delete(in, x.ID)
+		}
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Second
+			id, tenant := uint64(i+1), rapid.IntRange(0, 3).Draw(t, "tenant")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				if x := q.Next(); x != nil {
+					out(x, "next")
+					if x.ID < lastOf[x.Tenant] {
+						t.Fatalf("tenant %d: %d after %d", x.Tenant, x.ID, lastOf[x.Tenant])
+					}
+					lastOf[x.Tenant] = x.ID
+				}
+			case 1:
+				for _, x := range q.Late(now) {
+					if out(x, "late"); x.Deadline > now {
+						t.Fatal("it was not late")
+					}
+				}
+				for _, lane := range q.lanes {
+					for _, x := range lane {
+						if x.Deadline <= now {
+							t.Fatalf("%+v is late and waits on", x)
+						}
+					}
+				}
+			case 2:
+				of := uint64(rapid.IntRange(1, i+1).Draw(t, "id"))
+				tenant, known := in[of]
+				if q.Remove(tenant, of) != known {
+					t.Fatalf("remove %d: %v", of, !known)
+				}
+				delete(in, of)
+			default:
+				in[id] = tenant
+				if x := q.Add(Item{ID: id, Tenant: tenant, Size: rapid.Float64Range(0.1, 9).Draw(t, "size"),
+					Worth: float64(rapid.IntRange(0, 2).Draw(t, "worth")), Deadline: now + time.Duration(rapid.IntRange(0, 20).Draw(t, "for"))*time.Second}); x != nil {
+					out(x, "pushed out")
+				}
+			}
+			if q.Len() != len(in) || q.Len() > 8 {
+				t.Fatalf("%d wait, %d should", q.Len(), len(in))
+			}
+		}
+	})
+}
+
+// share adds items of two tenants and tells how many of the first ten taken are tenant 1's.
+func share(q *Queue, each int) (ones int) {
+	for i := range 2 * each {
+		q.Add(Item{ID: uint64(10000 + i), Tenant: 1 + i%2, Size: 1, Deadline: time.Hour})
+	}
+	for range 10 {
+		if q.Next().Tenant == 1 {
+			ones++
+		}
+	}
+	return ones
+}
+
+// One who was alone for long owes nothing for it, and one who was away has
+// saved nothing up.
+func TestNoCredit(t *testing.T) {
+	q := NewQueue(1000, nil)
+	q.Add(Item{Tenant: 1, Size: 1})
+	for range 100 {
+		q.Add(Item{Tenant: 1, Size: 1})
+		q.Next() // one waits all along
+	}
+	if got := share(q, 10); got < 4 || got > 6 {
+		t.Errorf("%d of 10 for the one that was there", got)
+	}
+}
+
+// What was taken out does not count against its tenant.
+func TestRemoveCountsNothing(t *testing.T) {
+	q := NewQueue(1000, nil)
+	q.Add(Item{ID: 1, Tenant: 1, Size: 1})
+	for i := range 50 {
+		q.Add(Item{ID: uint64(2 + i), Tenant: 1, Size: 1})
+	}
+	for i := range 50 {
+		q.Remove(1, uint64(2+i))
+	}
+	if got := share(q, 10); got < 4 || got > 6 {
+		t.Errorf("%d of 10 for the one whose work was taken out", got)
+	}
+}
--- /dev/null
+++ b/internal/limits/rate_test.go
@@ -0,0 +1,84 @@
+package limits
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain has the same cases drawn in every run; -rapid.seed draws others.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Over any arrivals, what passed in any window is no more than the burst and
+// the window's rate; what was told to wait so long passes then; and a tenant
+// that keeps to its rate is never made to wait.
+func TestRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Rate{PerSecond: rapid.Float64Range(1, 100).Draw(t, "rate"), Burst: rapid.Float64Range(10, 50).Draw(t, "burst")}
+		var m Meter
+		type pass struct {
+			at   time.Duration
+			size float64
+		}
+		var list []pass
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "n") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			size := rapid.Float64Range(0.1, 10).Draw(t, "size")
+			if wait := m.Wait(now, r, size); wait > 0 {
+				if m.Wait(now+wait, r, size) != 0 || m.Wait(now+wait-1, r, size) == 0 {
+					t.Fatalf("a wait of %v is not the least that passes", wait)
+				}
+				continue
+			}
+			m.Take(now, r, size)
+			list = append(list, pass{now, size})
+			sum := 0.0
+			for i := len(list) - 1; i >= 0; i-- {
+				sum += list[i].size
+				if most := r.Burst + r.PerSecond*(now-list[i].at).Seconds(); sum > most*(1+1e-6)+1e-6 {
+					t.Fatalf("%g passed in %v, at the most %g", sum, now-list[i].at, most)
+				}
+			}
+		}
+		var steady Meter
+		at := now
+		for range 50 {
+			if steady.Wait(at, r, 1) != 0 {
+				t.Fatal("a tenant at its rate waits")
+			}
+			steady.Take(at, r, 1)
+			at += r.span(1)
+		}
+	})
+}
+
+// Work that is given back counts for nothing, and is not given twice.
+func TestGive(t *testing.T) {
+	r := Rate{PerSecond: 10, Burst: 10}
+	var m Meter
+	m.Take(0, r, 10)
+	if m.Wait(0, r, 1) == 0 {
+		t.Fatal("more than the burst passes")
+	}
+	m.Give(r, 10)
+	if !m.Idle(0) || m.Left(0, r) != 10 {
+		t.Errorf("%g left after all was given back", m.Left(0, r))
+	}
+	m.Take(0, r, 10)
+	now := 3 * time.Second // time has forgiven it
+	m.Give(r, 10)
+	if m.Left(now, r) > r.Burst {
+		t.Errorf("%g left, the burst is %g", m.Left(now, r), r.Burst)
+	}
+	if !r.Never(10.5) || r.Never(10) || (Rate{}).Never(1e9) {
+		t.Error("what is larger than the burst never passes, and nothing else")
+	}
+}
