The fair queue finds whose turn it is, and who is heaviest, by heaps

Next and a push out of a full queue went over all tenants that wait. Two heaps of lanes, kept by place, make both logarithmic; the drawn tests are the same.

--- a/internal/limits/queue_test.go
+++ b/internal/limits/queue_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 			q.Add(Item{ID: uint64(i), Tenant: tenant, Size: size, Deadline: time.Hour})
 		}
 		done := map[int]float64{}
-		for len(q.lanes[1]) > 0 && len(q.lanes[2]) > 0 {
+		for q.lanes[1] != nil && q.lanes[2] != nil {
 			x := q.Next()
 			done[x.Tenant] += x.Size / weights[x.Tenant]
 			if gap := done[1] - done[2]; gap > largest[1]/weights[1]+largest[2] || -gap > largest[1]/weights[1]+largest[2] {
@@ -82,7 +83,7 @@
 					}
 				}
 				for _, lane := range q.lanes {
-					for _, x := range lane {
+					for _, x := range lane.items {
 						if x.Deadline <= now {
 							t.Fatalf("%+v is late and waits on", x)
 						}
@@ -150,3 +151,25 @@
 		t.Errorf("%d of 10 for the one whose work was taken out", got)
 	}
 }
+
+// BenchmarkQueue adds and takes at many tenants, with the queue always full:
+// each addition pushes one out.
+func BenchmarkQueue(b *testing.B) {
+	for _, tenants := range []int{10, 1000, 100000} {
+		b.Run(fmt.Sprint(tenants), func(b *testing.B) {
+			q := NewQueue(2*tenants, nil)
+			for i := range 2 * tenants {
+				q.Add(Item{ID: uint64(i), Tenant: i % tenants, Size: 1, Deadline: time.Hour})
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				q.Add(Item{ID: uint64(i), Tenant: i * 7919 % tenants, Size: float64(1 + i%3), Deadline: time.Hour})
+				if i%2 == 0 {
+					q.Next()
+				}
+			}
+		})
+	}
+}
