--- a/cmd/gannethook/fleet_test.go
+++ b/cmd/gannethook/fleet_test.go
@@ -222,6 +222,9 @@
 			out <- code
 		}()
 	}
+	for r.status("r0")["state"] == "ready" {
+	}
+	r.expect(0, "gives up in", "status")
 	if !served(<-a) || <-out != 0 || <-out != 0 {
 		t.Error("the adjustment was not served, or a drain was not done")
 	}
@@ -233,11 +236,21 @@
 		t.Errorf("after a restart: %v", st["state"])
 	}
 	r.expect(0, "done", "resume", "r0")
+	text, _ := os.ReadFile(r.path("r0")) // for the stop by a signal, below
+	os.WriteFile(r.path("r0"), []byte(strings.Replace(string(text), "(drain 8s)", "(drain 300ms)", 1)), 0o644)
+	r.expect(0, "done", "reload", "r0")
 	a = r.answer("r0", 190)
 	r.expect(0, "some answers failed at the deadline", "drain", "r0", "--limit", "300ms")
 	if end := <-a; end == nil || end.Status == "completed" {
 		t.Errorf("%+v: an answer beyond the deadline", end)
 	}
+	r.expect(0, "done", "resume", "r0")
+	a = r.answer("r0", 190) // takes 3.8 s
+	from := time.Now()
+	syscall.Kill(r.pid("r0"), syscall.SIGTERM)
+	if end := <-a; end == nil || end.Status == "completed" || time.Since(from) > 3*time.Second {
+		t.Errorf("%+v after %v: the reloaded limit is 300 ms", end, time.Since(from))
+	}
 }
 
 // Broken settings change nothing: not by a reload, and not by a restart.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -275,14 +275,6 @@
 // Addr is where the router listens.
 func (d *Daemon) Addr() string { return d.ln.Addr().String() }
 
-// ControlAddr is where its control port listens; "" where there is none.
-func (d *Daemon) ControlAddr() string {
-	if d.certs == nil {
-		return ""
-	}
-	return d.ctlLns[len(d.ctlLns)-1].Addr().String()
-}
-
 // Listed is closed once the roster was heard.
 func (d *Daemon) Listed() <-chan struct{} { return d.listed }
 
@@ -317,6 +309,9 @@
 
 // Command gives a command and waits for its result, or for the context.
 func (d *Daemon) Command(ctx context.Context, c life.Command) (life.Result, error) {
+	if c.Limit <= 0 { // as the settings have it now, not as at the start
+		c.Limit = d.Settings().Sessions.Drain
+	}
 	d.tape.Add("command", fmt.Sprintf("%v, id %s", c.Op, c.ID))
 	r, err := d.keeper.command(ctx, c, false)
 	switch {
--- a/internal/daemon/face.go
+++ b/internal/daemon/face.go
@@ -37,6 +37,9 @@
 		s.Listed = true
 	default:
 	}
+	if at := time.Duration(f.keeper.due.Load()); at > 0 {
+		s.DeadlineMs = max(at-f.keeper.now(), time.Millisecond).Milliseconds()
+	}
 	if f.certs != nil {
 		s.CertLeftMs = f.certs.Left(now).Milliseconds()
 	}
--- a/internal/daemon/hand.go
+++ b/internal/daemon/hand.go
@@ -28,7 +28,9 @@
 func (h *hand) accept() { h.front.Accept() }
 
 func (h *hand) turn() {
-	h.front.Turn(h.state == life.Stopping) // only announce, on this goroutine, writes the state
+	if h.state != life.Stopping { // announce has turned it then; it alone, on this goroutine, writes the state
+		h.front.Turn(false)
+	}
 	h.keeper.changed()
 }
 
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"gannethook/internal/control"
@@ -21,6 +22,7 @@
 	nudge chan struct{} // something may have closed
 	hands hands
 	wait  map[string][]chan life.Result
+	due   atomic.Int64  // when the state's deadline is; 0: it has none
 	ended chan struct{} // closed by Exit
 	code  int
 	quit  chan struct{}
@@ -57,6 +59,9 @@
 		wait := time.Hour
 		if at, ok := k.m.Deadline(); ok {
 			wait = max(at-k.now(), 0)
+			k.due.Store(int64(at))
+		} else {
+			k.due.Store(0)
 		}
 		alarm.Reset(wait)
 		select {
@@ -139,8 +144,6 @@
 			return
 		}
 		k.wait[c.ID] = append(k.wait[c.ID], got)
-		// What is open is asked for first: a drain of an idle router is done at once.
-		k.do(k.m.Open(k.now(), k.hands.open()))
 		k.do(k.m.Command(k.now(), c))
 	})
 	select {
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -91,3 +91,21 @@
 		}
 	}
 }
+
+// What a drain is measured against counts answers that outlive it: otherwise no
+// drain could ever end before its longest answer.
+func TestOperations(t *testing.T) {
+	ev := func(at float64, kind, req, note string) record.Event {
+		return record.Event{T: at, Kind: kind, Req: req, Try: 1, Router: "r0", Key: "t1", Note: note}
+	}
+	events := []record.Event{ev(1, record.Offer, "a", ""), ev(2, record.Offer, "b", ""), ev(10, record.ToolBegin, "", "drain"),
+		ev(30, record.Final, "a", "served"), ev(40, record.ToolEnd, "", "drain"), ev(90, record.Final, "b", "served")}
+	list := operations(events)
+	if len(list) != 1 || list[0].Open != 2 || list[0].Took != 30 || list[0].Longest != 80 {
+		t.Errorf("%+v", list)
+	}
+	killed := append(events[:3:3], ev(20, record.Killed, "", ""), ev(40, record.ToolEnd, "", "drain"))
+	if list := operations(killed); len(list) != 0 {
+		t.Errorf("a drain of a killed router is measured: %+v", list)
+	}
+}
--- a/internal/day/operations.go
+++ b/internal/day/operations.go
@@ -44,7 +44,7 @@
 		case record.Final, record.Lost:
 			delete(open[e.Router], t)
 			for _, o := range waits[t] {
-				if !ended[o] && e.Kind == record.Final {
+				if e.Kind == record.Final { // also one that outlives the tool's run
 					o.Longest = max(o.Longest, e.T-o.At)
 				}
 			}
--- a/internal/fleet/show.go
+++ b/internal/fleet/show.go
@@ -121,6 +121,9 @@
 	if p := st.Predecessor; p != nil {
 		parts = append(parts, fmt.Sprintf("process %d ends, %d open", p.Pid, p.Open))
 	}
+	if st.DeadlineMs > 0 {
+		parts = append(parts, "gives up in "+short(millis(st.DeadlineMs)))
+	}
 	if !st.Listed {
 		parts = append(parts, "roster not heard")
 	}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -26,7 +26,7 @@
 // The phases.
 const (
 	Forward Phase = iota + 1
-	Paused        // service fell or nothing fits; nothing is started
+	Paused        // service fell; nothing is started
 	Back          // to the releases before
 	Over
 )
@@ -115,8 +115,7 @@
 	list     []*member // by priority
 	byName   map[string]*member
 	phase    Phase
-	why      string // of the pause
-	paused   time.Duration
+	why      string        // of the pause
 	proven   int           // canaries that are done
 	watch    time.Duration // canaries are watched until then
 	progress time.Duration // when something last went on
@@ -407,7 +406,7 @@
 		// rollout whose first routers get the worse clients.
 		p.goBack(now, fmt.Sprintf("restarted routers serve %.1f%%, the others %.1f%%", 100*fresh.of(), 100*old.of()))
 	case p.phase != Paused && low(all):
-		p.pause(now, fmt.Sprintf("service fell to %.1f%%", 100*all.of()))
+		p.pause(fmt.Sprintf("service fell to %.1f%%", 100*all.of()))
 	case p.phase == Paused && !low(all):
 		p.phase, p.why = Forward, ""
 		if p.back {
@@ -418,8 +417,8 @@
 	}
 }
 
-func (p *Planner) pause(now time.Duration, why string) {
-	p.phase, p.why, p.paused = Paused, why, now
+func (p *Planner) pause(why string) {
+	p.phase, p.why = Paused, why
 	p.note("paused", "", "paused: %s", why)
 }
 
--- a/internal/rules/operators.go
+++ b/internal/rules/operators.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -40,15 +41,7 @@
 // dial is how long a client's try for a session may take, in ms.
 func Operators(events []record.Event, dial float64) *Operations {
 	events = slices.Clone(events)
-	slices.SortStableFunc(events, func(a, b record.Event) int {
-		switch {
-		case a.T < b.T:
-			return -1
-		case a.T > b.T:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(events, func(a, b record.Event) int { return cmp.Compare(a.T, b.T) })
 	o := &Operations{Codes: map[int]int{}}
 	for _, r := range runs(events) {
 		o.Runs++
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -4,6 +4,7 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -179,13 +180,7 @@
 		}
 	}
 	slices.SortStableFunc(timeline, func(a, b record.Event) int {
-		switch {
-		case a.T < b.T:
-			return -1
-		case a.T > b.T:
-			return 1
-		}
-		return strings.Compare(a.Kind, b.Kind)
+		return cmp.Or(cmp.Compare(a.T, b.T), strings.Compare(a.Kind, b.Kind))
 	})
 	c.v.Breaks = append(c.v.Breaks, Break{Rule: rule, Req: req, What: fmt.Sprintf(format, args...),
 		Timeline: slices.Compact(timeline)})
