One-stage work ends where its prompt is read; repeats may be bounded by server

An embedding or a rerank is done by the server that reads it. api.go says so with one field of a class (OneStage); the choice of server, the watch over it, retries and refusals stay the module's. It goes to readers and mixed servers, never to writers, holds no place, and is called off only where it may run twice.

--- a/api.go
+++ b/api.go
@@ -59,6 +59,7 @@
 	Group      Group
 	Window     Millis // how long a group remembers a keyed request
 	Streamed   bool
+	OneStage   bool // its work ends where its prompt is read, as an embedding's: a Served there is the answer
 }
 
 // Kind describes a kind of server.
@@ -84,10 +85,11 @@
 	OverloadFactor float64 // sent more than this multiple of its capacity, for a time, a cold server falls over
 	PinLimit       Millis  // an idle hold or state is let go by then
 
-	ConnIdle      Millis // a connection closes after so long without use; 0: not told
-	MaxAttempts   int    // per request; 0 means no limit
-	MaxRetryAfter Millis // the longest wait that clients honour; 0 means none do
-	Quantum       Millis // time between two batches of events
+	ConnIdle      Millis  // a connection closes after so long without use; 0: not told
+	MaxAttempts   int     // per request; 0 means no limit
+	RepeatPart    float64 // repeats that a server gets for each first attempt of late; 0: not limited
+	MaxRetryAfter Millis  // the longest wait that clients honour; 0 means none do
+	Quantum       Millis  // time between two batches of events
 
 	AskDiscovery bool // changes come only to routers that ask for them
 	Cancel       bool // Cancel actions are allowed
--- /dev/null
+++ b/onestage_test.go
@@ -0,0 +1,128 @@
+package gannethook
+
+import (
+	"fmt"
+	"testing"
+)
+
+// withOneStage adds classes whose work is one stage: 4 safe, 5 unsafe, 6 keyed in a cell.
+func withOneStage(set *Settings) {
+	set.Classes = append(set.Classes, Class{Aim: 2000, Worth: 1, Effect: Safe, OneStage: true},
+		Class{Aim: 2000, Worth: 1, Effect: Unsafe, OneStage: true},
+		Class{Aim: 2000, Worth: 1, Effect: Keyed, Group: GroupCell, Window: 2000, OneStage: true})
+}
+
+// One-stage work goes to a reader, holds no place, and its Served there ends it: nothing is released.
+func TestOneStagePath(t *testing.T) {
+	s := newScript(t, fleet(withOneStage), oneEach...)
+	s.on(1, ask(1, 4))
+	s.want("send 1 r1")
+	s.on(80, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: Served, Done: true})
+	s.want("release 1")
+	if s.r.requests[1] != nil || s.r.servers["r1"].out != 0 || s.r.servers["r1"].speed.work == 0 {
+		t.Errorf("left %v, or its time was not learned: %+v", s.r.requests[1], s.r.servers["r1"])
+	}
+}
+
+// A writer never gets it, though writers read; a mixed server does, and takes no memory for it.
+func TestOneStageServers(t *testing.T) {
+	s := newScript(t, fleet(withOneStage, func(set *Settings) { set.WritersRead = true }), at("w1", 1, 0, 0))
+	s.on(1, ask(1, 4))
+	s.want()
+	s = newScript(t, fleet(withOneStage), at("m1", 2, 0, 0), at("w1", 1, 0, 0))
+	s.on(1, ask(1, 4))
+	s.want("send 1 m1")
+	if n := len(s.r.servers["m1"].streams); n != 0 {
+		t.Errorf("%d places are booked for one-stage work", n)
+	}
+	s.on(50, Ended{ID: 1, Attempt: 0, Server: "m1", Outcome: Served, Done: true})
+	if s.r.peak[Mixed] == 0 || s.r.peak[Reader] != 0 {
+		t.Errorf("the proof went to the wrong role: %v", s.r.peak)
+	}
+}
+
+// What may have run goes again as its class allows: safe to another server, unsafe nowhere, keyed in its group.
+func TestOneStageEffects(t *testing.T) {
+	for _, c := range []struct {
+		class   int
+		outcome Outcome
+		want    []string
+	}{
+		{4, Broken, []string{"release 1", "send 1"}},
+		{5, Broken, []string{"fail 1", "release 1"}},
+		{5, Failed, []string{"fail 1", "release 1"}},
+		{5, Full, []string{"release 1", "send 1"}},
+		{5, ConnectFailed, []string{"release 1", "send 1"}},
+		{6, Broken, []string{"release 1"}}, // the other reader stands in another cell: it waits
+	} {
+		t.Run(fmt.Sprint(c.class, c.outcome), func(t *testing.T) {
+			s := newScript(t, fleet(withOneStage), twoEach...)
+			s.on(1, ask(1, c.class))
+			s.on(9, Ended{ID: 1, Attempt: 0, Server: s.sent(), Outcome: c.outcome})
+			s.want(c.want...)
+		})
+	}
+}
+
+// An overdue read of one stage is called off only where it may run twice.
+func TestOneStagePatience(t *testing.T) {
+	for class, off := range map[int]bool{4: true, 5: false, 6: false} {
+		s := newScript(t, fleet(withOneStage), twoEach...)
+		for i := range 30 { // many ends: silence tells something
+			id := RequestID(100 + i)
+			s.on(10, ask(id, 4))
+			s.on(10, Ended{ID: id, Attempt: 0, Server: s.sent(), Outcome: Served, Done: true})
+		}
+		s.on(1, ask(1, class))
+		var due []Wake
+		for _, a := range s.acts {
+			if w, ok := a.(Wake); ok && w.Ref%refStep == refPatience {
+				due = append(due, w)
+			}
+		}
+		if len(due) != 1 {
+			t.Fatalf("class %d: %v", class, s.acts)
+		}
+		s.on(due[0].In, Wakeup{Ref: due[0].Ref})
+		_, cancelled := find[Cancel](s.acts)
+		if cancelled != off {
+			t.Errorf("class %d is called off: %v", class, cancelled)
+		}
+	}
+}
+
+func find[A Action](acts []Action) (a A, ok bool) {
+	for _, x := range acts {
+		if a, ok = x.(A); ok {
+			return a, true
+		}
+	}
+	return a, false
+}
+
+// Repeats stay within their part of the first attempts, where one first attempt in eight fails.
+func TestRepeatsBounded(t *testing.T) {
+	repeats := func(part float64) float64 {
+		s := newScript(t, fleet(withOneStage, func(set *Settings) { set.RepeatPart = part }), twoEach...)
+		sent := map[bool]int{}
+		for id := RequestID(1); id <= 2000; id++ {
+			s.on(20, ask(id, 4))
+			for n := 0; ; n++ {
+				send, ok := find[Send](s.acts)
+				if !ok {
+					break
+				}
+				sent[n > 0]++
+				end := Ended{ID: id, Attempt: n, Server: send.Server, Outcome: Failed}
+				if n > 0 || id%8 > 0 {
+					end.Outcome, end.Done = Served, true
+				}
+				s.on(1, end)
+			}
+		}
+		return float64(sent[true]) / float64(sent[false])
+	}
+	if free, bound := repeats(0), repeats(0.01); free < 0.1 || bound > 0.04 {
+		t.Errorf("repeats for each first attempt: %.2f without a bound, %.2f with one of 0.01", free, bound)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -79,12 +79,14 @@
 	role    Role
 	out     float64 // price of own reads out
 	speed   tally
-	streams []*request     // own places and streams
-	share   float64        // memory share as last reported
-	heard   Millis         // when; 0: never
-	size    float64        // learned memory size in tokens
-	linked  Millis         // last time that it answered on a connection
-	moved   Millis         // last time that an own read ended here
+	streams []*request // own places and streams
+	share   float64    // memory share as last reported
+	heard   Millis     // when; 0: never
+	size    float64    // learned memory size in tokens
+	linked  Millis     // last time that it answered on a connection
+	moved   Millis     // last time that an own read ended here
+	firsts  fading     // first attempts sent here, and repeats
+	repeats fading
 	full    map[int]fading // freeness taken off for a flow that it turned away
 	charge  fading         // freeness taken off for failures and lateness
 	credit  float64        // sends that a cold server may still get, as of credAt
@@ -124,6 +126,7 @@
 	ranOn         *server   // where it may have run first, and when
 	ranAt         Millis
 	stream, ended bool
+	repeat        bool // an attempt gave no answer: what follows repeats it
 }
 
 // visit is a session's last read.
@@ -252,11 +255,14 @@
 		floor -= worthPart * (1 - low/worth)
 	}
 	span := r.window()
-	usual := r.reading.left(r.now, span) + r.opening.left(r.now, span)
+	usual := r.reading.left(r.now, span)
+	if !r.oneStage(q) {
+		usual += r.opening.left(r.now, span)
+	}
 	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q))
-		if w := r.pickWriter(q, s); w != nil {
+		if w := r.pickWriter(q, s); w != nil && !r.oneStage(q) {
 			free = math.Min(free, r.memory(w, q)/(2*near))
 		}
 	}
@@ -282,13 +288,13 @@
 		return
 	}
 	s := r.pickReader(q)
-	if s == nil && r.set.WritersRead {
+	if s == nil && r.set.WritersRead && !r.oneStage(q) {
 		s = r.pickWriter(q, nil)
 	}
 	switch {
 	case s == nil:
 		r.wait(q)
-	case s.role == Reader && !r.attemptsLeft(q, 2) || !r.attemptsLeft(q, 1):
+	case s.role == Reader && !r.oneStage(q) && !r.attemptsLeft(q, 2) || !r.attemptsLeft(q, 1):
 		r.finish(q)
 	default:
 		r.read(q, s)
@@ -300,9 +306,13 @@
 	return r.set.MaxAttempts == 0 || q.sent+n <= r.set.MaxAttempts
 }
 
+// oneStage tells whether a request's work ends where its prompt is read.
+func (r *Router) oneStage(q *request) bool { return r.set.Classes[q.Class].OneStage }
+
 // read sends a prompt to a reader and holds a place for its answer; a mixed server gets the whole at once.
+// One-stage work is read, timed and watched as any prompt, at a mixed server too, but holds nothing.
 func (r *Router) read(q *request, s *server) {
-	a := attempt{on: s, reads: s.role == Reader, queue: s.out + q.price}
+	a := attempt{on: s, reads: s.role == Reader || r.oneStage(q), queue: s.out + q.price}
 	s.out += q.price
 	r.spend(s)
 	r.remember(q, s)
@@ -314,7 +324,9 @@
 	timeout := r.watch(q, &a)
 	r.send(q, a, timeout)
 	q.asked = 0
-	r.hold(q, s)
+	if !r.oneStage(q) {
+		r.hold(q, s)
+	}
 }
 
 // watch sets when a read's reader is looked at for progress; where nothing may be cancelled it returns
@@ -324,7 +336,8 @@
 		return 0
 	}
 	wait := r.span(q, a.on.role, math.Max(a.queue/r.speed(a.on), r.reading.v))
-	if wait == 0 {
+	// Guards rule 2: one-stage work taken away from its server may have run, and then may not go again.
+	if wait == 0 || r.oneStage(q) && r.set.Classes[q.Class].Effect != Safe {
 		a.letBe, wait = true, q.aim
 	} else if !r.set.Cancel {
 		return wait
@@ -429,6 +442,11 @@
 
 func (r *Router) send(q *request, a attempt, timeout Millis) {
 	a.n, a.sent = q.sent, r.now
+	if q.repeat {
+		a.on.repeats.count(r.now, r.window())
+	} else {
+		a.on.firsts.count(r.now, r.window())
+	}
 	q.sent++
 	q.out = append(q.out, a)
 	r.do(Send{ID: q.ID, Server: a.on.ID, Timeout: timeout})
@@ -511,7 +529,7 @@
 	case ReadDone, Served:
 		if a.reads {
 			a.on.moved = r.now
-			r.prove(Reader)
+			r.prove(a.on.role)
 			r.praise(a.on, (took-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
 			a.on.speed.add(speedKeep, a.queue, float64(took))
 			r.reads.add(meanKeep, a.queue, float64(took))
@@ -539,7 +557,7 @@
 
 // again decides what follows an attempt that gave no answer.
 func (r *Router) again(q *request, a attempt, ev Ended) {
-	if !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed {
+	if (!a.reads || r.oneStage(q)) && ev.Outcome != Full && ev.Outcome != ConnectFailed {
 		if q.ranOn == nil {
 			q.ranOn, q.ranAt = a.on, a.sent
 		}
@@ -548,7 +566,7 @@
 			return
 		}
 	}
-	q.tried = append(q.tried, a.on)
+	q.tried, q.repeat = append(q.tried, a.on), true
 	if a.reads || ev.NoState {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
@@ -640,7 +658,7 @@
 func (r *Router) candidates(q *request, not Role) []*server {
 	return slices.DeleteFunc(slices.Clone(r.list), func(s *server) bool {
 		return s.role == not || s.State != Ready || slices.Contains(q.tried, s) ||
-			!r.inGroup(s, q) || !r.hasCredit(s)
+			!r.inGroup(s, q) || !r.hasCredit(s) || !r.mayRepeat(s, q)
 	})
 }
 
@@ -861,6 +879,15 @@
 	return s.credit >= 1
 }
 
+// mayRepeat tells whether a request that was sent before may go to a server. Guards against storms of repeats
+// that keep servers down which have only slowed: each repeat needs enough first attempts of late. Harms where
+// few requests come and one server in two fails: some are refused.
+func (r *Router) mayRepeat(s *server, q *request) bool {
+	window := r.window()
+	return r.set.RepeatPart <= 0 || !q.repeat ||
+		s.repeats.left(r.now, window) < 1+r.set.RepeatPart*s.firsts.left(r.now, window)
+}
+
 // spend books a send to a server.
 func (r *Router) spend(s *server) { s.credit = math.Max(0, s.credit-1) }
 
--- a/settings.go
+++ b/settings.go
@@ -31,7 +31,7 @@
 			return errors.New("settings: a time is negative")
 		}
 	}
-	if !(set.ColdFrom >= 0 && set.OverloadFactor >= 0) || set.MaxAttempts < 0 || set.Routers < 1 {
+	if !(set.ColdFrom >= 0 && set.OverloadFactor >= 0 && set.RepeatPart >= 0) || set.MaxAttempts < 0 || set.Routers < 1 {
 		return errors.New("settings: a figure is out of range")
 	}
 	return nil
@@ -44,7 +44,8 @@
 		return errors.New("settings: a class, kind or tenant came or went")
 	}
 	for i, c := range next.Classes {
-		if o := set.Classes[i]; o.Effect != c.Effect || o.Group != c.Group || o.Window != c.Window || o.Streamed != c.Streamed {
+		if o := set.Classes[i]; o.Effect != c.Effect || o.Group != c.Group || o.Window != c.Window || o.Streamed != c.Streamed ||
+			o.OneStage != c.OneStage {
 			return fmt.Errorf("settings: class %d promises something else", i)
 		}
 	}
