Engines, driver and checker know one-stage work: embeddings and reranks

The engines' client posts to /v1/embeddings and /v1/rerank and gives the whole answer; the driver counts such an attempt as one that may have run, wherever it went, and holds nothing for it. Rule 2 is judged for one-stage attempts at readers.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -97,7 +97,8 @@
 // send starts an attempt. One for a request that is answered, or whose stream
 // has begun, is moot.
 func (c *Call) send(s gannethook.Send) gannethook.Event {
-	a := &attempt{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader, out: true}
+	a := &attempt{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
+		out: true}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	var ctx context.Context
@@ -108,15 +109,18 @@
 	if a.reads || c.params == nil { // a server that reads and writes gets the request whole
 		c.key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
 	}
-	if a.reads {
+	switch {
+	case a.reads:
 		c.held = append(c.held, heldAt{s.Server, c.key})
 		c.reader = s.Server
-	} else {
+	case c.oneStage():
+		c.reader = s.Server
+	default:
 		c.writer = s.Server
 	}
 	call := &engine.Call{Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
-		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName}
+		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body}
 	if !a.reads {
 		call.Params = c.params
 	}
@@ -127,12 +131,18 @@
 	return nil
 }
 
+// oneStage tells whether the work ends where it is read.
+func (c *Call) oneStage() bool { return c.d.cfg.Settings.Classes[c.job.Class].OneStage }
+
 // attempt runs on its own goroutine.
 func (c *Call) attempt(ctx context.Context, a *attempt, call *engine.Call) {
 	var r engine.Result
-	if a.reads {
+	switch {
+	case a.reads:
 		r = c.d.cfg.Engines.Read(ctx, call)
-	} else {
+	case call.Path != "":
+		r = c.d.cfg.Engines.Do(ctx, call)
+	default:
 		r = c.d.cfg.Engines.Write(ctx, call, func() bool { return c.started(a) }, c.relay)
 	}
 	a.cancel()
@@ -191,7 +201,10 @@
 	case r.Outcome == gannethook.ReadDone:
 		c.params = r.Params
 	case !a.reads && r.Outcome == gannethook.Served:
-		c.answer(Answer{Kind: Served, Tokens: r.Tokens})
+		if c.first.IsZero() { // the whole comes at once
+			c.first = time.Now()
+		}
+		c.answer(Answer{Kind: Served, Tokens: r.Tokens, Body: r.Body})
 		ev.Done = true
 	case !a.reads && c.streaming:
 		c.answer(Answer{Kind: Failed, Tokens: r.Tokens, Reason: "the stream broke: " + r.Detail})
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -27,6 +27,7 @@
 // Engines makes attempts; engine.Client does.
 type Engines interface {
 	Read(ctx context.Context, call *engine.Call) engine.Result
+	Do(ctx context.Context, call *engine.Call) engine.Result
 	Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result
 	Hold(ctx context.Context, call *engine.Call, reader string) (ok bool, err error)
 	Release(ctx context.Context, addr, key string) error
@@ -49,6 +50,8 @@
 	MaxTokens             int
 	Model, Prompt         string
 	Idempotency           string
+	Path                  string // of a one-stage class: the engines' path,
+	Body                  []byte // and the request as they take it
 }
 
 // Kind tells how a request ended.
@@ -71,6 +74,7 @@
 	Kind       Kind
 	RetryAfter time.Duration // of a refusal
 	Tokens     int
+	Body       []byte // of one-stage work that was served, as the engine gave it
 	Reason     string
 	MayHaveRun bool // an attempt at a writer is not known not to have run
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -74,6 +74,19 @@
 	return engine.Result{Outcome: gannethook.ReadDone, Params: json.RawMessage(`{}`)}
 }
 
+func (f *fake) Do(ctx context.Context, call *engine.Call) engine.Result {
+	f.mu.Lock()
+	f.writes++
+	f.mu.Unlock()
+	if !wait(ctx, f.first) {
+		return calledOff
+	}
+	if f.writeEnds.Outcome != 0 {
+		return f.writeEnds
+	}
+	return engine.Result{Outcome: gannethook.Served, Body: call.Body}
+}
+
 func (f *fake) Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result {
 	f.mu.Lock()
 	f.writes++
@@ -302,6 +315,44 @@
 	return s, s.finals[0]
 }
 
+// One-stage work is answered by the server that reads it, whole and at once; nothing is held for it.
+func TestOneStage(t *testing.T) {
+	f := newFake()
+	set := testSettings()
+	for _, e := range []gannethook.Effect{gannethook.Safe, gannethook.Unsafe} {
+		set.Classes = append(set.Classes, gannethook.Class{Aim: 1500, Worth: 1, Effect: e, OneStage: true})
+	}
+	whole := func(d *Driver, class int) Answer {
+		j, s := job(class), newSink(t)
+		j.Path, j.Body = "/v1/embeddings", []byte("{}")
+		if _, err := d.Submit(j, s); err != nil {
+			t.Fatal(err)
+		}
+		<-s.done
+		if s.tokens != 0 {
+			t.Errorf("%d tokens", s.tokens)
+		}
+		return s.finals[0]
+	}
+	runWith(t, f, set, func(d *Driver) {
+		if a := whole(d, 2); a.Kind != Served || string(a.Body) != "{}" || !a.MayHaveRun {
+			t.Errorf("%+v", a)
+		}
+		f.writeEnds = engine.Result{Outcome: gannethook.Broken}
+		if a := whole(d, 3); a.Kind != Failed || !a.MayHaveRun || f.writes != 2 {
+			t.Errorf("%+v after %d attempts; unsafe work whose attempt broke may have run", a, f.writes)
+		}
+		f.writeEnds.Outcome = gannethook.Full
+		if a := whole(d, 3); a.Kind != Refused || a.MayHaveRun {
+			t.Errorf("%+v", a)
+		}
+		synctest.Wait()
+		if left := f.leftOver(); len(left) > 0 || f.reads > 0 {
+			t.Errorf("held %v, %d reads", left, f.reads)
+		}
+	})
+}
+
 // leftOver are what is held and was never let go, but for what the served answer took.
 func (f *fake) leftOver() []string {
 	f.mu.Lock()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,8 +20,11 @@
 // Paths of the engines' API; the last two are the extension.
 const (
 	CompletionsPath = "/v1/completions"
-	PlacesPath      = "/v1/x-gannethook/places"
-	StatesPath      = "/v1/x-gannethook/states/" // and the key
+	EmbeddingsPath  = "/v1/embeddings"
+	RerankPath      = "/v1/rerank"
+	extensionPath   = "/v1/x-gannethook/"
+	PlacesPath      = extensionPath + "places"
+	StatesPath      = extensionPath + "states/" // and the key
 )
 
 // CodeNoState is the code of an error body that tells that there is no state to fetch.
@@ -40,6 +43,8 @@
 	PromptSize  float64 // tokens, as the router counts them
 	KeptKey     string  // the shared beginning, for engines that keep text by it
 	Params      json.RawMessage
+	Path        string // of one-stage work
+	Body        []byte // and its request, as the engine takes it
 }
 
 // Result tells how an attempt ended.
@@ -50,7 +55,8 @@
 	Memory   float64
 	Params   json.RawMessage // of a read that is done
 	Tokens   int
-	Detail   string // why, for the log
+	Body     json.RawMessage // of one-stage work that is done
+	Detail   string          // why, for the log
 }
 
 // Client makes attempts. It is safe for concurrent use.
@@ -109,7 +115,7 @@
 
 // open sends a request and reads the answer's head.
 func (c *Client) open(ctx context.Context, method, path string, call *Call, body []byte) (*exchange, error) {
-	ctl := path != CompletionsPath
+	ctl := strings.HasPrefix(path, extensionPath)
 	cn, err := c.pool.get(ctx, call.Addr, ctl)
 	if err != nil {
 		return nil, err
@@ -158,10 +164,10 @@
 	x.conn.Close()
 }
 
-// all reads the whole body.
-func (x *exchange) all() ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(x.body, int64(x.c.lim.ResponseMax)+1))
-	if err == nil && len(b) > x.c.lim.ResponseMax {
+// all reads the whole body, which has so many bytes at most.
+func (x *exchange) all(most int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(x.body, int64(most)+1))
+	if err == nil && len(b) > most {
 		err = http1.ErrTooLarge
 	}
 	return b, err
@@ -183,7 +189,7 @@
 
 // turned maps an answer that is not 200 to an outcome.
 func (x *exchange) turned() Result {
-	body, err := x.all()
+	body, err := x.all(x.c.lim.ResponseMax)
 	x.close(err == nil)
 	r := Result{Outcome: gannethook.Failed, Detail: fmt.Sprintf("status %d", x.res.Status)}
 	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
@@ -228,7 +234,7 @@
 	if x.res.Status != 200 {
 		return x.turned()
 	}
-	body, err := x.all()
+	body, err := x.all(c.lim.ResponseMax)
 	x.close(err == nil)
 	if err != nil {
 		return failed(ctx, err)
@@ -243,6 +249,28 @@
 	return r
 }
 
+// Do has one-stage work done and returns the whole answer, whose shape is its asker's to check.
+func (c *Client) Do(ctx context.Context, call *Call) Result {
+	x, err := c.open(ctx, "POST", call.Path, call, call.Body)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if x.res.Status != 200 {
+		return x.turned()
+	}
+	body, err := x.all(c.lim.WholeMax)
+	x.close(err == nil)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	r := Result{Outcome: gannethook.Served, Body: body}
+	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
+	if _, found, err := jsonscan.Find(body, "usage"); err != nil || !found {
+		r = Result{Outcome: gannethook.Failed, Detail: "the answer has no usage"}
+	}
+	return r
+}
+
 // Write streams an answer. started is called at the first token; where it says
 // no, the attempt is over. token gets each token's text as raw JSON string,
 // valid during the call, and may say no as well.
@@ -336,7 +364,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = x.all()
+	_, err = x.all(c.lim.ResponseMax)
 	x.close(err == nil)
 	return x.res.Status, err
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -25,13 +25,14 @@
 	Extension   time.Duration // a place or release not answered by then is taken as refused
 	PlaceIdle   time.Duration // a place lapses by itself when it has waited for its answer for so long
 	ResponseMax int           // bytes of an answer that is not streamed
+	WholeMax    int           // bytes of the answer to one-stage work
 }
 
 // DefaultLimits suit engines on a data centre's network.
 func DefaultLimits() Limits {
 	return Limits{Dial: 250 * time.Millisecond, Idle: 25 * time.Second, IdleConns: 64, Spare: 2,
 		StreamIdle: 10 * time.Second, Extension: 400 * time.Millisecond,
-		PlaceIdle: 500 * time.Millisecond, ResponseMax: 1 << 20}
+		PlaceIdle: 500 * time.Millisecond, ResponseMax: 1 << 20, WholeMax: 32 << 20}
 }
 
 // conn is one connection, owned by one exchange at a time.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -338,7 +338,7 @@
 	var list []*sent
 	for _, e := range events {
 		switch {
-		case (e.Kind == record.Arrive || e.Kind == record.Swallow) && e.Note == "write":
+		case (e.Kind == record.Arrive || e.Kind == record.Swallow) && e.Note != "read": // one-stage work runs where it is read
 			if slices.ContainsFunc(list, func(s *sent) bool { return s.at.Who == e.Who && s.at.Key == e.Key }) {
 				continue // swallowed first, and now it has come in
 			}
