--- a/internal/limits/rate.go
+++ b/internal/limits/rate.go
@@ -1,6 +1,7 @@
-// Package limits decides what of the work that tenants ask for is taken, when,
-// and what is turned away. It has no I/O and no clock: times only increase and
-// are given with each call.
+// Package limits decides what of the work that tenants ask for is handed to the
+// decision module, when, and what is turned away for which reason. It has no
+// I/O and no clock: times only increase and are given with each call.
+// docs/limits.md weighs its parts.
 package limits
 
 import (
@@ -8,55 +9,69 @@
 	"time"
 )
 
-// Rate allows work of a size at so much a second, with bursts. It is the
-// generic cell rate algorithm: one time is all its state.
+// Rate allows work of a size at so much a second, with bursts: the generic
+// cell rate algorithm in its continuous-state form (ITU-T I.371).
 type Rate struct {
 	PerSecond float64 // 0: nothing is limited
-	Burst     float64 // most that may come at once; work that is larger never passes
+	Burst     float64 // most that may come at once
 }
 
-// Meter is the state of one Rate for one tenant.
+// Meter is the state of one Rate for one tenant: what was taken and is not
+// forgiven yet. Unlike a time of arrival it stays right when the rate changes.
 type Meter struct {
-	due time.Duration // when the work taken so far would have come at an even rate
-}
-
-func (r Rate) span(size float64) time.Duration {
-	return time.Duration(math.Ceil(size / r.PerSecond * float64(time.Second)))
+	used float64
+	at   time.Duration
 }
 
 // Never tells whether work is too large to pass at any time.
 func (r Rate) Never(size float64) bool { return r.PerSecond > 0 && size > r.Burst }
 
-// Wait is how long work of a size has to wait; 0 lets it pass now. It takes nothing.
+// Settle forgives what time has forgiven at a rate, as before the rate changes.
+func (m *Meter) Settle(now time.Duration, r Rate) {
+	m.used, m.at = m.usedAt(now, r), max(m.at, now)
+}
+
+func (m *Meter) usedAt(now time.Duration, r Rate) float64 {
+	return max(m.used-r.PerSecond*max(now-m.at, 0).Seconds(), 0)
+}
+
+// Wait is how long work of a size has to wait; 0 lets it pass now. It takes
+// nothing. Work larger than the burst waits until nothing is owed.
 func (m *Meter) Wait(now time.Duration, r Rate, size float64) time.Duration {
 	if r.PerSecond <= 0 {
 		return 0
 	}
-	return max(max(m.due, now)+r.span(size)-r.span(r.Burst)-now, 0)
+	over := m.usedAt(now, r) + size - max(r.Burst, size)
+	if over <= size*1e-9 { // what a wait was told for passes after it
+		return 0
+	}
+	return max(time.Duration(math.Ceil(over/r.PerSecond*float64(time.Second))), 1)
 }
 
 // Take takes work that passes.
 func (m *Meter) Take(now time.Duration, r Rate, size float64) {
 	if r.PerSecond > 0 {
-		m.due = max(m.due, now) + r.span(size)
+		m.Settle(now, r)
+		m.used += size
 	}
 }
 
 // Give gives work back that was taken and did not run: it must not count
 // against its tenant. What time has forgiven meanwhile is not given twice.
-func (m *Meter) Give(r Rate, size float64) {
-	if r.PerSecond > 0 {
-		m.due -= r.span(size) // a time that has passed is as good as now
-	}
-}
-
-// Idle tells whether the state is that of a new meter, and may be forgotten.
-func (m *Meter) Idle(now time.Duration) bool { return m.due <= now }
+func (m *Meter) Give(size float64) { m.used = max(m.used-size, 0) }
 
 // Left is how much may come at once now.
 func (m *Meter) Left(now time.Duration, r Rate) float64 {
 	if r.PerSecond <= 0 {
 		return math.Inf(1)
 	}
-	return r.Burst - float64(max(m.due-now, 0))/float64(time.Second)*r.PerSecond
+	return max(r.Burst-m.usedAt(now, r), 0)
+}
+
+// Full is how long it takes until all of the burst may come again.
+func (m *Meter) Full(now time.Duration, r Rate) time.Duration {
+	if r.PerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(m.usedAt(now, r) / r.PerSecond * float64(time.Second))
 }
