--- a/api.go
+++ b/api.go
@@ -73,6 +73,9 @@
 	QuotaPerS float64 // requests a second within its share, over all routers
 }
 
+// Price is what reading so many prompt tokens costs, by which readers are chosen.
+func Price(tokens float64) float64 { return price(tokens) }
+
 // Settings are all that a router is told at its start.
 type Settings struct {
 	Routers int // how many there are
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -120,7 +120,8 @@
 	}
 	call := &engine.Call{Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
-		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body}
+		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body, Check: c.job.Check,
+		Sampling: c.job.Sampling}
 	if !a.reads {
 		call.Params = c.params
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -50,8 +51,11 @@
 	MaxTokens             int
 	Model, Prompt         string
 	Idempotency           string
-	Path                  string // of a one-stage class: the engines' path,
-	Body                  []byte // and the request as they take it
+	Sampling              json.RawMessage         // an object of fields that the engine takes as they are
+	Path                  string                  // of a one-stage class: the engines' path,
+	Body                  []byte                  // the request as they take it,
+	Check                 func(body []byte) error // and whether an answer is one
+	Waited                time.Duration           // of GiveUp, before it came to the driver
 }
 
 // Kind tells how a request ended.
@@ -76,6 +80,7 @@
 	Tokens     int
 	Body       []byte // of one-stage work that was served, as the engine gave it
 	Reason     string
+	Why        int  // of a refusal by limits: its limits.Reason; 0 of any other
 	MayHaveRun bool // an attempt at a writer is not known not to have run
 }
 
@@ -247,7 +252,7 @@
 		d.open.Add(-1)
 		return nil, ErrBusy
 	}
-	c := &Call{d: d, job: job, sink: sink, came: time.Now()}
+	c := &Call{d: d, job: job, sink: sink, came: time.Now().Add(-job.Waited)}
 	select {
 	case d.inbox <- func() { d.take(c) }:
 		return c, nil
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -43,8 +43,10 @@
 	PromptSize  float64 // tokens, as the router counts them
 	KeptKey     string  // the shared beginning, for engines that keep text by it
 	Params      json.RawMessage
-	Path        string // of one-stage work
-	Body        []byte // and its request, as the engine takes it
+	Sampling    json.RawMessage         // an object of fields that the engine takes as they are
+	Path        string                  // of one-stage work
+	Body        []byte                  // its request, as the engine takes it,
+	Check       func(body []byte) error // and whether an answer is one
 }
 
 // Result tells how an attempt ended.
@@ -222,6 +224,9 @@
 func (call *Call) body(maxTokens int, stream bool, params json.RawMessage) []byte {
 	b, _ := json.Marshal(completion{Model: call.Model, Prompt: call.Prompt, MaxTokens: maxTokens, Stream: stream,
 		Params: params, Size: int(call.PromptSize), KeptKey: call.KeptKey})
+	if len(call.Sampling) > len("{}") {
+		b = append(append(b[:len(b)-1], ','), call.Sampling[1:]...)
+	}
 	return b
 }
 
@@ -249,7 +254,7 @@
 	return r
 }
 
-// Do has one-stage work done and returns the whole answer, whose shape is its asker's to check.
+// Do has one-stage work done and returns the whole answer.
 func (c *Client) Do(ctx context.Context, call *Call) Result {
 	x, err := c.open(ctx, "POST", call.Path, call, call.Body)
 	if err != nil {
@@ -265,8 +270,10 @@
 	}
 	r := Result{Outcome: gannethook.Served, Body: body}
 	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
-	if _, found, err := jsonscan.Find(body, "usage"); err != nil || !found {
-		r = Result{Outcome: gannethook.Failed, Detail: "the answer has no usage"}
+	if call.Check != nil {
+		if err := call.Check(body); err != nil {
+			r = Result{Outcome: gannethook.Failed, Detail: err.Error()}
+		}
 	}
 	return r
 }
