Settings of budgets, admission, HTTP, keys and TLS; budgets reload as they are

Classes name their work, tenants their weight, identities and budgets; what may change while requests wait is live. Every form has its error with line and column.

--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -39,10 +39,15 @@
 var live = []string{
 	"routers",
 	"class * aim", "class * aim-per-1000", "class * give-up", "class * worth", "class * max-tokens",
+	"class * priority",
 	"kind * memory",
-	"tenant * quota",
+	"tenant * quota", "tenant * weight", "tenant * identity", "tenant * budget",
 	"rules cold-from", "rules warm-after", "rules overload",
-	"limits attempts", "limits retry-after", "limits open",
+	"limits attempts", "limits repeats", "limits retry-after", "limits open",
+	"admit on", "admit waiting", "admit wait-part", "admit in-hand-least", "admit in-hand-start", "admit in-hand-most",
+	"admit retries", "admit clients", "admit shed", "admit back", "admit back-most",
+	"http body", "http answer", "http read", "http idle", "http write",
+	"http part", "http part-items", "http parts-out", "http part-tries",
 	"sessions most", "sessions responses", "sessions message", "sessions conversation", "sessions pending",
 	"sessions idle", "sessions handshake", "sessions bytes-per-token", "sessions drain",
 	"control releases",
@@ -84,15 +89,45 @@
 
 func (d *differ) value(path, pattern string, old, next reflect.Value) {
 	switch {
-	case old.Kind() == reflect.Slice && old.Type().Elem().Kind() == reflect.Struct:
+	case named(old.Type()):
 		d.lists(path, pattern, old, next)
 	case old.Kind() == reflect.Struct:
 		d.structs(path, pattern, old, next)
 	default:
-		d.add(path, pattern, fmt.Sprint(old.Interface()), fmt.Sprint(next.Interface()))
+		d.add(path, pattern, text(old), text(next))
 	}
 }
 
+// named tells whether a type is a list of forms that have names.
+func named(t reflect.Type) bool {
+	if t.Kind() != reflect.Slice || t.Elem().Kind() != reflect.Struct {
+		return false
+	}
+	_, has := t.Elem().FieldByName("Name")
+	return has
+}
+
+// text is a value as the file has it; where it stands in the file is left out.
+func text(v reflect.Value) string {
+	switch {
+	case v.Kind() == reflect.Slice:
+		var list []string
+		for i := range v.Len() {
+			list = append(list, text(v.Index(i)))
+		}
+		return strings.Join(list, " ")
+	case v.Kind() == reflect.Struct:
+		out := ""
+		for i := range v.NumField() {
+			if name := v.Type().Field(i).Tag.Get("gann"); name != "" && !v.Field(i).IsZero() {
+				out += fmt.Sprintf("(%s %s)", name, text(v.Field(i)))
+			}
+		}
+		return "(" + out + ")"
+	}
+	return fmt.Sprint(v.Interface())
+}
+
 // lists compares repeated forms by their names. Their order matters to nobody
 // but requests under way, which know them by number: a change of order needs a restart.
 func (d *differ) lists(path, pattern string, old, next reflect.Value) {
@@ -147,7 +182,7 @@
 		}
 		at, a, b := join(pattern, name), into.Field(i), from.Field(i)
 		switch {
-		case a.Kind() == reflect.Slice && a.Type().Elem().Kind() == reflect.Struct:
+		case named(a.Type()):
 			for n := range a.Len() {
 				for m := range b.Len() {
 					if a.Index(n).FieldByName("Name").String() == b.Index(m).FieldByName("Name").String() {
--- a/internal/reload/reload_test.go
+++ b/internal/reload/reload_test.go
@@ -29,6 +29,9 @@
 		{"(effect unsafe)", "(effect safe)", `class "a" effect: unsafe -> safe (needs a restart)`},
 		{"(quota 10/s)", "(quota 600/min)", ""},
 		{"(quota 10/s)", "(quota 20/s)", `tenant "t" quota: 10 -> 20`},
+		{"(quota 10/s)", "(quota 10/s) (budget (requests 5/s) (class q)) (budget (tokens 9/s))",
+			`tenant "t" budget: none -> ((class q)(requests 5)(burst 5)) ((tokens 9)(token-burst 90))`},
+		{"(quota 10/s)", "(quota 10/s)\n\n(budget (requests 5/s))", `tenant "t" budget: none -> ((requests 5)(burst 5))`},
 		{"(tenant t (quota 10/s))", "", `tenant "t": given -> none (needs a restart)`},
 		{"(kind p (role reader))", "(kind p (role reader)) (kind m (role mixed))", `kind "m": none -> given (needs a restart)`},
 		{"(kind p (role reader)) (kind w (role writer))", "(kind w (role writer)) (kind p (role reader))", "kind order: p w -> w p (needs a restart)"},
@@ -93,7 +96,7 @@
 			}
 			at, ft := join(pattern, name), typ.Field(i).Type
 			switch {
-			case ft.Kind() == reflect.Slice && ft.Elem().Kind() == reflect.Struct:
+			case named(ft):
 				walk(at+" *", ft.Elem())
 			case ft.Kind() == reflect.Struct:
 				walk(at, ft)
--- /dev/null
+++ b/internal/settings/admit.go
@@ -0,0 +1,138 @@
+package settings
+
+import (
+	"math"
+	"slices"
+
+	"gannethook/internal/batch"
+	"gannethook/internal/limits"
+	"gannethook/internal/sexp"
+)
+
+// checkTenants tells what of the tenants' terms can't work.
+func (f *File) checkTenants() error {
+	seen, ids := map[string]bool{}, map[string]bool{}
+	for i := range f.Tenants {
+		t := &f.Tenants[i]
+		if seen[t.Name] {
+			return sexp.Errorf(t.At, "tenant %q is given twice", t.Name)
+		}
+		seen[t.Name] = true
+		for _, id := range t.Identity {
+			if ids[id] {
+				return sexp.Errorf(t.At, "identity %q is two tenants'", id)
+			}
+			ids[id] = true
+		}
+		for j := range t.Budgets {
+			if err := f.checkBudget(&t.Budgets[j]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkBudget also fills in bursts: a second's requests, ten seconds' tokens.
+func (f *File) checkBudget(b *Budget) error {
+	switch {
+	case b.Class != "" && f.ClassNamed(b.Class) < 0:
+		return sexp.Errorf(b.At, "no class is named %q", b.Class)
+	case b.Requests == 0 && b.Tokens == 0:
+		return sexp.Errorf(b.At, "a budget has (requests ...), (tokens ...) or both")
+	case b.Burst != 0 && (b.Requests == 0 || b.Burst < 1):
+		return sexp.Errorf(b.At, "(burst ...) goes with (requests ...) and is 1 at the least")
+	case b.TokenBurst != 0 && b.Tokens == 0:
+		return sexp.Errorf(b.At, "(token-burst ...) goes with (tokens ...)")
+	}
+	if b.Burst == 0 && b.Requests > 0 {
+		b.Burst = math.Max(float64(b.Requests), 1)
+	}
+	if b.TokenBurst == 0 {
+		b.TokenBurst = sexp.Tokens(10 * b.Tokens)
+	}
+	return nil
+}
+
+func (f *File) checkDoors() error {
+	a, h, t := &f.Admit, &f.HTTP, &f.TLS
+	switch {
+	case a.Waiting < 1 || a.Least < 1 || a.Start < a.Least || a.Most < a.Start || a.Clients < 1:
+		return sexp.Errorf(a.At, "waiting, clients and in-hand-least are 1 at the least; in-hand-start and in-hand-most no less than that")
+	case a.WaitPart <= 0 || a.WaitPart > 1:
+		return sexp.Errorf(a.At, "wait-part is above 0 and 1 at the most")
+	case h.Body < 1024 || h.Answer < 1024 || h.Part < 1 || h.PartItems < 1 || h.PartsOut < 1 || h.PartTries < 1:
+		return sexp.Errorf(f.At, "http: body and answer are 1KiB at the least; part, part-items, parts-out and part-tries 1")
+	case f.Keys.File != "" && f.Keys.Every <= 0:
+		return sexp.Errorf(f.At, "(every ...) of the keys is above 0")
+	}
+	set := 0
+	for _, s := range []string{t.Domain, t.Cert, t.Key, t.Authority} {
+		if s != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 4 || t.Clients && set == 0 {
+		return sexp.Errorf(t.At, "tls needs (domain ...), (cert ...), (key ...) and (authority ...)")
+	}
+	for i := range f.Tenants {
+		if len(f.Tenants[i].Identity) > 0 && set == 0 {
+			return sexp.Errorf(f.Tenants[i].At, "(identity ...) needs (tls ...)")
+		}
+	}
+	return nil
+}
+
+// ClassNamed is the place of a class, or -1.
+func (f *File) ClassNamed(name string) int {
+	return slices.IndexFunc(f.Classes, func(c Class) bool { return c.Name == name })
+}
+
+// ClassOf is the place of the first class of a kind of work, or -1.
+func (f *File) ClassOf(w Work) int {
+	return slices.IndexFunc(f.Classes, func(c Class) bool { return c.Work == w })
+}
+
+// TenantNamed is the place of a tenant, or -1.
+func (f *File) TenantNamed(name string) int {
+	return slices.IndexFunc(f.Tenants, func(t Tenant) bool { return t.Name == name })
+}
+
+// TenantOf is the place of the tenant that a SPIFFE id belongs to, or -1.
+func (f *File) TenantOf(id string) int {
+	return slices.IndexFunc(f.Tenants, func(t Tenant) bool { return slices.Contains(t.Identity, id) })
+}
+
+// Limiter is what package limits is told.
+func (f *File) Limiter() limits.Settings {
+	a := &f.Admit
+	s := limits.Settings{Routers: f.Routers, Waiting: a.Waiting, WaitPart: a.WaitPart, Least: a.Least, Start: a.Start,
+		Most: a.Most, Retries: a.Retries, Clients: a.Clients, Shed: a.Shed, Back: a.Back, BackMost: a.BackMost, Seed: f.Seed}
+	if !a.On {
+		s.Least, s.Start, s.Most, s.Shed, s.Retries = math.MaxInt32, math.MaxInt32, math.MaxInt32, false, 0
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, limits.Class{Aim: c.Aim, AimPer1000: c.AimPer1000, Worth: c.Worth, Priority: c.Priority})
+	}
+	for _, t := range f.Tenants {
+		tenant := limits.Tenant{Weight: t.Weight}
+		for _, b := range t.Budgets {
+			class := -1
+			if b.Class != "" {
+				class = f.ClassNamed(b.Class)
+			}
+			tenant.Budgets = append(tenant.Budgets, limits.Budget{Class: class,
+				Requests: limits.Rate{PerSecond: float64(b.Requests), Burst: b.Burst},
+				Tokens:   limits.Rate{PerSecond: float64(b.Tokens), Burst: float64(b.TokenBurst)}})
+		}
+		s.Tenants = append(s.Tenants, tenant)
+	}
+	return s
+}
+
+// Batch sizes the parts of batches.
+func (f *File) Batch() batch.Limits {
+	h := &f.HTTP
+	return batch.Limits{Tokens: float64(h.Part), Items: h.PartItems, Out: h.PartsOut, Tries: h.PartTries,
+		Margin: f.Limits.RetryAfter}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,7 +34,11 @@
 	Tenants  []Tenant `gann:"tenant"`
 	Rules    Rules    `gann:"rules"`
 	Limits   Limits   `gann:"limits"`
+	Admit    Admit    `gann:"admit"`
 	Sessions Sessions `gann:"sessions"`
+	HTTP     HTTP     `gann:"http"`
+	Keys     Keys     `gann:"keys"`
+	TLS      TLS      `gann:"tls"`
 	Engines  Engines  `gann:"engines"`
 	Roster   Roster   `gann:"roster,need"`
 	Control  Control  `gann:"control"`
@@ -52,6 +56,8 @@
 	Group      Group         `gann:"group"`
 	Window     time.Duration `gann:"window"`
 	MaxTokens  int           `gann:"max-tokens"`
+	Work       Work          `gann:"work"`
+	Priority   int           `gann:"priority"`
 }
 
 // Kind is a kind of engine.
@@ -64,9 +70,22 @@
 
 // Tenant is one tenant's share.
 type Tenant struct {
-	At    sexp.Pos
-	Name  string         `gann:"#,need"`
-	Quota sexp.PerSecond `gann:"quota"`
+	At       sexp.Pos
+	Name     string         `gann:"#,need"`
+	Quota    sexp.PerSecond `gann:"quota"`
+	Weight   float64        `gann:"weight"`
+	Identity []string       `gann:"identity"` // SPIFFE ids of its clients' certificates
+	Budgets  []Budget       `gann:"budget"`
+}
+
+// Budget bounds what a tenant may ask for, over all routers.
+type Budget struct {
+	At         sexp.Pos
+	Class      string         `gann:"class"`    // "": all together
+	Requests   sexp.PerSecond `gann:"requests"` // 0: not limited
+	Burst      float64        `gann:"burst"`
+	Tokens     sexp.PerSecond `gann:"tokens"`
+	TokenBurst sexp.Tokens    `gann:"token-burst"`
 }
 
 // Rules are the figures of the five rules.
@@ -80,6 +99,7 @@
 // Limits bound the router's own work.
 type Limits struct {
 	Attempts   int           `gann:"attempts"`
+	Repeats    float64       `gann:"repeats"` // that an engine gets for each first attempt; 0: not limited
 	RetryAfter time.Duration `gann:"retry-after"`
 	Quantum    time.Duration `gann:"quantum"`
 	Open       int           `gann:"open"`
@@ -88,6 +108,51 @@
 	Keys       int           `gann:"keys"`
 }
 
+// Admit tells what is handed to the module, and in which order.
+type Admit struct {
+	At       sexp.Pos
+	On       bool          `gann:"on"` // no: budgets hold, all else passes
+	Waiting  int           `gann:"waiting"`
+	WaitPart float64       `gann:"wait-part"`
+	Least    int           `gann:"in-hand-least"`
+	Start    int           `gann:"in-hand-start"`
+	Most     int           `gann:"in-hand-most"`
+	Retries  float64       `gann:"retries"`
+	Clients  int           `gann:"clients"`
+	Shed     bool          `gann:"shed"`
+	Back     time.Duration `gann:"back"`
+	BackMost time.Duration `gann:"back-most"`
+}
+
+// HTTP bounds the HTTP APIs.
+type HTTP struct {
+	Body      sexp.Bytes    `gann:"body"`
+	Answer    sexp.Bytes    `gann:"answer"`
+	Read      time.Duration `gann:"read"`  // a request's body is whole by then
+	Idle      time.Duration `gann:"idle"`  // an unused connection closes
+	Write     time.Duration `gann:"write"` // a write that takes longer cuts the connection
+	Part      sexp.Tokens   `gann:"part"`
+	PartItems int           `gann:"part-items"`
+	PartsOut  int           `gann:"parts-out"`
+	PartTries int           `gann:"part-tries"`
+}
+
+// Keys tells where the tenants' API keys are listed; without a file, clients name their tenant themselves.
+type Keys struct {
+	File  string        `gann:"file"`
+	Every time.Duration `gann:"every"` // between two looks at the file
+}
+
+// TLS has the clients' port speak TLS; with an authority, clients show certificates.
+type TLS struct {
+	At        sexp.Pos
+	Domain    string `gann:"domain"`
+	Cert      string `gann:"cert"`
+	Key       string `gann:"key"`
+	Authority string `gann:"authority"`
+	Clients   bool   `gann:"clients"` // a client without a certificate is not let in
+}
+
 // Sessions bound the clients' side.
 type Sessions struct {
 	Most         int           `gann:"most"`
@@ -121,8 +186,9 @@
 	Namespace string        `gann:"namespace"`
 	Service   string        `gann:"service"`
 	File      string        `gann:"file"`
-	Every     time.Duration `gann:"every"` // between two looks at the file
-	Cache     string        `gann:"cache"` // keeps the last list over a restart
+	Every     time.Duration `gann:"every"`   // between two looks at the file
+	Cache     string        `gann:"cache"`   // keeps the last list over a restart
+	Routers   string        `gann:"routers"` // service that lists the routers themselves; "": their number is told
 	Silence   time.Duration `gann:"silence"`
 }
 
@@ -156,10 +222,21 @@
 	Role   gannethook.Role
 )
 
+// Work is what a class asks engines for.
+type Work int
+
+// The kinds of work.
+const (
+	Chat Work = iota // an answer, streamed
+	Embedding
+	Rerank
+)
+
 var (
 	effects = []string{"safe", "keyed", "unsafe"}
 	groups  = []string{"all", "zone", "cell"}
 	roles   = []string{"reader", "writer", "mixed"}
+	works   = []string{"chat", "embedding", "rerank"}
 )
 
 func nameOf(names []string, i int) string {
@@ -173,6 +250,8 @@
 func (g Group) String() string  { return nameOf(groups, int(g)) }
 func (r Role) String() string   { return nameOf(roles, int(r)) }
 
+func (w Work) String() string { return nameOf(works, int(w)+1) }
+
 func oneOf[T ~int](v *T, text []byte, what string, names []string) error {
 	i := slices.Index(names, string(text))
 	if i < 0 {
@@ -195,6 +274,13 @@
 	return oneOf(r, t, "a role", roles)
 }
 
+// UnmarshalText reads chat, embedding or rerank.
+func (w *Work) UnmarshalText(t []byte) error {
+	err := oneOf(w, t, "a kind of work", works)
+	*w -= 1
+	return err
+}
+
 // Load reads and checks a file.
 func Load(path string) (*File, error) {
 	f := defaults()
@@ -218,6 +304,11 @@
 		Sessions: Sessions{Most: 20000, Responses: 16, Message: sexp.Bytes(w.Message), Conversation: 4 << 20,
 			Pending: sexp.Bytes(w.Pending), Idle: w.Idle, Handshake: 5 * time.Second, TokenBytes: 4,
 			Drain: 30 * time.Second},
+		Admit: Admit{On: true, Waiting: 2000, WaitPart: 0.5, Least: 4, Start: 64, Most: 8192, Retries: 0.2, Clients: 100000,
+			Shed: true, Back: 250 * time.Millisecond, BackMost: 10 * time.Second},
+		HTTP: HTTP{Body: 16 << 20, Answer: 128 << 20, Read: 30 * time.Second, Idle: 75 * time.Second, Write: 10 * time.Second,
+			Part: 4000, PartItems: 64, PartsOut: 8, PartTries: 3},
+		Keys: Keys{Every: time.Second},
 		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns, Spare: e.Spare,
 			StreamIdle: e.StreamIdle, Extension: e.Extension},
 		Control: Control{Start: 15 * time.Second, Results: 256, Events: 1024},
@@ -245,6 +336,12 @@
 	if err := f.checkControl(); err != nil {
 		return err
 	}
+	if err := f.checkTenants(); err != nil {
+		return err
+	}
+	if err := f.checkDoors(); err != nil {
+		return err
+	}
 	seen := map[string]bool{}
 	reads, writes := false, false
 	for _, k := range f.Kinds {
@@ -314,13 +411,13 @@
 	s := gannethook.Settings{
 		Routers: f.Routers, ColdFrom: f.Rules.ColdFrom, WarmAfter: millis(f.Rules.WarmAfter),
 		OverloadFactor: f.Rules.Overload, PinLimit: millis(f.Rules.PinLimit), ConnIdle: millis(f.Engines.Idle),
-		MaxAttempts: f.Limits.Attempts, MaxRetryAfter: millis(f.Limits.RetryAfter), Quantum: millis(f.Limits.Quantum),
+		MaxAttempts: f.Limits.Attempts, RepeatPart: f.Limits.Repeats, MaxRetryAfter: millis(f.Limits.RetryAfter), Quantum: millis(f.Limits.Quantum),
 		Cancel: f.Engines.Cancel, Holds: f.Engines.Holds, WritersRead: f.Engines.WritersRead,
 	}
 	for _, c := range f.Classes {
 		s.Classes = append(s.Classes, gannethook.Class{Aim: millis(c.Aim), AimPer1000: millis(c.AimPer1000),
 			Worth: c.Worth, Effect: gannethook.Effect(c.Effect), Group: gannethook.Group(c.Group),
-			Window: millis(c.Window), Streamed: true})
+			Window: millis(c.Window), Streamed: c.Work == Chat, OneStage: c.Work != Chat})
 	}
 	for _, k := range f.Kinds {
 		s.Kinds = append(s.Kinds, gannethook.Kind{Role: gannethook.Role(k.Role), Memory: float64(k.Memory)})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gannethook"
+	"gannethook/internal/limits"
 )
 
 const good = `(name r) (listen "127.0.0.1:0") (class q (aim 1s) (give-up 5s) (effect safe))
@@ -34,6 +35,25 @@
 		c.Window != 30000 || c.Aim != 2000 || c.AimPer1000 != 40 || c.Worth != 2 || m.Classes[0].Worth != 1 {
 		t.Errorf("%+v", m)
 	}
+	f, err = Parse("f", good+`(class e (aim 2s) (give-up 9s) (effect safe) (work embedding) (priority 2)) (limits (repeats 0.2))
+		(tenant t (weight 3) (budget (class e) (requests 5/s) (tokens 100/s) (token-burst 5ktokens))) (admit (shed no))`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = f.Module()
+	l := f.Limiter()
+	if !m.Classes[1].OneStage || m.Classes[1].Streamed || m.Classes[0].OneStage || m.RepeatPart != 0.2 || l.Shed || l.Tenants[0].Weight != 3 ||
+		l.Tenants[0].Budgets[0] != (limits.Budget{Class: 1, Requests: limits.Rate{PerSecond: 5, Burst: 5}, Tokens: limits.Rate{PerSecond: 100, Burst: 5000}}) ||
+		l.Classes[1].Priority != 2 || l.Classes[1].Aim != 2*time.Second {
+		t.Errorf("%+v, %+v", m, l)
+	}
+}
+
+func TestEngineLimits(t *testing.T) {
+	f, err := Parse("f", good+`(engines (stream-idle 3s)) (rules (pin-limit 400ms))`)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if f.EngineLimits().StreamIdle != 3*time.Second || f.EngineLimits().PlaceIdle != 400*time.Millisecond {
 		t.Errorf("%+v", f.EngineLimits())
 	}
@@ -53,6 +73,16 @@
 		`(limits (open 0))`:                                           `f:1:1: routers, open, inbox and responses are 1 at the least`,
 		`(limits (opne 1))`:                                           `f:3:10: "opne" is not known here; is "open" meant?`,
 		`(sessions (bytes-per-token 0))`:                              `f:1:1: bytes-per-token and quantum are above 0`,
+		`(class e (aim 1s) (give-up 5s) (effect safe) (work dance))`:  `f:3:52: "dance" is not a kind of work; known are ["chat" "embedding" "rerank"]`,
+		`(tenant t) (tenant t)`:                                       `f:3:12: tenant "t" is given twice`,
+		`(tenant t (budget (class x) (requests 1/s)))`:                `f:3:11: no class is named "x"`,
+		`(tenant t (budget (class q)))`:                               `f:3:11: a budget has (requests ...), (tokens ...) or both`,
+		`(tenant t (budget (tokens 1/s) (burst 2)))`:                  `f:3:11: (burst ...) goes with (requests ...) and is 1 at the least`,
+		`(tenant t (identity "spiffe://x/t"))`:                        `f:3:1: (identity ...) needs (tls ...)`,
+		`(tls (cert "c"))`:                                            `f:3:1: tls needs (domain ...), (cert ...), (key ...) and (authority ...)`,
+		`(admit (in-hand-least 100))`:                                 `f:3:1: waiting, clients and in-hand-least are 1 at the least; in-hand-start and in-hand-most no less than that`,
+		`(admit (wait-part 2))`:                                       `f:3:1: wait-part is above 0 and 1 at the most`,
+		`(http (part 0))`:                                             `f:1:1: http: body and answer are 1KiB at the least; part, part-items, parts-out and part-tries 1`,
 		`(name other)`:                                                `f:3:1: "name" is given twice`,
 	} {
 		_, err := Parse("f", good+"\n"+change)
