--- a/internal/sexp/decode.go
+++ b/internal/sexp/decode.go
@@ -168,7 +168,8 @@
 
 // isPlain tells whether a value of the type is one word or string.
 func isPlain(t reflect.Type) bool {
-	return t.Kind() != reflect.Struct && t.Kind() != reflect.Pointer
+	return t.Kind() != reflect.Struct && t.Kind() != reflect.Pointer ||
+		reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
 }
 
 func decodeValue(n *Node, v reflect.Value) error {
