A second front: chat, embeddings and rerank over HTTP, on the same core

Tenants by API key or certificate; a revoked key's work in flight ends as usual. The list of routers, where it is watched, divides quotas.

--- a/internal/apikeys/keys_test.go
+++ b/internal/apikeys/keys_test.go
@@ -37,11 +37,11 @@
 func TestErrors(t *testing.T) {
 	digest := strings.Repeat("0", 64)
 	for text, want := range map[string]string{
-		`(key a (tenant t) (sha256 12))`:                              `f:1:27: "12" is not a digest of 64 hexadecimal digits`,
-		`(key a (sha256 ` + digest + `))`:                             `f:1:1: (tenant ...) is missing`,
-		`(key a_b (tenant t) (sha256 ` + digest + `))`:                `f:1:1: a key's id has 1 to 32 characters and no _`,
-		`(key a (tenant x) (sha256 ` + digest + `))`:                  `f:1:1: no tenant is named "x"`,
-		`(key a (tenant t) (sha256 ` + digest + `) (until tomorrow))`: `f:1:100: "tomorrow" is not a time; write 2026-12-31T00:00:00Z`,
+		`(key a (tenant t) (sha256 12))`:                                                        `f:1:27: "12" is not a digest of 64 hexadecimal digits`,
+		`(key a (sha256 ` + digest + `))`:                                                       `f:1:1: (tenant ...) is missing`,
+		`(key a_b (tenant t) (sha256 ` + digest + `))`:                                          `f:1:1: a key's id has 1 to 32 characters and no _`,
+		`(key a (tenant x) (sha256 ` + digest + `))`:                                            `f:1:1: no tenant is named "x"`,
+		`(key a (tenant t) (sha256 ` + digest + `) (until tomorrow))`:                           `f:1:100: "tomorrow" is not a time; write 2026-12-31T00:00:00Z`,
 		`(key a (tenant t) (sha256 ` + digest + `)) (key a (tenant t) (sha256 ` + digest + `))`: `f:1:94: key "a" is given twice`,
 	} {
 		if _, err := Parse("f", text, func(n string) bool { return n == "t" }); err == nil || err.Error() != want {
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -13,7 +13,7 @@
 	Tokens float64       // of a part, but for a text that is longer alone
 	Items  int           // texts of a part
 	Out    int           // parts out at once
-	Tries  int           // of a part that is refused
+	Tries  int           // of a part that is refused: each waits twice as long as the one before
 	Margin time.Duration // before the deadline: no part is asked for again later than that
 }
 
@@ -178,7 +178,7 @@
 		}
 		return m.fill(now, nil)
 	case Refused:
-		if at := now + e.RetryAfter; p.tries < m.lim.Tries && at < m.deadline-m.lim.Margin {
+		if at := now + e.RetryAfter<<min(p.tries-1, 6); p.tries < m.lim.Tries && at < m.deadline-m.lim.Margin {
 			p.state, p.at = later, at
 			return m.fill(now, []Action{Wake{at}})
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"gannethook"
+	"gannethook/internal/apikeys"
 	"gannethook/internal/baseline"
 	"gannethook/internal/certs"
 	"gannethook/internal/control"
@@ -23,7 +24,9 @@
 	"gannethook/internal/engine"
 	"gannethook/internal/front"
 	"gannethook/internal/handover"
+	"gannethook/internal/intake"
 	"gannethook/internal/life"
+	"gannethook/internal/limits"
 	"gannethook/internal/roster"
 	"gannethook/internal/settings"
 )
@@ -48,6 +51,9 @@
 	counts *counts
 	client *engine.Client
 	driver *driver.Driver
+	intake *intake.Intake
+	keys   *apikeys.File
+	doors  *certs.Files // of the clients' port
 	front  *front.Server
 	run    *runFiles
 	ln     net.Listener
@@ -56,6 +62,7 @@
 	certs  *certs.Files
 
 	stopWork context.CancelFunc
+	stopKeys context.CancelFunc // nil: there are none
 	work     sync.WaitGroup
 	listed   chan struct{} // closed at the first list
 	once     sync.Once
@@ -65,6 +72,7 @@
 	cfg     *settings.File // that run
 	since   time.Time      // of the state
 	state   life.State
+	peers   int      // routers in the roster's list; 0: not listed
 	waiting []string // changed settings that wait for a restart
 	before  *predecessor
 	heir    *handover.Heir // that starts or has taken over
@@ -135,6 +143,10 @@
 	if err != nil {
 		return err
 	}
+	d.intake = intake.New(d.driver, cfg.Limiter(), d.done)
+	if err := d.openDoors(cfg); err != nil {
+		return err
+	}
 	if d.ln, err = port(link, d.opt.Held, "tcp", listenName, cfg.Listen); err != nil {
 		return err
 	}
@@ -172,7 +184,8 @@
 
 // serve opens the doors and tells the life so.
 func (d *Daemon) serve() {
-	d.front = front.NewServer(d.cfg, d.driver, d.done)
+	d.front = front.NewServer(d.cfg, d.intake, d.done)
+	d.guardDoors()
 	d.front.OnLeave(d.keeper.changed)
 	if len(d.ctlLns) > 0 {
 		d.ctl = control.NewServer((*face)(d), d.certs)
@@ -231,6 +244,12 @@
 		names.Kinds = append(names.Kinds, k.Name)
 	}
 	r := d.cfg.Roster
+	if r.Routers != "" {
+		w := &roster.Watch{Addr: r.Watch, Namespace: r.Namespace, Service: r.Routers, Agent: d.cfg.Name, Silence: r.Silence,
+			Seed: d.cfg.Seed + 1, Names: roster.Names{Any: true}, Report: d.warn("routers"), Keep: d.routers,
+			Publish: func(gannethook.Membership) {}}
+		d.work.Go(func() { w.Run(ctx) })
+	}
 	if r.File != "" {
 		f := &roster.File{Path: r.File, Every: r.Every, Names: names, Publish: d.update, Report: d.warn("roster")}
 		d.work.Go(func() { f.Run(ctx) })
@@ -342,10 +361,14 @@
 	}
 	d.closeListeners()
 	d.front.End()
+	d.intake.Stop()
 	if d.ctl != nil {
 		d.ctl.Stop()
 	}
 	d.stopWork()
+	if d.stopKeys != nil {
+		d.stopKeys()
+	}
 	if d.opt.Link != nil {
 		d.opt.Link.Close()
 	}
@@ -358,6 +381,42 @@
 // Code is the process's exit code once Ended is closed.
 func (d *Daemon) Code() int { return d.keeper.code }
 
+// routers takes the list of routers: quotas are divided by how many are ready,
+// by the module as well.
+func (d *Daemon) routers(list []gannethook.Server) {
+	n := 0
+	for _, s := range list {
+		if s.State == gannethook.Ready {
+			n++
+		}
+	}
+	d.mu.Lock()
+	d.peers = n
+	cfg := d.cfg
+	d.mu.Unlock()
+	d.intake.Fleet(n)
+	d.driver.Swap(d.module(cfg), cfg.Limits.Open)
+	d.tape.Add("routers", fmt.Sprint(n))
+}
+
+// module is what the module is told: the number of routers is the list's, where there is one.
+func (d *Daemon) module(cfg *settings.File) gannethook.Settings {
+	set := cfg.Module()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers > 0 {
+		set.Routers = d.peers
+	}
+	return set
+}
+
+// limiter is what limits are told, with the same number.
+func (d *Daemon) limiter(cfg *settings.File) limits.Settings {
+	set := cfg.Limiter()
+	set.Routers = d.module(cfg).Routers
+	return set
+}
+
 // closeListeners closes this process's copies of the ports.
 func (d *Daemon) closeListeners() {
 	if d.ln != nil {
@@ -370,6 +429,9 @@
 	for _, ln := range d.ctlLns {
 		ln.Close()
 	}
+	if d.intake != nil {
+		d.intake.Stop()
+	}
 	if d.client != nil {
 		d.client.Close()
 	}
--- a/internal/daemon/hand.go
+++ b/internal/daemon/hand.go
@@ -36,7 +36,10 @@
 
 func (h *hand) giveUp() {
 	h.tape.Add("give up", fmt.Sprintf("%d requests are failed at the deadline", h.driver.Open()))
-	go h.driver.GiveUp() // it waits its turn in the inbox
+	go func() {
+		h.intake.Refuse()
+		h.driver.GiveUp() // it waits its turn in the inbox
+	}()
 }
 
 func (h *hand) cut() {
@@ -116,7 +119,7 @@
 	}
 	old := d.Settings()
 	merged := reload.Merge(old, next)
-	was, is := old.Module(), merged.Module()
+	was, is := d.module(old), d.module(merged)
 	if err := was.Compatible(&is); err != nil {
 		return err
 	}
@@ -133,6 +136,7 @@
 	d.mu.Unlock()
 	d.front.Swap(merged)
 	d.driver.Swap(is, merged.Limits.Open)
+	d.intake.Reload(d.limiter(merged))
 	d.log.Info("reloaded", zap.Int("changes", len(changes)), zap.Strings("need_restart", waiting))
 	return nil
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,6 +17,7 @@
 
 	"gannethook"
 	"gannethook/internal/engine"
+	"gannethook/internal/limits"
 )
 
 // ErrBusy tells that a request was not taken: nothing of it has run.
@@ -80,8 +81,8 @@
 	Tokens     int
 	Body       []byte // of one-stage work that was served, as the engine gave it
 	Reason     string
-	Why        int  // of a refusal by limits: its limits.Reason; 0 of any other
-	MayHaveRun bool // an attempt at a writer is not known not to have run
+	Why        limits.Reason // of a refusal by limits; 0 of any other
+	MayHaveRun bool          // an attempt at a writer is not known not to have run
 }
 
 // Sink receives a request's answer. Token comes from the attempt's goroutine,
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,10 +12,10 @@
 
 	"gannethook"
 	"gannethook/internal/driver"
+	"gannethook/internal/intake"
 	"gannethook/internal/keys"
 	"gannethook/internal/realtime"
 	"gannethook/internal/settings"
-	"gannethook/internal/ws"
 )
 
 // response is one open response; it is the driver's sink.
@@ -27,7 +26,7 @@
 	input    int // tokens
 	key      keys.Name
 	apart    bool // outside the default conversation
-	call     *driver.Call
+	call     *intake.Ticket
 
 	// Under the session's mu:
 	begun bool
@@ -60,11 +59,7 @@
 	}
 	switch v := c.srv.guard.begin(r.key, retry); v {
 	case keys.Go:
-		call, err := c.srv.drv.Submit(job, r)
-		if r.call = call; err != nil {
-			c.srv.guard.end(r.key, false)
-			r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Load().Limits.RetryAfter, Reason: err.Error()})
-		}
+		r.call = c.srv.in.Submit(intake.Job{Job: job, Client: c.who.client, Retry: retry}, r)
 	case keys.Full:
 		r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Load().Limits.RetryAfter,
 			Reason: "too many keys are remembered"})
@@ -85,6 +80,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.revoked:
+		return "invalid_api_key", "the session's API key was taken back"
 	case c.going:
 		return "going_away", "the router stops; open a session elsewhere"
 	case !r.apart && c.main != nil:
@@ -166,8 +163,8 @@
 	if c.main == r {
 		c.main = nil
 	}
-	if c.going && len(c.open) == 0 {
-		c.conn.Close(ws.CloseGoingAway, "the router stops")
+	if len(c.open) == 0 {
+		c.part()
 	}
 }
 
@@ -246,12 +243,9 @@
 	if name := m[realtime.MetaSession]; name != "" {
 		job.Session = key(name)
 	}
-	if name := m[realtime.MetaTenant]; name != "" {
-		job.TenantName = name
-		job.Tenant = slices.IndexFunc(cfg.Tenants, func(t settings.Tenant) bool { return t.Name == name })
-		if job.Tenant < 0 {
-			return job, false, &badField{"response.metadata.tenant", "no tenant has this name"}
-		}
+	var ok bool
+	if job.Tenant, job.TenantName, ok = c.srv.named(c.who, m[realtime.MetaTenant]); !ok {
+		return job, false, &badField{"response.metadata.tenant", "no tenant has this name, or another's key was shown"}
 	}
 	limit := c.maxTokens
 	if p.MaxTokens != nil {
@@ -263,7 +257,11 @@
 	if job.Prompt, bad = c.prompt(p); bad != nil {
 		return job, false, bad
 	}
-	return job, m[realtime.MetaRetry] == "true", c.sizes(&job, m)
+	bad = c.srv.sizes(&job, func(name string) (string, bool) { text, ok := m[name]; return text, ok })
+	if bad != nil {
+		bad.param = "response.metadata." + bad.param
+	}
+	return job, m[realtime.MetaRetry] == "true", bad
 }
 
 func checkParams(p *realtime.Params) *badField {
@@ -272,33 +270,41 @@
 		return &badField{"response.output_modalities", "this router speaks text"}
 	case p.Conversation != "" && p.Conversation != "auto" && p.Conversation != "none":
 		return &badField{"response.conversation", "a conversation is auto or none"}
-	case len(p.Metadata) > realtime.MaxMetadata:
-		return &badField{"response.metadata", "metadata has 16 entries at most"}
 	}
-	for k, v := range p.Metadata {
+	return checkMetadata("response.metadata", p.Metadata)
+}
+
+func printable(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+func checkMetadata(where string, m map[string]string) *badField {
+	if len(m) > realtime.MaxMetadata {
+		return &badField{where, "metadata has 16 entries at most"}
+	}
+	for k, v := range m {
 		if len(k) > realtime.MaxMetaKey || len(v) > realtime.MaxMetaText {
-			return &badField{"response.metadata", "keys have 64 bytes and values 512 at most"}
+			return &badField{where, "keys have 64 bytes and values 512 at most"}
 		}
 	}
 	for _, k := range []string{realtime.MetaIdempotency, realtime.MetaTenant, realtime.MetaPrefix} {
-		if strings.ContainsFunc(p.Metadata[k], func(r rune) bool { return r <= ' ' || r > '~' }) {
-			return &badField{"response.metadata." + k, "printable ASCII without spaces expected"} // it becomes a header
+		if !printable(m[k]) {
+			return &badField{where + "." + k, "printable ASCII without spaces expected"} // it becomes a header
 		}
 	}
 	return nil
 }
 
 func (c *session) class(m map[string]string) (int, *badField) {
-	name, ok := m[realtime.MetaClass]
-	if !ok {
-		return 0, nil
+	cfg := c.srv.cfg.Load()
+	i := cfg.ClassOf(settings.Chat)
+	if name, ok := m[realtime.MetaClass]; ok {
+		i = cfg.ClassNamed(name)
 	}
-	for i, class := range c.srv.cfg.Load().Classes {
-		if class.Name == name {
-			return i, nil
-		}
+	if i < 0 || cfg.Classes[i].Work != settings.Chat {
+		return 0, &badField{"response.metadata.class", "no class of chat has this name"}
 	}
-	return 0, &badField{"response.metadata.class", "no class has this name"}
+	return i, nil
 }
 
 func key(name string) gannethook.Key {
@@ -336,21 +342,23 @@
 	return b.String(), nil
 }
 
-// sizes reads the numbers among the metadata; sizes that are not told are guessed from the text's length.
-func (c *session) sizes(job *driver.Job, m map[string]string) *badField {
-	job.PromptSize = math.Ceil(float64(len(job.Prompt)) / c.srv.cfg.Load().Sessions.TokenBytes)
+// sizes reads the numbers that a request tells of itself; sizes that are not told are guessed from the text's length.
+func (s *Server) sizes(job *driver.Job, meta func(name string) (string, bool)) *badField {
+	if job.Prompt != "" {
+		job.PromptSize = tokensOf(job.Prompt, s.cfg.Load().Sessions.TokenBytes)
+	}
 	giveUp := 0.0
 	for _, f := range []struct {
 		name string
 		to   *float64
 	}{{realtime.MetaPromptSize, &job.PromptSize}, {realtime.MetaPrefixSize, &job.Kept}, {realtime.MetaGiveUp, &giveUp}} {
-		text, ok := m[f.name]
+		text, ok := meta(f.name)
 		if !ok {
 			continue
 		}
 		x, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(x > 0 && x <= 1e7) {
-			return &badField{"response.metadata." + f.name, "a number above 0 expected"}
+			return &badField{f.name, "a number above 0 expected"}
 		}
 		*f.to = x
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -1,22 +1,21 @@
-// Package front is the clients' side of the router: HTTP/1.1 up to the
-// WebSocket handshake, then sessions of the Realtime API. It hands requests to
-// the driver and writes what comes back; it decides nothing about them.
+// Package front is the clients' side of the router: HTTP/1.1 with the APIs of
+// package rest, and sessions of the Realtime API over WebSocket. It hands
+// requests to the intake and writes what comes back; it decides nothing about them.
 package front
 
 import (
-	"bufio"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"gannethook/internal/apikeys"
 	"gannethook/internal/driver"
-	"gannethook/internal/http1"
+	"gannethook/internal/intake"
 	"gannethook/internal/settings"
-	"gannethook/internal/ws"
 )
 
 // Path is where sessions are opened. A load balancer asks the other two: alive
@@ -30,8 +29,10 @@
 // Server serves sessions.
 type Server struct {
 	cfg    atomic.Pointer[settings.File]
-	drv    *driver.Driver
-	boot   string // names this life of the router
+	in     *intake.Intake
+	tls    *tls.Config                   // nil: clients speak plainly
+	keys   atomic.Pointer[apikeys.Table] // nil: clients name their tenant themselves
+	boot   string                        // names this life of the router
 	guard  *guard
 	serial atomic.Uint64
 	done   func(driver.Summary)
@@ -39,8 +40,8 @@
 
 	mu       sync.Mutex
 	sessions map[*session]bool
-	conns    map[net.Conn]time.Time // of sessions too, with when they came
-	closing  bool                   // no more sessions
+	conns    map[net.Conn]*guest // of sessions too
+	closing  bool                // no more sessions
 	turned   time.Time
 	final    bool // the listeners are closed for good
 	ended    bool // no more connections
@@ -48,11 +49,17 @@
 	wg       sync.WaitGroup
 }
 
-// NewServer returns a server for a driver. done is told of the responses that
-// end here, without having come to the driver.
-func NewServer(cfg *settings.File, drv *driver.Driver, done func(driver.Summary)) *Server {
-	s := &Server{drv: drv, done: done, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
-		guard: newGuard(cfg), sessions: map[*session]bool{}, conns: map[net.Conn]time.Time{}, left: func() {}}
+// guest is one connection.
+type guest struct {
+	came time.Time
+	idle bool // between two requests: it may be closed
+}
+
+// NewServer returns a server before an intake. done is told of the requests that
+// end here, without having come to the intake.
+func NewServer(cfg *settings.File, in *intake.Intake, done func(driver.Summary)) *Server {
+	s := &Server{in: in, done: done, boot: fmt.Sprintf("%s-%x", cfg.Name, time.Now().UnixNano()),
+		guard: newGuard(cfg), sessions: map[*session]bool{}, conns: map[net.Conn]*guest{}, left: func() {}}
 	s.cfg.Store(cfg)
 	return s
 }
@@ -64,6 +71,26 @@
 // OnLeave sets what is called when a connection has ended. It is set before Serve.
 func (s *Server) OnLeave(left func()) { s.left = left }
 
+// Secure has clients speak TLS. It is set before Serve.
+func (s *Server) Secure(cfg *tls.Config) { s.tls = cfg }
+
+// Keys has clients show one of these API keys from now on. What came by a key
+// that is gone goes on to its answers; its sessions take nothing new and close,
+// and what waits for its turn is turned away.
+func (s *Server) Keys(t *apikeys.Table, gone []*apikeys.Key) {
+	s.keys.Store(t)
+	for _, k := range gone {
+		s.in.Revoke(k.Client())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.sessions {
+		if c.who.key != "" && !t.Good(time.Now(), c.who.key) {
+			go c.revoke()
+		}
+	}
+}
+
 // Boot names this life of the router.
 func (s *Server) Boot() string { return s.boot }
 
@@ -110,7 +137,7 @@
 	if s.ended || len(s.conns) >= s.cfg.Load().Sessions.Most {
 		return false
 	}
-	s.conns[nc] = time.Now()
+	s.conns[nc] = &guest{came: time.Now()}
 	s.wg.Add(1) // under the lock: End waits only after ended is set
 	return true
 }
@@ -123,51 +150,6 @@
 	s.left()
 }
 
-// serve reads one opening handshake. The whole head has one deadline, however
-// slowly its bytes drip.
-func (s *Server) serve(nc net.Conn) {
-	nc.SetDeadline(time.Now().Add(s.cfg.Load().Sessions.Handshake))
-	br := bufio.NewReaderSize(nc, 1024)
-	bw := bufio.NewWriterSize(nc, 512)
-	req, err := http1.ReadRequest(br)
-	if err != nil {
-		s.badHead(bw, err)
-		return
-	}
-	path, _, _ := strings.Cut(req.Target, "?")
-	switch {
-	case path == LivePath, path == ReadyPath && !s.stopping():
-		reply(bw, "200 OK")
-		return
-	case path != Path && path != ReadyPath:
-		reply(bw, "404 Not Found")
-		return
-	case s.stopping() && !s.adopted(nc):
-		reply(bw, "503 Service Unavailable")
-		return
-	}
-	if err := ws.Upgrade(bw, req, "realtime"); err != nil {
-		return
-	}
-	nc.SetDeadline(time.Time{})
-	s.session(ws.New(nc, br, false, s.cfg.Load().SessionLimits()), req)
-}
-
-func (s *Server) badHead(bw *bufio.Writer, err error) {
-	switch {
-	case errors.Is(err, http1.ErrTooLarge):
-		reply(bw, "431 Request Header Fields Too Large")
-	case errors.Is(err, http1.ErrMalformed):
-		reply(bw, "400 Bad Request")
-	}
-}
-
-func reply(bw *bufio.Writer, status string) {
-	http1.WriteHead(bw, "HTTP/1.1 "+status, http1.Header{{Name: "Content-Length", Value: "0"},
-		{Name: "Connection", Value: "close"}})
-	bw.Flush()
-}
-
 func (s *Server) stopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +169,8 @@
 func (s *Server) adopted(nc net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.ended && (s.final || s.conns[nc].Before(s.turned))
+	g := s.conns[nc]
+	return !s.ended && g != nil && (s.final || g.came.Before(s.turned))
 }
 
 // join counts a session in. It is told to go at once if the router has turned.
@@ -215,8 +198,8 @@
 		return len(s.conns) + s.loops
 	}
 	n := 0
-	for _, came := range s.conns {
-		if !s.closing || came.Before(s.turned) {
+	for _, g := range s.conns {
+		if !s.closing || g.came.Before(s.turned) {
 			n++
 		}
 	}
@@ -241,6 +224,25 @@
 	for c := range s.sessions {
 		go c.drain()
 	}
+	for nc, g := range s.conns {
+		if g.idle {
+			nc.SetReadDeadline(past)
+		}
+	}
+}
+
+// past wakes a read that waits.
+var past = time.Unix(1, 0)
+
+// rest marks a connection as between two requests, or as at work again. It tells
+// whether the router takes more on it.
+func (s *Server) rest(nc net.Conn, idle bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.conns[nc]; g != nil {
+		g.idle = idle
+	}
+	return !s.closing
 }
 
 // Cut closes every connection, whatever it is about.
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -22,6 +22,7 @@
 	id    string
 	since time.Time
 	model string
+	who   caller
 
 	instructions string
 	maxTokens    int
@@ -35,11 +36,12 @@
 	answers []realtime.Item      // ended, not yet of the conversation
 	main    *response            // of the default conversation
 	going   bool                 // the router stops: nothing new
+	revoked bool                 // its key was taken back: the same
 	asked   int                  // responses so far
 }
 
-func (s *Server) session(conn *ws.Conn, req *http1.Request) {
-	c := &session{srv: s, conn: conn, since: time.Now(), id: fmt.Sprintf("sess_%s_%d", s.boot, s.serial.Add(1))}
+func (s *Server) session(conn *ws.Conn, req *http1.Request, who caller) {
+	c := &session{srv: s, conn: conn, who: who, since: time.Now(), id: fmt.Sprintf("sess_%s_%d", s.boot, s.serial.Add(1))}
 	if _, query, ok := strings.Cut(req.Target, "?"); ok {
 		if q, err := url.ParseQuery(query); err == nil {
 			c.model = q.Get("model")
@@ -246,10 +248,29 @@
 // drain closes the session as soon as no response is open.
 func (c *session) drain() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.going = true
-	idle := len(c.open) == 0
-	c.mu.Unlock()
-	if idle {
+	if len(c.open) == 0 {
+		c.part()
+	}
+}
+
+// revoke closes the session as soon as no response is open: its key was taken back.
+func (c *session) revoke() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revoked = true
+	if len(c.open) == 0 {
+		c.part()
+	}
+}
+
+// part closes a session that takes nothing more.
+func (c *session) part() {
+	switch {
+	case c.revoked:
+		c.conn.Close(ws.ClosePolicy, "the API key was taken back")
+	case c.going:
 		c.conn.Close(ws.CloseGoingAway, "the router stops")
 	}
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -246,6 +246,14 @@
 	return b, nil
 }
 
+// Length is how long the body is, where that is told; else 0.
+func (b *Body) Length() int64 {
+	if b.chunked || b.toClose {
+		return 0
+	}
+	return b.left
+}
+
 // Whole tells whether the body has been read to its end, so that the connection may be used again.
 func (b *Body) Whole() bool { return b.done && !b.toClose }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -197,7 +197,7 @@
 
 // refusal words a verdict that turns a request away.
 func refusal(v limits.Verdict) driver.Answer {
-	return driver.Answer{Kind: driver.Refused, RetryAfter: v.After, Reason: "limits: " + v.Why.String(), Why: int(v.Why)}
+	return driver.Answer{Kind: driver.Refused, RetryAfter: v.After, Reason: "limits: " + v.Why.String(), Why: v.Why}
 }
 
 // Token passes a token on; the first one takes the request out of hand.
@@ -286,11 +286,19 @@
 	in.mu.Lock()
 	in.over = true
 	in.alarm.Stop()
+	in.mu.Unlock()
+	in.Refuse()
+}
+
+// Refuse refuses what waits, as when the time of a stop is over.
+func (in *Intake) Refuse() {
+	in.mu.Lock()
 	var list []*Ticket
 	for id, t := range in.tickets {
 		if !t.handed {
 			t.over = true
 			delete(in.tickets, id)
+			in.lim.Ended(in.now(), id, limits.Gone) // what waits frees no room
 			list = append(list, t)
 		}
 	}
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -87,6 +87,7 @@
 // Names are the settings' names, whose places the module knows.
 type Names struct {
 	Kinds, Zones []string
+	Any          bool // kinds are not told: all are one
 }
 
 // entry is a server with what tells one life of it from the next.
@@ -199,6 +200,9 @@
 
 func (t *Table) addSlice(s *Slice, into map[gannethook.ServerID]entry) {
 	kind := slices.Index(t.names.Kinds, s.Metadata.Labels[KindLabel])
+	if t.names.Any {
+		kind = 0
+	}
 	if kind < 0 {
 		t.Faults = append(t.Faults, fmt.Sprintf("slice %s: label %s=%q is no kind of the settings", s.key(),
 			KindLabel, s.Metadata.Labels[KindLabel]))
--- a/internal/standin/onestage.go
+++ b/internal/standin/onestage.go
@@ -38,6 +38,7 @@
 	if json.Unmarshal(raw, &list) == nil {
 		return list, nil
 	}
+	list = nil // what did not fit has left its traces
 	var tokens []int
 	if json.Unmarshal(raw, &tokens) == nil {
 		return []string{fmt.Sprint(tokens)}, nil
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -23,6 +23,7 @@
 	Cell    int
 	Started time.Time // zero: long ago
 	State   string    // ready, draining or gone
+	Service string    // "": the roster's
 }
 
 // Roster serves the list and watch of EndpointSlices, one slice for each engine. Each watch hears a change after a delay of its own.
@@ -138,6 +139,19 @@
 	return e, ok
 }
 
+func (r *Roster) service(e Listed) string {
+	if e.Service != "" {
+		return e.Service
+	}
+	return r.Service
+}
+
+// asked is the service that a request's selector names; "" for all.
+func asked(req *http.Request) string {
+	_, service, _ := strings.Cut(req.URL.Query().Get("labelSelector"), "=")
+	return service
+}
+
 // slice is an engine's EndpointSlice. Ports belong to a slice, not to its
 // endpoints, so engines that share a host get a slice each.
 func (r *Roster) slice(e Listed) map[string]any {
@@ -155,7 +169,7 @@
 		"kind": "EndpointSlice", "apiVersion": "discovery.k8s.io/v1", "addressType": "IPv4",
 		"metadata": map[string]any{"name": "engine-" + strings.NewReplacer(".", "-", ":", "-").Replace(e.Addr),
 			"namespace": "default", "resourceVersion": strconv.Itoa(r.version),
-			"labels": map[string]string{"kubernetes.io/service-name": r.Service, "gannethook.dev/kind": e.Kind,
+			"labels": map[string]string{"kubernetes.io/service-name": r.service(e), "gannethook.dev/kind": e.Kind,
 				"gannethook.dev/cell": strconv.Itoa(e.Cell)},
 			"annotations": map[string]string{"gannethook.dev/started": string(text)}},
 		"endpoints": []any{endpoint}, "ports": []any{map[string]any{"name": "http", "port": port}},
@@ -166,7 +180,7 @@
 	router := strings.TrimPrefix(req.UserAgent(), "gannethook/")
 	w.Header().Set("Content-Type", "application/json")
 	if req.URL.Query().Get("watch") == "" {
-		r.list(w, router)
+		r.list(w, router, asked(req))
 		return
 	}
 	from, err := strconv.Atoi(req.URL.Query().Get("resourceVersion"))
@@ -181,17 +195,22 @@
 	r.log.Add(record.Event{Who: "roster", Kind: record.Told, Router: router, Key: e.Addr, Note: e.State})
 }
 
-func (r *Roster) list(w http.ResponseWriter, router string) {
+func (r *Roster) list(w http.ResponseWriter, router, service string) {
 	r.mu.Lock()
 	items := []any{}
 	var listed []Listed
 	for _, addr := range slices.Sorted(maps.Keys(r.engines)) {
 		e := r.engines[addr]
+		if service != "" && r.service(e) != service {
+			continue
+		}
 		items = append(items, r.slice(e))
 		listed = append(listed, e)
 	}
 	for _, e := range r.left { // a full list tells by leaving out
-		listed = append(listed, e)
+		if service == "" || r.service(e) == service {
+			listed = append(listed, e)
+		}
 	}
 	version := r.version
 	r.mu.Unlock()
@@ -219,7 +238,7 @@
 	mark := time.NewTicker(500 * time.Millisecond)
 	defer mark.Stop()
 	for {
-		c, wake := r.next(from, cut)
+		c, wake := r.next(from, asked(req), cut)
 		if c == nil {
 			select {
 			case <-wake:
@@ -255,14 +274,14 @@
 
 // next is the first change after a version, or what to wait for. A watch that
 // was cut hears no later change: it would pass over what was forgotten.
-func (r *Roster) next(from int, cut chan struct{}) (*change, chan struct{}) {
+func (r *Roster) next(from int, service string, cut chan struct{}) (*change, chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.watches[cut] {
 		return nil, cut
 	}
 	for i := range r.changes {
-		if r.changes[i].version > from {
+		if r.changes[i].version > from && (service == "" || r.service(r.changes[i].entry) == service) {
 			c := r.changes[i]
 			return &c, r.wake
 		}
--- a/internal/ws/conn.go
+++ b/internal/ws/conn.go
@@ -200,11 +200,11 @@
 		c.flushed.Wait()
 	}
 	c.mu.Unlock()
-	if tcp, ok := c.nc.(*net.TCPConn); ok && !ce.Remote {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && !ce.Remote { // TCP and TLS
 		// What the peer still sends is read for a moment: to close on unread bytes
 		// would reset the connection, and the close frame might be lost.
-		tcp.CloseWrite()
-		tcp.SetReadDeadline(deadline(c.lim.Linger))
+		half.CloseWrite()
+		c.nc.SetReadDeadline(deadline(c.lim.Linger))
 		io.CopyN(io.Discard, c.br, 1<<20)
 	}
 }
