--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -18,7 +18,9 @@
 // outcome is how a request ended, over all its tries.
 type outcome struct {
 	class  int
+	tenant int
 	at     time.Duration
+	why    string // of the last try that was not served
 	kind   string // served, refused, failed, or lost
 	inTime bool
 	tries  int
@@ -51,6 +53,8 @@
 	rnd     *rand.Rand
 	router  *router
 	session *client.Session
+	http    *client.HTTP
+	tenant  string
 	said    string // the last request whose prompt this session has heard
 	current string // response that is open, or the last
 	asked   *ask   // its request, and the number of its try
@@ -59,12 +63,16 @@
 
 func (c *crowd) visit(ctx context.Context, v visit) {
 	g := &guest{c: c, name: v.name, router: c.f.routers[v.first], rnd: rand.New(rand.NewPCG(v.asks[0].seed, 1))}
+	if v.tenant >= 0 {
+		g.tenant = c.f.s.Tenants[v.tenant].Name
+	}
 	defer g.leave()
 	for i, a := range v.asks {
 		if i > 0 && !sleep(ctx, a.think) {
 			return
 		}
 		end := g.request(ctx, a)
+		end.tenant = v.tenant
 		c.mu.Lock()
 		c.ends = append(c.ends, end)
 		c.mu.Unlock()
@@ -78,6 +86,7 @@
 
 // leave ends the session; what still comes for an answered request breaks rule 1.
 func (g *guest) leave() {
+	g.leaveHTTP()
 	if g.session == nil {
 		return
 	}
@@ -142,7 +151,7 @@
 	}
 	mayHaveRun := false
 	for try, sent := 1, 1; ctx.Err() == nil; sent++ {
-		t := g.try(ctx, &a, sent, mayHaveRun)
+		t := g.once(ctx, &a, sent, mayHaveRun)
 		if t.unreachable { // no router took it
 			if time.Since(begun) > class.GiveUp {
 				return end
@@ -153,7 +162,7 @@
 			}
 			continue
 		}
-		end.tries, end.kind = try, t.kind
+		end.tries, end.kind, end.why = try, t.kind, t.why
 		mayHaveRun = mayHaveRun || t.kind == "failed" || t.kind == "lost"
 		if t.kind == "served" {
 			end.first = time.Since(begun) - t.afterFirst
@@ -188,6 +197,15 @@
 	left        bool // the client cut its own socket
 	retryAfter  time.Duration
 	afterFirst  time.Duration // from the first token to the end
+	why         string        // the router's reason
+}
+
+// once makes a try over the class's front.
+func (g *guest) once(ctx context.Context, a *ask, n int, again bool) tried {
+	if g.c.f.s.Classes[a.class].Front == "http" {
+		return g.tryHTTP(ctx, a, n, again)
+	}
+	return g.try(ctx, a, n, again)
 }
 
 // try sends a request once and waits for its final answer.
@@ -201,6 +219,9 @@
 	if a.prefix != "" {
 		meta[realtime.MetaPrefix], meta[realtime.MetaPrefixSize] = a.prefix, strconv.Itoa(a.prompt/2)
 	}
+	if g.tenant != "" {
+		meta[realtime.MetaTenant] = g.tenant
+	}
 	if again {
 		meta[realtime.MetaRetry] = "true"
 	}
@@ -291,6 +312,9 @@
 	t := tried{kind: "served"}
 	if r.Status != "completed" {
 		t.kind = "failed"
+		if d := r.Details; d != nil && d.Error != nil {
+			t.why = d.Error.Message
+		}
 		if d := r.Details; d != nil && d.Error != nil && d.Error.Code == realtime.CodeRefused {
 			t.kind = "refused"
 			if d.Error.RetryAfterMS != nil {
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -217,27 +217,46 @@
 	fmt.Fprintf(&b, "(name %s)\n(routers %d)\n(seed %d)\n(listen %q)\n(zones north south)\n", r.name, s.Routers,
 		s.Seed*1000+uint64(i), r.addr)
 	for _, c := range s.Classes {
-		fmt.Fprintf(&b, "(class %s (aim %v) (aim-per-1000 %v) (give-up %v) (worth %g) (effect %s) (max-tokens %d)",
-			c.Name, c.Aim, c.PerKilo, c.GiveUp, c.Worth, c.Effect, c.Out)
+		fmt.Fprintf(&b, "(class %s (work %v) (aim %v) (aim-per-1000 %v) (give-up %v) (worth %g) (effect %s) (max-tokens %d) (priority %d)",
+			c.Name, c.Work, c.Aim, c.PerKilo, c.GiveUp, c.Worth, c.Effect, c.Out, c.Prio)
 		if c.Effect == "keyed" {
 			fmt.Fprintf(&b, " (group %s) (window %v)", c.Group, c.Window)
 		}
 		b.WriteString(")\n")
 	}
-	holds := "no"
-	if s.Settings.Holds {
-		holds = "yes"
+	for _, t := range s.Tenants {
+		fmt.Fprintf(&b, "(tenant %s (weight %g)", t.Name, t.Weight)
+		for _, l := range t.Budgets {
+			fmt.Fprintf(&b, " (budget (class %q) (requests %g/s) (tokens %g/s)", l.Class, float64(l.Requests), float64(l.Tokens))
+			if l.Burst > 0 {
+				fmt.Fprintf(&b, " (burst %g)", l.Burst)
+			}
+			b.WriteString(")")
+		}
+		b.WriteString(")\n")
 	}
+	fmt.Fprintf(&b, "(admit (on %s) (back %v) (in-hand-start %d))\n", yes(s.Settings.Limits), s.Settings.Back, s.Settings.InHand)
 	fmt.Fprintf(&b, "(kind prompt (role reader) (memory %g))\n(kind answer (role writer) (memory %g))\n",
 		float64(s.Reader.Memory), float64(s.Writer.Memory))
 	fmt.Fprintf(&b, "(rules (cold-from %g) (warm-after %v) (overload 3) (pin-limit %v))\n", s.Writer.ColdFrom,
 		s.Writer.WarmAfter, s.Settings.PinLimit)
-	fmt.Fprintf(&b, "(engines (holds %s) (stream-idle 3s))\n(sessions (drain %v))\n", holds, s.Settings.Drain)
+	fmt.Fprintf(&b, "(engines (holds %s) (stream-idle 3s))\n(sessions (drain %v))\n(http (write 3s))\n", yes(s.Settings.Holds), s.Settings.Drain)
 	fmt.Fprintf(&b, "(control (run %q))\n", r.run())
-	fmt.Fprintf(&b, "(roster (watch %q) (service engines) (cache %q))\n", api, r.list())
+	fmt.Fprintf(&b, "(roster (watch %q) (service engines) (cache %q)", api, r.list())
+	if s.Settings.Listed {
+		b.WriteString(" (routers routers)")
+	}
+	b.WriteString(")\n")
 	return b.String()
 }
 
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
 // up starts a life.
 func (r *router) up() error {
 	r.mu.Lock()
@@ -251,6 +270,7 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	r.f.log.Add(record.Event{Who: "fleet", Kind: record.RouterUp, Router: r.name})
+	r.listed("ready")
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -299,6 +319,14 @@
 	syscall.Kill(-r.group, syscall.SIGKILL)
 	r.gone(10 * time.Second)
 	r.f.log.Add(record.Event{Who: "fleet", Kind: record.Reaped, Router: r.name})
+	r.listed("gone")
+}
+
+// listed has the roster list the router, where it lists routers.
+func (r *router) listed(state string) {
+	if r.f.s.Settings.Listed {
+		r.f.roster.Set(standin.Listed{Addr: r.addr, Service: "routers", State: state})
+	}
 }
 
 // stop asks a router to end and waits for it.
--- a/internal/day/plan.go
+++ b/internal/day/plan.go
@@ -13,6 +13,7 @@
 	name   string
 	class  int
 	prompt int
+	texts  int // of a batch
 	prefix string
 	think  time.Duration // before it, within a session
 	drop   bool          // its client cuts the socket once the answer has begun or soon after it asked
@@ -22,10 +23,11 @@
 
 // visit is one session's requests, from a time on.
 type visit struct {
-	at    time.Duration
-	name  string
-	asks  []ask
-	first int // router that it comes to, by the front's draw
+	at     time.Duration
+	name   string
+	tenant int // -1: none
+	asks   []ask
+	first  int // router that it comes to, by the front's draw
 }
 
 // plan draws a day's sessions from its seed: the same script and seed give the
@@ -35,29 +37,46 @@
 	meanTurns := float64(1+s.Clients.TurnsMost) / 2
 	var list []visit
 	for at, n := time.Duration(0), 0; ; n++ {
-		gap := rnd.ExpFloat64() / (s.Rate / meanTurns * s.burst(at))
+		parts, sum := s.parts(at)
+		gap := rnd.ExpFloat64() / (s.Rate / meanTurns * sum)
 		at += time.Duration(gap * float64(time.Second))
 		if at >= s.Length {
 			return list
 		}
-		list = append(list, s.visit(rnd, at, n))
+		tenant := -1
+		if len(s.Tenants) > 0 {
+			tenant = pick(rnd, parts)
+		}
+		list = append(list, s.visit(rnd, at, n, tenant))
 	}
 }
 
-// burst is how many times the usual traffic there is.
-func (s *Script) burst(at time.Duration) float64 {
-	times := 1.0
-	for _, f := range s.Faults {
-		if f.Kind == "burst" && at >= f.From && at < f.From+f.For {
-			times *= math.Max(f.Size, 1)
+// parts are how many times the usual traffic there is, from each tenant, and
+// their sum; where there are no tenants, of all.
+func (s *Script) parts(at time.Duration) (parts []float64, sum float64) {
+	all := 0.0
+	for _, t := range s.Tenants {
+		parts = append(parts, t.Part)
+		all += t.Part
+	}
+	if len(parts) == 0 {
+		parts, all = []float64{1}, 1
+	}
+	for i := range parts {
+		parts[i] /= all
+		for _, f := range s.Faults {
+			if f.Kind == "burst" && at >= f.From && at < f.From+f.For && (f.Whom == "" || s.tenant(f.Whom) == i) {
+				parts[i] *= math.Max(f.Size, 1)
+			}
 		}
+		sum += parts[i]
 	}
-	return times
+	return parts, sum
 }
 
-func (s *Script) visit(rnd *rand.Rand, at time.Duration, n int) visit {
-	v := visit{at: at, name: fmt.Sprintf("s%d", n), first: rnd.IntN(s.Routers)}
-	class := s.draw(rnd)
+func (s *Script) visit(rnd *rand.Rand, at time.Duration, n, tenant int) visit {
+	v := visit{at: at, name: fmt.Sprintf("s%d", n), first: rnd.IntN(s.Routers), tenant: tenant}
+	class := s.draw(rnd, tenant)
 	c := &s.Classes[class]
 	prefix := ""
 	if c.Prefix > 0 {
@@ -68,24 +87,48 @@
 		a := ask{name: fmt.Sprintf("%s.%d", v.name, i), class: class, prefix: prefix, seed: rnd.Uint64(),
 			prompt: int(least + rnd.Float64()*(most-least)),
 			think:  time.Duration(rnd.ExpFloat64() * float64(s.Clients.Think)),
+			texts:  between(rnd, c.Texts),
 			drop:   rnd.Float64() < s.Clients.Drop, dropAt: time.Duration(rnd.Float64() * float64(500*time.Millisecond))}
 		v.asks = append(v.asks, a)
 	}
 	return v
 }
 
-func (s *Script) draw(rnd *rand.Rand) int {
-	all := 0.0
-	for _, c := range s.Classes {
-		all += c.Part
+// between draws a number from a least to a most; 0 where they are not given.
+func between(rnd *rand.Rand, bounds []int) int {
+	if len(bounds) != 2 {
+		return 0
 	}
-	x := rnd.Float64() * all
+	return bounds[0] + rnd.IntN(bounds[1]-bounds[0]+1)
+}
+
+// draw draws a class, of those that a tenant asks for.
+func (s *Script) draw(rnd *rand.Rand, tenant int) int {
+	parts := make([]float64, len(s.Classes))
 	for i, c := range s.Classes {
-		if x -= c.Part; x < 0 {
+		if tenant < 0 || len(s.Tenants[tenant].Only) == 0 || slices.Contains(s.Tenants[tenant].Only, c.Name) {
+			parts[i] = c.Part
+		}
+	}
+	return pick(rnd, parts)
+}
+
+// pick draws a place by the parts.
+func pick(rnd *rand.Rand, parts []float64) int {
+	all, last := 0.0, 0
+	for i, p := range parts {
+		all += p
+		if p > 0 {
+			last = i
+		}
+	}
+	x := rnd.Float64() * all
+	for i, p := range parts {
+		if x -= p; x < 0 {
 			return i
 		}
 	}
-	return len(s.Classes) - 1
+	return last
 }
 
 // chosen draws which of n a trouble strikes: at least one, by the day's seed and the trouble's place.
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,6 +20,7 @@
 type Tally struct {
 	Offered, InTime, Served, Refused, Failed, Lost, Tries int
 	First                                                 *hdrhistogram.Histogram // ms to the first token
+	Worth                                                 float64                 // served in time
 }
 
 // Result is a day's.
@@ -27,6 +29,8 @@
 	Policy  string
 	All     Tally
 	Class   []Tally
+	Tenant  []Tally
+	Why     map[string]int // requests that were not served, by the router's last reason
 	Verdict *rules.Verdict
 	Events  []record.Event
 	Ends    []outcome // of the requests
@@ -105,10 +109,49 @@
 	for range r.Script.Classes {
 		r.Class = append(r.Class, newTally())
 	}
+	for range r.Script.Tenants {
+		r.Tenant = append(r.Tenant, newTally())
+	}
+	r.Why = map[string]int{}
 	for i := range ends {
 		r.All.add(&ends[i])
 		r.Class[ends[i].class].add(&ends[i])
+		worth := r.Script.Classes[ends[i].class].Worth
+		for _, t := range r.tallies(&ends[i]) {
+			if ends[i].inTime && ends[i].kind == "served" {
+				t.Worth += worth
+			}
+		}
+		if t := ends[i].tenant; t >= 0 && t < len(r.Tenant) {
+			r.Tenant[t].add(&ends[i])
+		}
+		if ends[i].kind == "refused" || ends[i].kind == "failed" {
+			r.Why[ends[i].kind+": "+ends[i].why]++
+		}
+	}
+}
+
+// tallies are those that a request counts in.
+func (r *Result) tallies(o *outcome) []*Tally {
+	list := []*Tally{&r.All, &r.Class[o.class]}
+	if o.tenant >= 0 && o.tenant < len(r.Tenant) {
+		list = append(list, &r.Tenant[o.tenant])
 	}
+	return list
+}
+
+// Jain is Jain's index over the tenants' served worth for their weights: 1 where
+// all got alike, 1/n where one got all.
+func (r *Result) Jain() float64 {
+	sum, squares := 0.0, 0.0
+	for i := range r.Tenant {
+		x := r.Tenant[i].Worth / max(r.Script.Tenants[i].Weight, 1e-9)
+		sum, squares = sum+x, squares+x*x
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / squares / float64(len(r.Tenant))
 }
 
 // count takes the stand-ins' own count of effects.
@@ -194,6 +237,15 @@
 		row(s.Classes[i].Name, &r.Class[i])
 	}
 	row("all", &r.All)
+	for i := range r.Tenant {
+		row("tenant "+s.Tenants[i].Name, &r.Tenant[i])
+	}
+	if len(r.Tenant) > 0 {
+		fmt.Fprintf(w, "Jain's index over the tenants' served worth: %.3f\n", r.Jain())
+	}
+	for _, why := range slices.Sorted(maps.Keys(r.Why)) {
+		fmt.Fprintf(w, "  %6d %s\n", r.Why[why], why)
+	}
 	fmt.Fprintf(w, "attempts at engines %d, effects %d, effects twice %d\n", r.Verdict.Attempts, r.Applied, r.Twice)
 	for rule := 1; rule <= 5; rule++ {
 		word := "kept"
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"gannethook/internal/settings"
 	"gannethook/internal/sexp"
 )
 
@@ -25,6 +26,7 @@
 	Writer   Engine        `gann:"writer"`
 	Clients  Clients       `gann:"clients"`
 	Classes  []Class       `gann:"class,need"`
+	Tenants  []Tenant      `gann:"tenant"`
 	Notice   time.Duration `gann:"notice"` // the roster tells of a death so late, on average
 	Faults   []Fault       `gann:"fault"`
 	Settings Settings      `gann:"router"`
@@ -67,6 +69,20 @@
 	Group   string        `gann:"group"`
 	Window  time.Duration `gann:"window"`
 	PerKilo time.Duration `gann:"aim-per-1000"`
+	Work    settings.Work `gann:"work"`
+	Front   string        `gann:"front"` // session or http
+	Texts   []int         `gann:"texts"` // of a batch, least and most
+	Prio    int           `gann:"priority"`
+}
+
+// Tenant is one tenant of the day. Its budgets are those of the routers' settings.
+type Tenant struct {
+	At      sexp.Pos
+	Name    string            `gann:"#,need"`
+	Part    float64           `gann:"part,need"` // of the requests
+	Weight  float64           `gann:"weight"`
+	Only    []string          `gann:"only"` // classes that it asks for; all if not given
+	Budgets []settings.Budget `gann:"budget"`
 }
 
 // Settings of the routers that a day may change.
@@ -75,6 +91,10 @@
 	Grace    time.Duration `gann:"drain-grace"`
 	Holds    bool          `gann:"holds"`
 	Drain    time.Duration `gann:"drain"`
+	Limits   bool          `gann:"limits"` // no: only the module says no
+	Back     time.Duration `gann:"back"`   // a refusal advises so long at the least
+	InHand   int           `gann:"in-hand"`
+	Listed   bool          `gann:"listed"` // the roster lists the routers, too
 }
 
 // Fault is one trouble of a day.
@@ -87,13 +107,14 @@
 	Size float64       `gann:"size"` // times slower, part of errors, times the traffic, ...
 	On   string        `gann:"on"`   // readers, writers or both
 	Note string        `gann:"class"`
+	Whom string        `gann:"tenant"` // of a burst: it alone
 }
 
 // Kinds of faults, every kind of trouble that a bench day brings, and what
 // operators do to routers with the fleet tool.
 var Kinds = []string{"crash", "vanish", "slow", "hang", "fast-errors", "late-reports", "burst", "deploy",
 	"router-crash", "router-roll", "shared-slow", "ageing", "slow-handshakes", "throttle", "eager-retries",
-	"break-streams", "stall-streams", "roster-cut",
+	"break-streams", "stall-streams", "roster-cut", "stalled-clients",
 	"fleet-restart", "fleet-drain", "kill-restart", "kill-drain", "hang-drain"}
 
 // Parse reads a script; name stands for it in errors.
@@ -117,7 +138,8 @@
 			WarmAfter: 8 * time.Second},
 		Writer: Engine{Slots: 80, Queue: 25, Memory: 160000, ReadRate: 7000, FetchRate: 250000, ColdFrom: 0.3,
 			WarmAfter: 8 * time.Second, TokenGap: 25 * time.Millisecond},
-		Settings: Settings{PinLimit: 500 * time.Millisecond, Grace: 2 * time.Second, Holds: true, Drain: 10 * time.Second}}
+		Settings: Settings{PinLimit: 500 * time.Millisecond, Grace: 2 * time.Second, Holds: true, Drain: 10 * time.Second,
+			Limits: true, Back: 250 * time.Millisecond, InHand: 64}}
 }
 
 func (s *Script) check() error {
@@ -132,6 +154,15 @@
 			return sexp.Errorf(c.At, "(prompt LEAST MOST) takes two sizes, the least first")
 		case c.Out < 1 || c.Part <= 0:
 			return sexp.Errorf(c.At, "out and part are above 0")
+		case !slices.Contains([]string{"", "session", "http"}, c.Front) || c.Work != settings.Chat && c.Front != "http":
+			return sexp.Errorf(c.At, "(front ...) is session or http; embeddings and reranks go over http")
+		case c.Work != settings.Chat && (len(c.Texts) != 2 || c.Texts[0] < 1 || c.Texts[0] > c.Texts[1]):
+			return sexp.Errorf(c.At, "(texts LEAST MOST) takes two numbers, the least first")
+		}
+	}
+	for _, t := range s.Tenants {
+		if t.Part <= 0 {
+			return sexp.Errorf(t.At, "a tenant's part is above 0")
 		}
 	}
 	for _, f := range s.Faults {
@@ -144,6 +175,9 @@
 		if !slices.Contains([]string{"", "readers", "writers", "both"}, f.On) {
 			return sexp.Errorf(f.At, "(on ...) takes readers, writers or both")
 		}
+		if f.Whom != "" && (f.Kind != "burst" || s.tenant(f.Whom) < 0) {
+			return sexp.Errorf(f.At, "(tenant ...) names one of the day's, for a burst")
+		}
 		if f.From+f.For > s.Length {
 			return sexp.Errorf(f.At, "the trouble ends after the day")
 		}
@@ -151,6 +185,11 @@
 	return nil
 }
 
+// tenant is the place of a tenant, or -1.
+func (s *Script) tenant(name string) int {
+	return slices.IndexFunc(s.Tenants, func(t Tenant) bool { return t.Name == name })
+}
+
 // Stretch makes all times of a day longer or shorter by a factor, its rate
 // staying: a short day for CI has the same troubles in the same order.
 func (s *Script) Stretch(by float64) {
