--- a/internal/day/http.go
+++ b/internal/day/http.go
@@ -187,17 +187,19 @@
 				return g.goneHTTP(a, n, "left", cut)
 			}
 		}
-		switch {
-		case string(data) == "[DONE]":
-			if _, err := io.Copy(io.Discard, answer); err != nil {
-				return g.goneHTTP(a, n, "connection", cut)
-			}
-			g.note(a, n, record.Final, "served", 0)
-			return tried{kind: "served", afterFirst: time.Since(first)}
-		case strings.HasPrefix(string(data), `{"error"`):
+		done, failed := string(data) == "[DONE]", strings.HasPrefix(string(data), `{"error"`)
+		if !done && !failed {
+			continue
+		}
+		if _, err := io.Copy(io.Discard, answer); err != nil { // the last chunk belongs to the answer
+			return g.goneHTTP(a, n, "connection", cut)
+		}
+		if failed {
 			g.note(a, n, record.Final, "failed", 0)
 			return tried{kind: "failed", why: "the stream broke"}
 		}
+		g.note(a, n, record.Final, "served", 0)
+		return tried{kind: "served", afterFirst: time.Since(first)}
 	}
 }
 
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -227,6 +227,7 @@
 // head begins an answer.
 func (x *exchange) head(status int, h http1.Header) {
 	h = append(h, http1.Field{Name: "X-Request-Id", Value: x.id})
+	x.keep = x.keep && !x.l.s.stopping()
 	if !x.keep {
 		h = append(h, http1.Field{Name: "Connection", Value: "close"})
 	}
