--- a/cmd/gannethook/cert.go
+++ b/cmd/gannethook/cert.go
@@ -21,7 +21,7 @@
 		Long: `Make a fleet's authority and certificates, for a first installation.
 
 An organisation's own issuer takes this command's place: certificates need a
-SPIFFE id spiffe://DOMAIN/ROLE/NAME, the role being router, operator or read-only.`,
+SPIFFE id spiffe://DOMAIN/ROLE/NAME, the role being router, operator or read-only; clients' are as (identity ...) names them.`,
 	}
 	authority := &cobra.Command{Use: "authority", Short: "Make the authority", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -40,7 +40,7 @@
 		role  control.Role
 		short string
 	}{{control.AsRouter, "Make or renew a router's certificate"}, {control.Operator, "Make or renew an operator's certificate"},
-		{control.ReadOnly, "Make or renew a certificate that may only look"}} {
+		{control.ReadOnly, "Make or renew a certificate that may only look"}, {"client", "Make or renew a tenant's certificate"}} {
 		cmd.AddCommand(issueCommand(&dir, string(role.role), role.short))
 	}
 	return cmd
--- /dev/null
+++ b/cmd/gannethook/load.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"gannethook/internal/day"
+)
+
+func loadCommand() *cobra.Command {
+	var dir, chart string
+	var loads []float64
+	var off bool
+	cmd := &cobra.Command{
+		Use:   "load [SCRIPT]",
+		Short: "Play a day at several loads, with the limits on and off, and compare",
+		Long: "Play a day at several multiples of its rate, with the limits on and, beside them, off: what is served in time\n" +
+			"and its worth, who refuses, tenants' fairness, and how soon service is back after a burst. Without a script,\n" +
+			"the embedded day of overload.",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			script := func() (*day.Script, error) { return day.Parse("overload.gann", day.OverloadDay) }
+			if len(args) > 0 {
+				script = func() (*day.Script, error) { return day.Load(args[0]) }
+			}
+			if dir == "" {
+				var err error
+				if dir, err = os.MkdirTemp("", "gannethook-load-"); err != nil {
+					return err
+				}
+			}
+			limits := []bool{true}
+			if off {
+				limits = append(limits, false)
+			}
+			var list []*day.Result
+			for _, on := range limits {
+				for _, times := range loads {
+					s, err := script()
+					if err != nil {
+						return err
+					}
+					s.Rate *= times
+					s.Settings.Limits = on
+					at := filepath.Join(dir, fmt.Sprintf("%g-%v", times, on))
+					if err := os.MkdirAll(at, 0o755); err != nil {
+						return err
+					}
+					r, err := day.Run(cmd.Context(), s, "module", at, command)
+					if err != nil {
+						return err
+					}
+					r.Times = times
+					r.Write(cmd.OutOrStdout())
+					fmt.Fprintln(cmd.OutOrStdout())
+					list = append(list, r)
+				}
+			}
+			day.CompareLoads(cmd.OutOrStdout(), list)
+			if chart != "" {
+				if err := day.ChartLoads(chart, list); err != nil {
+					return err
+				}
+			}
+			for _, r := range list {
+				if !r.OK() {
+					return errRules
+				}
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&dir, "dir", "", "folder for settings, logs and records; a new one if not given")
+	f.Float64SliceVar(&loads, "times", []float64{1, 2, 5, 10}, "multiples of the script's rate")
+	f.BoolVar(&off, "off", true, "play each with the limits off as well")
+	f.StringVar(&chart, "chart", "", "draw goodput over load into this file (svg, png or pdf)")
+	return cmd
+}
--- a/cmd/gannethook/main.go
+++ b/cmd/gannethook/main.go
@@ -42,7 +42,7 @@
 		SilenceErrors: true,
 	}
 	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), idleCommand(), engineCommand(), rosterCommand(),
-		fleetCommand(), certCommand())
+		fleetCommand(), certCommand(), keyCommand(), loadCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/day/loads.go
@@ -0,0 +1,163 @@
+package day
+
+import (
+	_ "embed"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// OverloadDay is the embedded day of overload.
+//
+//go:embed overload.gann
+var OverloadDay string
+
+// settleIn is left out of goodput: engines and limits start cold.
+const settleIn = 5 * time.Second
+
+// Goodput is the worth that was served in time a second, once the day had settled in.
+func (r *Result) Goodput() float64 {
+	sum := 0.0
+	for i := range r.Ends {
+		if e := &r.Ends[i]; e.inTime && e.at >= settleIn {
+			sum += r.Script.Classes[e.class].Worth
+		}
+	}
+	return sum / (r.Script.Length - settleIn).Seconds()
+}
+
+// Recovery is how long after the day's first burst service was back for good:
+// the worth served in time, over each three seconds from then on, at nine tenths
+// of what it was before. ok is false where that did not come.
+func (r *Result) Recovery() (after time.Duration, ok bool) {
+	var burst *Fault
+	for i := range r.Script.Faults {
+		if f := &r.Script.Faults[i]; f.Kind == "burst" {
+			burst = f
+			break
+		}
+	}
+	if burst == nil {
+		return 0, false
+	}
+	const span = 3 * time.Second
+	before := r.worth(settleIn, burst.From) / (burst.From - settleIn).Seconds()
+	end := burst.From + burst.For
+	back := time.Duration(-1)
+	for at := end; at+span <= r.Script.Length; at += time.Second {
+		if r.worth(at, at+span)/span.Seconds() >= 0.9*before {
+			if back < 0 {
+				back = at - end
+			}
+		} else {
+			back = -1
+		}
+	}
+	return back, back >= 0
+}
+
+// worth is what was asked for in a span and served in time.
+func (r *Result) worth(from, to time.Duration) float64 {
+	sum := 0.0
+	for i := range r.Ends {
+		if e := &r.Ends[i]; e.inTime && e.at >= from && e.at < to {
+			sum += r.Script.Classes[e.class].Worth
+		}
+	}
+	return sum
+}
+
+// refusals are the parts of the requests that were turned away last by the
+// limits, for want of room and for their tenants' budgets, and by the module.
+func (r *Result) refusals() (room, budget, module float64) {
+	for why, n := range r.Why {
+		part := float64(n) / max(float64(r.All.Offered), 1)
+		switch {
+		case strings.HasPrefix(why, "refused: limits: requests"), strings.HasPrefix(why, "refused: limits: tokens"),
+			strings.HasPrefix(why, "refused: limits: retries"):
+			budget += part
+		case strings.HasPrefix(why, "refused: limits: "):
+			room += part
+		case strings.HasPrefix(why, "refused"):
+			module += part
+		}
+	}
+	return room, budget, module
+}
+
+// CompareLoads prints days at several loads, a line each.
+func CompareLoads(w io.Writer, list []*Result) {
+	fmt.Fprintf(w, "%-7s %6s %8s %9s %9s %8s %9s %8s %7s %7s %9s %s\n", "limits", "times", "offered", "goodput", "in time",
+		"no room", "budgets", "module", "tries", "Jain", "recovery", "rules")
+	for _, r := range list {
+		room, budget, module := r.refusals()
+		back, jain, kept := "-", "-", "kept"
+		if d, ok := r.Recovery(); ok {
+			back = fmt.Sprintf("%.0f s", d.Seconds())
+		} else if r.hasBurst() {
+			back = "never"
+		}
+		if len(r.Tenant) > 0 {
+			jain = fmt.Sprintf("%.3f", r.Jain())
+		}
+		if !r.OK() {
+			kept = "BROKEN"
+		}
+		fmt.Fprintf(w, "%-7s %6g %8d %7.1f/s %9s %7.1f%% %8.1f%% %7.1f%% %7.2f %7s %9s %s\n", onOff(r.Script.Settings.Limits), r.Times,
+			r.All.Offered, r.Goodput(), share(r.All.InTime, r.All.Offered), 100*room, 100*budget, 100*module,
+			float64(r.All.Tries)/max(float64(r.All.Offered), 1), jain, back, kept)
+	}
+}
+
+func (r *Result) hasBurst() bool {
+	for i := range r.Script.Faults {
+		if r.Script.Faults[i].Kind == "burst" {
+			return true
+		}
+	}
+	return false
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
+// ChartLoads draws goodput over load, with the limits on and off.
+func ChartLoads(path string, list []*Result) error {
+	if len(list) == 0 {
+		return fmt.Errorf("chart: no days")
+	}
+	p := plot.New()
+	s := list[0].Script
+	p.Title.Text = fmt.Sprintf("Day %s: %d routers, %d+%d stand-in engines", s.Name, s.Routers, s.Readers, s.Writers)
+	p.X.Label.Text = "times the load that fills the engines"
+	p.Y.Label.Text = "worth served in time a second"
+	p.Y.Min, p.Legend.Top, p.Legend.Left = 0, false, true
+	for i, on := range []bool{true, false} {
+		var points plotter.XYs
+		for _, r := range list {
+			if r.Script.Settings.Limits == on {
+				points = append(points, plotter.XY{X: r.Times, Y: r.Goodput()})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width, dots.Color = palette()[i], vg.Points(1.5), palette()[i]
+		p.Add(line, dots)
+		p.Legend.Add("limits "+onOff(on), line)
+	}
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -38,6 +38,7 @@
 	Twice   int       // requests whose effect happened more than once, as they count
 	Took    time.Duration
 	Ops     *rules.Operations // what operators did
+	Times   float64           // the script's rate, where it was played at several
 	Lower   error             // what went wrong as all was stopped
 }
 
