Batches that have not begun are refused at once; tries again are shed first

At ten times the load batches held their clients for 7.5 s before they were refused, and a third of what questions were served were third tries, late for their clients. Tries are now told (try, X-Stainless-Retry-Count), counted by client, and count as of least worth; a batch of which nothing has run or runs is refused with its first refused part.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -81,6 +81,7 @@
 	Ask struct {
 		Part  int
 		Again bool // it was refused before
+		Begun bool // other parts have run
 	}
 	// Drop takes a part back that is out.
 	Drop struct{ Part int }
@@ -151,7 +152,7 @@
 	m.parts[i].state = out
 	m.parts[i].tries++
 	m.out++
-	return append(acts, Ask{i, again})
+	return append(acts, Ask{i, again, m.ran})
 }
 
 // Wake asks for parts again whose time has come.
@@ -178,7 +179,9 @@
 		}
 		return m.fill(now, nil)
 	case Refused:
-		if at := now + e.RetryAfter<<min(p.tries-1, 6); p.tries < m.lim.Tries && at < m.deadline-m.lim.Margin {
+		// A batch of which nothing has run is refused at once: its client learns that there is no room, and no work
+		// is lost. One that has begun goes on trying, for what has run would be.
+		if at := now + e.RetryAfter<<min(p.tries-1, 6); (m.ran || m.out > 0) && p.tries < m.lim.Tries && at < m.deadline-m.lim.Margin {
 			p.state, p.at = later, at
 			return m.fill(now, []Action{Wake{at}})
 		}
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -225,6 +225,9 @@
 	if again {
 		meta[realtime.MetaRetry] = "true"
 	}
+	if n > 1 {
+		meta[realtime.MetaTry] = strconv.Itoa(n)
+	}
 	g.current, g.asked, g.sent = "", a, n
 	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
 	if g.said != a.name && g.session.Say("question "+a.name) != nil || g.session.Request(meta, class.Out) != nil {
--- a/internal/day/http.go
+++ b/internal/day/http.go
@@ -105,6 +105,9 @@
 	if again {
 		h = append(h, http1.Field{Name: "X-Gannethook-Retry", Value: "true"})
 	}
+	if n > 1 {
+		h = append(h, http1.Field{Name: "X-Gannethook-Try", Value: strconv.Itoa(n)})
+	}
 	path, body := g.httpBody(a, class)
 	g.asked, g.sent = a, n
 	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
--- a/internal/front/batch.go
+++ b/internal/front/batch.go
@@ -174,7 +174,7 @@
 	p := b.parts[a.Part]
 	job := b.x.job
 	job.Paid, job.PromptSize = true, max(p.Tokens, 1)
-	job.Retry = false // the batch as a whole was counted
+	job.Begun = a.Begun
 	job.Body = b.ask.Engine(p.From, p.To, p.Tokens)
 	job.Check = func(body []byte) error { return b.ask.Check(body, p.To-p.From) }
 	job.GiveUp = max(b.x.job.GiveUp-time.Since(b.start), 0)
--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"strconv"
 	"strings"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/spiffe/go-spiffe/v2/svid/x509svid"
 
 	"gannethook/internal/http1"
+	"gannethook/internal/realtime"
 	"gannethook/internal/rest"
 )
 
@@ -60,6 +62,22 @@
 	return caller{tenant: tenant, name: k.Tenant, key: k.ID, client: k.Client()}, nil
 }
 
+// client is whose tries are counted together: a key's or certificate's, else a
+// tenant's, else those of all whom nothing tells apart.
+func (s *Server) client(who caller, tenant int) uint64 {
+	if who.client != 0 {
+		return who.client
+	}
+	return uint64(tenant + 2)
+}
+
+// triedBefore tells whether a request says that tries of it went before.
+func triedBefore(meta func(string) (string, bool)) bool {
+	text, _ := meta(realtime.MetaTry)
+	n, err := strconv.Atoi(text)
+	return err == nil && n > 1
+}
+
 // named settles a request's tenant: the caller's own, or one that it may name itself.
 func (s *Server) named(who caller, name string) (tenant int, as string, ok bool) {
 	if who.tenant >= 0 {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -35,6 +35,7 @@
 	job   intake.Job
 	key   keys.Name
 	named bool // the key is open in the guard
+	again bool // a try went before whose end the client does not know
 
 	mu    sync.Mutex // never held while writing
 	final *driver.Answer
@@ -126,10 +127,11 @@
 	if strings.ContainsFunc(x.job.Idempotency, func(r rune) bool { return r <= ' ' || r > '~' }) || len(x.job.Idempotency) > realtime.MaxMetaText {
 		return rest.Invalid("Idempotency-Key", "printable ASCII without spaces expected")
 	}
-	x.job.Client = x.who.client
 	n, _ := strconv.Atoi(x.req.Header.Get("X-Stainless-Retry-Count")) // OpenAI's clients tell their tries again
 	again, _ := meta(realtime.MetaRetry)
-	x.job.Retry = n > 0 || again == "true"
+	x.again = again == "true" || n > 0 && gannethook.Effect(class.Effect) != gannethook.Safe
+	x.job.Retry = again == "true" || n > 0 || triedBefore(meta)
+	x.job.Client = x.l.s.client(x.who, tenant)
 	x.key = keys.Name{Tenant: tenant, Class: x.class, Key: x.job.Idempotency}
 	return nil
 }
@@ -144,7 +146,7 @@
 
 // begin asks the table of keys; what may have run before is answered here.
 func (x *exchange) begin() bool {
-	v := x.l.s.guard.begin(x.key, x.job.Retry)
+	v := x.l.s.guard.begin(x.key, x.again)
 	switch v {
 	case keys.Go:
 		x.named = true
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -59,7 +59,8 @@
 	}
 	switch v := c.srv.guard.begin(r.key, retry); v {
 	case keys.Go:
-		r.call = c.srv.in.Submit(intake.Job{Job: job, Client: c.who.client, Retry: retry}, r)
+		tried := retry || triedBefore(func(name string) (string, bool) { v, ok := p.Metadata[name]; return v, ok })
+		r.call = c.srv.in.Submit(intake.Job{Job: job, Client: c.srv.client(c.who, job.Tenant), Retry: tried}, r)
 	case keys.Full:
 		r.turnAway(&job, driver.Answer{Kind: driver.Refused, RetryAfter: c.srv.cfg.Load().Limits.RetryAfter,
 			Reason: "too many keys are remembered"})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 	Client uint64 // whose tries again are counted; 0: not known
 	Retry  bool   // it is one
 	Paid   bool   // a part of what Charge has charged
+	Begun  bool   // other parts have run
 }
 
 // Intake hands requests to one driver. It is safe for concurrent use.
@@ -69,7 +70,7 @@
 // ask is the request as limits see it.
 func (in *Intake) ask(id uint64, j *Job) limits.Ask {
 	tokens := j.PromptSize + float64(j.MaxTokens)
-	return limits.Ask{ID: id, Tenant: j.Tenant, Class: j.Class, Client: j.Client, Retry: j.Retry, Paid: j.Paid,
+	return limits.Ask{ID: id, Tenant: j.Tenant, Class: j.Class, Client: j.Client, Retry: j.Retry, Paid: j.Paid, Begun: j.Begun,
 		Prompt: j.PromptSize, Tokens: tokens, Left: j.GiveUp,
 		Price: gannethook.Price(j.PromptSize) + gannethook.Price(float64(j.MaxTokens))}
 }
--- a/internal/limits/learn.go
+++ b/internal/limits/learn.go
@@ -144,8 +144,16 @@
 	return s
 }
 
-// drops tells whether a request of a class is shed; x is its chance, 0 to under 1.
-func (s *shed) drops(class int, x float64) bool { return s.level-float64(s.ranks[class]) > x }
+// drops tells whether a request of a class is shed; x is its chance, 0 to under
+// 1. One that is tried again counts as of least worth: the time that its client
+// has waited already is gone, and more of them come the less room there is.
+func (s *shed) drops(class int, again bool, x float64) bool {
+	rank := s.ranks[class]
+	if again {
+		rank = 0
+	}
+	return s.level-float64(rank) > x
+}
 
 // count counts a request that was not shed; turned tells that there was no room for it.
 func (s *shed) count(turned bool) {
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -79,6 +79,7 @@
 	Client uint64        // whose tries are counted; 0: not known
 	Retry  bool          // the client marks it as a try again
 	Paid   bool          // a part of what Charge has charged
+	Begun  bool          // and others of its parts have run: it is not shed
 	Prompt float64       // tokens
 	Tokens float64       // of prompt and, at the most, answer
 	Price  float64       // of it all: its size in turns
@@ -288,7 +289,7 @@
 
 // admit hands a request on, has it wait, or turns it away for want of room.
 func (l *Limiter) admit(now time.Duration, w *work) {
-	if l.set.Shed && l.shed.drops(w.Class, unit(l.set.Seed, w.ID)) {
+	if l.set.Shed && !w.Begun && l.shed.drops(w.Class, w.Retry, unit(l.set.Seed, w.ID)) {
 		l.turn(w, Shed, l.back())
 		return
 	}
@@ -323,6 +324,9 @@
 // that a first token usually takes, and its client's own.
 func (l *Limiter) patience(w *work) time.Duration {
 	part := min(l.set.WaitPart, max(1-l.room.usual*1.2, 0))
+	if w.Begun { // what has run of it would be lost
+		return w.Left / 2
+	}
 	return min(time.Duration(part*float64(w.aim)), w.Left/2)
 }
 
--- a/internal/realtime/events.go
+++ b/internal/realtime/events.go
@@ -133,7 +133,8 @@
 	MetaPrefixSize  = "prefix_tokens"
 	MetaPromptSize  = "prompt_tokens"
 	MetaIdempotency = "idempotency_key"
-	MetaRetry       = "retry"
+	MetaRetry       = "retry" // "true": a try whose end the client does not know went before
+	MetaTry         = "try"   // 2 and more: tries went before, however they ended
 	MetaGiveUp      = "give_up_ms"
 )
 
