--- a/cmd/gannethook/load.go
+++ b/cmd/gannethook/load.go
@@ -11,7 +11,7 @@
 )
 
 func loadCommand() *cobra.Command {
-	var dir, chart string
+	var dir, chart, without string
 	var loads []float64
 	var off bool
 	cmd := &cobra.Command{
@@ -37,26 +37,38 @@
 				limits = append(limits, false)
 			}
 			var list []*day.Result
+			play := func(times float64, on bool, without string) error {
+				s, err := script()
+				if err != nil {
+					return err
+				}
+				s.Rate *= times
+				s.Settings.Limits = on
+				s.Without(without)
+				at := filepath.Join(dir, fmt.Sprintf("%g-%v%s", times, on, without))
+				if err := os.MkdirAll(at, 0o755); err != nil {
+					return err
+				}
+				r, err := day.Run(cmd.Context(), s, "module", at, command)
+				if err != nil {
+					return err
+				}
+				r.Times = times
+				r.Write(cmd.OutOrStdout())
+				fmt.Fprintln(cmd.OutOrStdout())
+				list = append(list, r)
+				return nil
+			}
 			for _, on := range limits {
 				for _, times := range loads {
-					s, err := script()
-					if err != nil {
+					if err := play(times, on, ""); err != nil {
 						return err
 					}
-					s.Rate *= times
-					s.Settings.Limits = on
-					at := filepath.Join(dir, fmt.Sprintf("%g-%v", times, on))
-					if err := os.MkdirAll(at, 0o755); err != nil {
-						return err
-					}
-					r, err := day.Run(cmd.Context(), s, "module", at, command)
-					if err != nil {
-						return err
-					}
-					r.Times = times
-					r.Write(cmd.OutOrStdout())
-					fmt.Fprintln(cmd.OutOrStdout())
-					list = append(list, r)
+				}
+			}
+			if without != "" {
+				if err := play(loads[0], true, without); err != nil {
+					return err
 				}
 			}
 			day.CompareLoads(cmd.OutOrStdout(), list)
@@ -77,6 +89,7 @@
 	f.StringVar(&dir, "dir", "", "folder for settings, logs and records; a new one if not given")
 	f.Float64SliceVar(&loads, "times", []float64{1, 2, 5, 10}, "multiples of the script's rate")
 	f.BoolVar(&off, "off", true, "play each with the limits off as well")
+	f.StringVar(&without, "without", "", "play the first load once more without this tenant: what the others get alone")
 	f.StringVar(&chart, "chart", "", "draw goodput over load into this file (svg, png or pdf)")
 	return cmd
 }
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -63,7 +63,7 @@
 	return standin.Config{Addr: "127.0.0.1:0", Writes: writes, Slots: e.Slots, Queue: e.Queue, Memory: float64(e.Memory),
 		ReadRate: float64(e.ReadRate), FetchRate: float64(e.FetchRate), TokenGap: e.TokenGap, Early: 0.7,
 		ColdFrom: e.ColdFrom, WarmAfter: e.WarmAfter, Overload: 3, Fall: 3 * time.Second, Keep: 5 * time.Second,
-		Extended: true, Seed: seed}
+		Extended: true, Deaf: e.Deaf, Seed: seed}
 }
 
 func (s *Script) keyed() []string {
@@ -240,7 +240,8 @@
 		float64(s.Reader.Memory), float64(s.Writer.Memory))
 	fmt.Fprintf(&b, "(rules (cold-from %g) (warm-after %v) (overload 3) (pin-limit %v))\n", s.Writer.ColdFrom,
 		s.Writer.WarmAfter, s.Settings.PinLimit)
-	fmt.Fprintf(&b, "(engines (holds %s) (stream-idle 3s))\n(sessions (drain %v))\n(http (write 3s))\n", yes(s.Settings.Holds), s.Settings.Drain)
+	fmt.Fprintf(&b, "(engines (holds %s) (cancel %s) (stream-idle 3s))\n(sessions (drain %v))\n(http (write 3s))\n(limits (attempts %d))\n",
+		yes(s.Settings.Holds), yes(!s.Reader.Deaf), s.Settings.Drain, s.Settings.Attempts)
 	fmt.Fprintf(&b, "(control (run %q))\n", r.run())
 	fmt.Fprintf(&b, "(roster (watch %q) (service engines) (cache %q)", api, r.list())
 	if s.Settings.Listed {
--- a/internal/day/loads.go
+++ b/internal/day/loads.go
@@ -108,6 +108,9 @@
 		if !r.OK() {
 			kept = "BROKEN"
 		}
+		for i := range r.Tenant {
+			kept += fmt.Sprintf(", %s %s in time", r.Script.Tenants[i].Name, share(r.Tenant[i].InTime, r.Tenant[i].Offered))
+		}
 		fmt.Fprintf(w, "%-7s %6g %8d %7.1f/s %9s %7.1f%% %8.1f%% %7.1f%% %7.2f %7s %9s %s\n", onOff(r.Script.Settings.Limits), r.Times,
 			r.All.Offered, r.Goodput(), share(r.All.InTime, r.All.Offered), 100*room, 100*budget, 100*module,
 			float64(r.All.Tries)/max(float64(r.All.Offered), 1), jain, back, kept)
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -42,6 +42,7 @@
 	TokenGap  time.Duration `gann:"token-gap"`
 	WarmAfter time.Duration `gann:"warm-after"`
 	ColdFrom  float64       `gann:"cold-from"`
+	Deaf      bool          `gann:"deaf"` // goes on with what was given up
 }
 
 // Clients tell how clients behave.
@@ -95,6 +96,7 @@
 	Back     time.Duration `gann:"back"`   // a refusal advises so long at the least
 	InHand   int           `gann:"in-hand"`
 	Listed   bool          `gann:"listed"` // the roster lists the routers, too
+	Attempts int           `gann:"attempts"`
 }
 
 // Fault is one trouble of a day.
@@ -139,14 +141,17 @@
 		Writer: Engine{Slots: 80, Queue: 25, Memory: 160000, ReadRate: 7000, FetchRate: 250000, ColdFrom: 0.3,
 			WarmAfter: 8 * time.Second, TokenGap: 25 * time.Millisecond},
 		Settings: Settings{PinLimit: 500 * time.Millisecond, Grace: 2 * time.Second, Holds: true, Drain: 10 * time.Second,
-			Limits: true, Back: 250 * time.Millisecond, InHand: 64}}
+			Attempts: 4, Limits: true, Back: 250 * time.Millisecond, InHand: 64}}
 }
 
 func (s *Script) check() error {
 	if s.Routers < 1 || s.Readers < 1 || s.Writers < 1 || s.Rate <= 0 || s.Length <= 0 || s.Clients.TurnsMost < 1 {
 		return sexp.Errorf(s.At, "routers, readers, writers, turns, rate and length are above 0")
 	}
-	for _, c := range s.Classes {
+	for i, c := range s.Classes {
+		if c.Worth == 0 {
+			s.Classes[i].Worth = 1
+		}
 		switch {
 		case !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect):
 			return sexp.Errorf(c.At, "effect %q is not safe, keyed or unsafe", c.Effect)
@@ -185,6 +190,20 @@
 	return nil
 }
 
+// Without takes a tenant out, with its part of the rate.
+func (s *Script) Without(name string) {
+	i, all := s.tenant(name), 0.0
+	if i < 0 {
+		return
+	}
+	for _, t := range s.Tenants {
+		all += t.Part
+	}
+	s.Rate *= 1 - s.Tenants[i].Part/all
+	s.Tenants = slices.Delete(s.Tenants, i, i+1)
+	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.Whom == name })
+}
+
 // tenant is the place of a tenant, or -1.
 func (s *Script) tenant(name string) int {
 	return slices.IndexFunc(s.Tenants, func(t Tenant) bool { return t.Name == name })
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,7 @@
 	Fall      time.Duration // 0: it never falls
 	Keep      time.Duration // a state that nobody takes is dropped by then
 	Extended  bool          // it speaks the extension: places and releases
+	Deaf      bool          // it goes on with what was given up
 	Seed      uint64
 }
 
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -159,6 +159,9 @@
 // run does the request and tells how it ended.
 func (j *job) run() string {
 	l, f := j.l, j.l.fault()
+	if l.e.cfg.Deaf {
+		j.ctx = context.WithoutCancel(j.ctx)
+	}
 	if j.write {
 		l.push(float64(j.c.MaxTokens) / 2)
 	} else {
