--- a/cmd/gannethook/fleet.go
+++ b/cmd/gannethook/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -48,7 +49,9 @@
 	cmd.PersistentFlags().StringVarP(&f.file, "fleet", "f", os.Getenv("GANNETHOOK_FLEET"), "fleet file; by default $GANNETHOOK_FLEET")
 	cmd.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON")
 	cmd.PersistentFlags().BoolVarP(&f.quiet, "quiet", "q", false, "no progress")
-	cmd.AddCommand(f.list(), f.status(), f.order("drain", "Let routers end what is open and take nothing new", pb.Command_DRAIN),
+	cmd.AddCommand(f.list(), f.looks("status", "Show how routers are", fleet.WriteStatus),
+		f.looks("limits", "Show what waits, what is in hand, and what was turned away and why", fleet.WriteLimits),
+		f.order("drain", "Let routers end what is open and take nothing new", pb.Command_DRAIN),
 		f.order("resume", "Have drained routers take sessions again", pb.Command_RESUME),
 		f.order("reload", "Have routers read their settings again", pb.Command_RELOAD),
 		f.order("restart", "Replace routers by successors that take their ports over", pb.Command_RESTART),
@@ -127,15 +130,15 @@
 		}}
 }
 
-// lookAt prints statuses; routers that can't be reached are an exit code.
-func (f *fleetFlags) lookAt(cmd *cobra.Command, t *fleet.Tool, list []fleet.Router) error {
+// lookAt prints statuses as a table; routers that can't be reached are an exit code.
+func (f *fleetFlags) lookAt(cmd *cobra.Command, t *fleet.Tool, list []fleet.Router, table func(io.Writer, []fleet.Line)) error {
 	lines := t.Look(cmd.Context(), list)
 	if f.json {
 		if err := fleet.WriteJSON(cmd.OutOrStdout(), fleet.StatusJSON(lines)); err != nil {
 			return err
 		}
 	} else {
-		fleet.WriteStatus(cmd.OutOrStdout(), lines)
+		table(cmd.OutOrStdout(), lines)
 	}
 	var reports []fleet.Report
 	for _, l := range lines {
@@ -148,14 +151,15 @@
 	return fleet.Judge(reports)
 }
 
-func (f *fleetFlags) status() *cobra.Command {
-	return &cobra.Command{Use: "status [ROUTER...]", Short: "Show how routers are", ValidArgsFunction: f.complete,
+// looks makes a command that shows statuses as a table.
+func (f *fleetFlags) looks(name, short string, table func(io.Writer, []fleet.Line)) *cobra.Command {
+	return &cobra.Command{Use: name + " [ROUTER...]", Short: short, ValidArgsFunction: f.complete,
 		RunE: func(cmd *cobra.Command, words []string) error {
 			t, list, err := f.pick(cmd, words)
 			if err != nil {
 				return err
 			}
-			return f.lookAt(cmd, t, list)
+			return f.lookAt(cmd, t, list, table)
 		}}
 }
 
@@ -331,7 +335,7 @@
 				if times != 1 {
 					fmt.Fprint(cmd.OutOrStdout(), "\x1b[H\x1b[2J")
 				}
-				if err = f.lookAt(cmd, t, list); n == times {
+				if err = f.lookAt(cmd, t, list, fleet.WriteStatus); n == times {
 					return err
 				}
 				select {
--- a/cmd/gannethook/load.go
+++ b/cmd/gannethook/load.go
@@ -11,7 +11,7 @@
 )
 
 func loadCommand() *cobra.Command {
-	var dir, chart, without string
+	var dir, chart, without, policy string
 	var loads []float64
 	var off bool
 	cmd := &cobra.Command{
@@ -49,7 +49,7 @@
 				if err := os.MkdirAll(at, 0o755); err != nil {
 					return err
 				}
-				r, err := day.Run(cmd.Context(), s, "module", at, command)
+				r, err := day.Run(cmd.Context(), s, policy, at, command)
 				if err != nil {
 					return err
 				}
@@ -89,6 +89,7 @@
 	f.StringVar(&dir, "dir", "", "folder for settings, logs and records; a new one if not given")
 	f.Float64SliceVar(&loads, "times", []float64{1, 2, 5, 10}, "multiples of the script's rate")
 	f.BoolVar(&off, "off", true, "play each with the limits off as well")
+	f.StringVar(&policy, "policy", "module", "module, random or round-robin")
 	f.StringVar(&without, "without", "", "play the first load once more without this tenant: what the others get alone")
 	f.StringVar(&chart, "chart", "", "draw goodput over load into this file (svg, png or pdf)")
 	return cmd
--- a/internal/daemon/face.go
+++ b/internal/daemon/face.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -11,6 +13,7 @@
 	"gannethook/internal/control"
 	pb "gannethook/internal/control/controlpb"
 	"gannethook/internal/life"
+	"gannethook/internal/limits"
 	"gannethook/internal/reload"
 	"gannethook/internal/settings"
 )
@@ -44,9 +47,19 @@
 		s.CertLeftMs = f.certs.Left(now).Milliseconds()
 	}
 	s.LogLevel, _ = f.LogLevel("")
+	s.Limits = limitsOf(f.intake.View())
 	return s
 }
 
+// limitsOf shows the limits, reasons in their order.
+func limitsOf(v limits.View) *pb.Limits {
+	out := &pb.Limits{Waiting: int32(v.Waiting), InHand: v.InHand, Room: v.Room, Level: v.Level, Routers: int32(v.Routers), Passed: v.Passed}
+	for _, why := range slices.Sorted(maps.Keys(v.Turned)) {
+		out.Turned = append(out.Turned, &pb.Turned{Reason: why.String(), Count: v.Turned[why]})
+	}
+	return out
+}
+
 // Sessions lists open sessions.
 func (f *face) Sessions(most int) *pb.Sessions {
 	list := &pb.Sessions{All: int32(f.front.Sessions())}
--- a/internal/day/loads.go
+++ b/internal/day/loads.go
@@ -32,8 +32,8 @@
 }
 
 // Recovery is how long after the day's first burst service was back for good:
-// the worth served in time, over each three seconds from then on, at nine tenths
-// of what it was before. ok is false where that did not come.
+// the share of the worth that is served in time, over each three seconds from
+// then on, at nine tenths of what it was before. ok is false where that did not come.
 func (r *Result) Recovery() (after time.Duration, ok bool) {
 	var burst *Fault
 	for i := range r.Script.Faults {
@@ -46,11 +46,11 @@
 		return 0, false
 	}
 	const span = 3 * time.Second
-	before := r.worth(settleIn, burst.From) / (burst.From - settleIn).Seconds()
+	before := r.worth(settleIn, burst.From)
 	end := burst.From + burst.For
 	back := time.Duration(-1)
 	for at := end; at+span <= r.Script.Length; at += time.Second {
-		if r.worth(at, at+span)/span.Seconds() >= 0.9*before {
+		if r.worth(at, at+span) >= 0.9*before {
 			if back < 0 {
 				back = at - end
 			}
@@ -61,15 +61,20 @@
 	return back, back >= 0
 }
 
-// worth is what was asked for in a span and served in time.
+// worth is the share of the worth asked for in a span that was served in time.
 func (r *Result) worth(from, to time.Duration) float64 {
-	sum := 0.0
+	asked, served := 0.0, 0.0
 	for i := range r.Ends {
-		if e := &r.Ends[i]; e.inTime && e.at >= from && e.at < to {
-			sum += r.Script.Classes[e.class].Worth
+		e := &r.Ends[i]
+		if e.at < from || e.at >= to {
+			continue
+		}
+		worth := r.Script.Classes[e.class].Worth
+		if asked += worth; e.inTime {
+			served += worth
 		}
 	}
-	return sum
+	return served / max(asked, 1e-9)
 }
 
 // refusals are the parts of the requests that were turned away last by the
--- a/internal/fleet/show.go
+++ b/internal/fleet/show.go
@@ -90,6 +90,24 @@
 	})
 }
 
+// WriteLimits shows what stands between the routers' clients and their modules.
+func WriteLimits(w io.Writer, lines []Line) {
+	table(w, "router waiting in-hand room level divided-by passed turned-away", func(row func(...any)) {
+		for _, l := range lines {
+			if l.Err != nil || l.Limits == nil {
+				row(l.Name, "-", "-", "-", "-", "-", "-", l.Err)
+				continue
+			}
+			var turned []string
+			for _, t := range l.Limits.Turned {
+				turned = append(turned, fmt.Sprintf("%d %s", t.Count, t.Reason))
+			}
+			row(l.Name, l.Limits.Waiting, fmt.Sprintf("%.1f", l.Limits.InHand), fmt.Sprintf("%.0f", l.Limits.Room),
+				fmt.Sprintf("%.2f", l.Limits.Level), l.Limits.Routers, l.Limits.Passed, orDash(strings.Join(turned, ", ")))
+		}
+	})
+}
+
 func part(n, of uint64) string {
 	if of == 0 {
 		return "-"
