--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -43,6 +43,14 @@
 		events []record.Event
 	}{
 		{"a served request", 0, served("a")},
+		{"one-stage work at a reader", 0, []record.Event{offer(0, "a", 1), engine(1, "rd", record.Arrive, "whole"), engine(2, "rd", record.Apply, ""),
+			engine(9, "rd", record.End, "served"), client(10, record.Final, "served", 1)}},
+		{"one-stage work again while the first attempt may have run", 2, []record.Event{offer(0, "a", 1), engine(1, "rd", record.Arrive, "whole"),
+			engine(5, "rd", record.End, "error"), engine(6, "w3", record.Arrive, "whole"), client(10, record.Final, "failed", 1)}},
+		{"one-stage work again after it was turned away", 0, []record.Event{offer(0, "a", 1), engine(1, "rd", record.Arrive, "whole"),
+			engine(5, "rd", record.End, "full"), engine(6, "w3", record.Arrive, "whole"), client(10, record.Final, "failed", 1)}},
+		{"one-stage work refused after it ran", 2, []record.Event{offer(0, "a", 1), engine(1, "rd", record.Arrive, "whole"), engine(2, "rd", record.Apply, ""),
+			engine(9, "rd", record.End, "error"), client(10, record.Final, "refused", 1)}},
 		{"no final answer", 1, []record.Event{offer(0, "q", 1), quiet}},
 		{"the connection broke at a running router", 1, []record.Event{offer(0, "q", 1), client(5, record.Lost, "connection", 1)}},
 		{"its router was killed", 0, []record.Event{offer(0, "q", 1), {T: 4, Kind: record.Killed, Router: "r0"}, client(5, record.Lost, "connection", 1)}},
