--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -1,20 +1,15 @@
 package batch
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"gannethook/internal/steady"
 )
 
-// TestMain has the same cases drawn in every run; -rapid.seed draws others.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // Parts cover all texts in order, within the bounds, and are not needlessly many.
 func TestSplit(t *testing.T) {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -1,22 +1,16 @@
 package keys
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"gannethook"
+	"gannethook/internal/steady"
 )
 
-// TestMain has the same cases drawn in every run; -rapid.seed draws others.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 var unsafeName = Name{Key: "k"}
 
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -389,7 +389,7 @@
 	}
 }
 
-func steady(rate, size float64, class int) func(float64) (float64, float64, int) {
+func even(rate, size float64, class int) func(float64) (float64, float64, int) {
 	return func(float64) (float64, float64, int) { return rate, size, class }
 }
 
@@ -402,9 +402,9 @@
 		}
 		return 50, 1, 0
 	}
-	alone := play(settings(), 100, 30, true, []func(float64) (float64, float64, int){steady(1e-6, 1, 0), steady(25, 1, 0)})
-	with := play(settings(), 100, 30, true, []func(float64) (float64, float64, int){burst, steady(25, 1, 0)})
-	without := play(settings(), 100, 30, false, []func(float64) (float64, float64, int){burst, steady(25, 1, 0)})
+	alone := play(settings(), 100, 30, true, []func(float64) (float64, float64, int){even(1e-6, 1, 0), even(25, 1, 0)})
+	with := play(settings(), 100, 30, true, []func(float64) (float64, float64, int){burst, even(25, 1, 0)})
+	without := play(settings(), 100, 30, false, []func(float64) (float64, float64, int){burst, even(25, 1, 0)})
 	part := func(r result) float64 { return r.inTime / r.asked }
 	if part(with[1]) < 0.95*part(alone[1]) || part(without[1]) > 0.7 {
 		t.Errorf("in time: alone %.2f, with limits %.2f, without %.2f", part(alone[1]), part(with[1]), part(without[1]))
@@ -413,7 +413,7 @@
 
 // One whose requests are all long gets its share of the work, not of the requests.
 func TestLongRequests(t *testing.T) {
-	r := play(settings(), 100, 60, true, []func(float64) (float64, float64, int){steady(20, 20, 0), steady(200, 1, 0)})
+	r := play(settings(), 100, 60, true, []func(float64) (float64, float64, int){even(20, 20, 0), even(200, 1, 0)})
 	long, short := r[0].inTime*20, r[1].inTime
 	if ratio := long / short; ratio < 0.6 || ratio > 1.6 {
 		t.Errorf("work done %.0f of the long, %.0f of the short", long, short)
@@ -425,7 +425,7 @@
 func TestOverload(t *testing.T) {
 	at := func(load float64, limited bool) float64 {
 		r := play(settings(), 100, 30, limited, []func(float64) (float64, float64, int){
-			steady(50*load, 1, 0), steady(50*load, 1, 0)})
+			even(50*load, 1, 0), even(50*load, 1, 0)})
 		return (r[0].inTime + r[1].inTime) / 30
 	}
 	peak := 0.0
@@ -447,11 +447,11 @@
 // Under overload what is worth least is shed first, and nothing is once there is room.
 func TestShed(t *testing.T) {
 	set := settings()
-	r := play(set, 100, 60, true, []func(float64) (float64, float64, int){steady(80, 1, 0), steady(200, 1, 1)})
+	r := play(set, 100, 60, true, []func(float64) (float64, float64, int){even(80, 1, 0), even(200, 1, 1)})
 	if r[0].inTime < 0.85*r[0].asked {
 		t.Errorf("of the worthy %.2f were in time, beside twice the capacity of the least worth", r[0].inTime/r[0].asked)
 	}
-	calm := play(set, 100, 60, true, []func(float64) (float64, float64, int){steady(40, 1, 0), steady(30, 1, 1)})
+	calm := play(set, 100, 60, true, []func(float64) (float64, float64, int){even(40, 1, 0), even(30, 1, 1)})
 	if calm[1].inTime < 0.97*calm[1].asked {
 		t.Errorf("with room %.2f of the least worth were in time", calm[1].inTime/calm[1].asked)
 	}
--- a/internal/limits/rate_test.go
+++ b/internal/limits/rate_test.go
@@ -1,20 +1,15 @@
 package limits
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"gannethook/internal/steady"
 )
 
-// TestMain has the same cases drawn in every run; -rapid.seed draws others.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // Over any arrivals, what passed in any window is no more than the burst and
 // the window's rate; what was told to wait so long passes then; and a tenant
@@ -48,13 +43,13 @@
 				}
 			}
 		}
-		var steady Meter
+		var regular Meter
 		at := now
 		for range 50 {
-			if steady.Wait(at, r, 1) != 0 {
+			if regular.Wait(at, r, 1) != 0 {
 				t.Fatal("a tenant at its rate waits")
 			}
-			steady.Take(at, r, 1)
+			regular.Take(at, r, 1)
 			at += time.Duration(float64(time.Second)/r.PerSecond) + 1
 		}
 	})
--- a/internal/rest/rest_test.go
+++ b/internal/rest/rest_test.go
@@ -2,22 +2,17 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"gannethook/internal/steady"
 )
 
-// TestMain has the same cases drawn in every run; -rapid.seed draws others.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // Every bad request has an error that names the place.
 func TestBadRequests(t *testing.T) {
