--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -229,7 +229,7 @@
 		meta[realtime.MetaTry] = strconv.Itoa(n)
 	}
 	g.current, g.asked, g.sent = "", a, n
-	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
+	g.note(a, n, record.Offer, g.tenant, class.GiveUp.Seconds()*1000)
 	if g.said != a.name && g.session.Say("question "+a.name) != nil || g.session.Request(meta, class.Out) != nil {
 		return g.gone(a, n, "unreachable")
 	}
--- a/internal/day/http.go
+++ b/internal/day/http.go
@@ -110,7 +110,7 @@
 	}
 	path, body := g.httpBody(a, class)
 	g.asked, g.sent = a, n
-	g.note(a, n, record.Offer, "", class.GiveUp.Seconds()*1000)
+	g.note(a, n, record.Offer, g.tenant, class.GiveUp.Seconds()*1000)
 	conn := g.http
 	var cut atomic.Value
 	after := func(d time.Duration, why string) *time.Timer {
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -384,7 +384,7 @@
 }
 
 // creditOver is the time in which a tenant may save up what it asks for less than its share.
-const creditOver = 3 * time.Second
+const creditOver = 5 * time.Second
 
 // drain turns away what is late and hands on what there is room for.
 func (l *Limiter) drain(now time.Duration) {
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -236,13 +236,14 @@
 }
 
 // Ahead is the most work that is done before an item of a tenant that came now:
-// all that waits, or as much for each other as for the tenant itself.
+// all that waits, or as much for each other as for the tenant itself, but for what
+// the tenant has saved up.
 func (q *Queue) Ahead(tenant int) float64 {
 	l := q.lanes[tenant]
 	if l == nil {
 		return min(q.size, max(q.begins(tenant)-q.now, 0)*(q.shares+q.weightOf(tenant)))
 	}
-	return min(q.size, (l.waiting+max(l.start-q.now, 0))*q.shares)
+	return min(q.size, max(l.waiting*l.weight, (l.start+l.waiting-q.now)*q.shares))
 }
 
 // Due is when the next item is late.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -15,7 +15,7 @@
 const (
 	// Clients'.
 	Open  = "open"  // a session is open at Router
-	Offer = "offer" // a try is sent: Req, Try, Router, Class; N is the ms until it is given up
+	Offer = "offer" // a try is sent: Req, Try, Router, Class; N is the ms until it is given up, Note the tenant
 	Token = "token" // the first one alone
 	Final = "final" // Note is served, refused, failed or cancelled; N is the retry-after in ms
 	After = "after" // something came for a try that had its final answer
