--- a/internal/daemon/http_test.go
+++ b/internal/daemon/http_test.go
@@ -117,6 +117,11 @@
 	if res, _ := c.answer(); res.StatusCode != 200 || !res.Close || !c.ended() {
 		t.Errorf("%v", res)
 	}
+	wrong := w.dial(t)
+	wrong.send(post("/v1/embeddings", "{}") + post("/v1/embeddings", embedding))
+	if res, _ := wrong.answer(); res.StatusCode != 400 || !res.Close || !wrong.ended() {
+		t.Errorf("behind a wrong one: %v", res)
+	}
 	slow := w.dial(t) // the second comes while the first is under way
 	w.reader.Set(func(f *standin.Faults) { f.Slow = 200 })
 	slow.send(post("/v1/embeddings", embedding))
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -149,6 +149,40 @@
 	}
 }
 
+// What waits and is then turned away, pushed out or late, has its budget back.
+func TestTurnedAwayIsGivenBack(t *testing.T) {
+	l := New(settings(func(set *Settings) {
+		set.Start, set.Least, set.Most, set.Waiting = 1, 1, 1, 1
+		set.Tenants[0].Budgets = []Budget{{Class: -1, Requests: Rate{0.001, 3}}}
+	}))
+	l.Ask(0, request(1, 0, 0))
+	l.Ask(0, request(2, 0, 0))
+	if v := only(t, l.Ask(0, request(3, 0, 0))); v.Why != Crowded {
+		t.Fatalf("%+v", v)
+	}
+	if v := only(t, l.Tick(10*s)); v.ID != 2 || v.Why != Waited {
+		t.Fatalf("%+v", v)
+	}
+	if r, _ := l.Remaining(10*s, 0, 0); r.Remaining < 2 {
+		t.Errorf("%.1f of 3 left after one of three passed", r.Remaining)
+	}
+}
+
+// What is owed was forgiven at the rate of its time: a change of routers changes nothing of it.
+func TestDivideSettles(t *testing.T) {
+	l := New(settings(func(set *Settings) {
+		set.Routers, set.Start = 2, 100
+		set.Tenants[0].Budgets = []Budget{{Class: -1, Requests: Rate{100, 100}}}
+	}))
+	for id := range uint64(50) {
+		l.Ask(0, request(id, 0, 0))
+	}
+	l.Fleet(500*ms, 100)
+	if used := l.meters[[2]int{0, 0}].requests.used; used > 25 {
+		t.Errorf("%.1f of 50 are owed after half a second at 50 a second", used)
+	}
+}
+
 // A batch pays once; its parts then pass, and count no try of its client.
 func TestPaid(t *testing.T) {
 	l := New(settings(func(set *Settings) {
@@ -230,6 +264,10 @@
 	}
 	whole := rate(0)
 	l.Fleet(20*s, 5)
+	l.Tick(22 * s)
+	if l.View().Routers != 10 {
+		t.Error("fewer routers count at once")
+	}
 	for at := 20 * s; at < 23*s; at += 100 * ms { // it flaps
 		l.Fleet(at, 5+5*int(at/(100*ms)%2))
 	}
--- a/internal/limits/queue_test.go
+++ b/internal/limits/queue_test.go
@@ -143,6 +143,7 @@
 func TestCredit(t *testing.T) {
 	q := NewQueue(1000, alike)
 	q.Credit = 3
+	q.Add(Item{ID: 1000, Tenant: 2, Size: 1, Deadline: time.Hour})
 	for i := range 100 {
 		q.Add(Item{ID: uint64(i), Tenant: 1, Size: 1, Deadline: time.Hour})
 	}
