--- a/cmd/gannethook/main_test.go
+++ b/cmd/gannethook/main_test.go
@@ -80,6 +80,20 @@
 	shortDay(t, func() (*day.Script, error) { return day.Load("../../internal/day/all.gann") }, 0.25)
 }
 
+// Three fronts before one fleet, shortened: sessions, chat over HTTP, batches;
+// one tenant bursts, clients stop reading, half the routers die.
+func TestShortFronts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes a quarter of a minute")
+	}
+	r := shortDay(t, func() (*day.Script, error) { return day.Load("../../internal/day/fronts.gann") }, 0.25)
+	for i, c := range r.Script.Classes {
+		if r.Class[i].Served == 0 {
+			t.Errorf("nothing of class %s was served", c.Name)
+		}
+	}
+}
+
 // Ops restarts and drains ten routers in turn under load, shortened; three are
 // killed in the middle of a command, one hangs. No answer is lost, nobody is
 // shut out of a ready router, and every exit status is what happened.
