Bodies under way are bounded together; an answer too large is told, not cut off

Each connection could hold 16 MiB of a body: 20,000 of them more than any machine has. Both have tests.

--- a/internal/daemon/http_test.go
+++ b/internal/daemon/http_test.go
@@ -191,6 +191,25 @@
 	}
 }
 
+// An answer that grows too large is told as failed; bodies beyond their memory are refused.
+func TestTooLarge(t *testing.T) {
+	w := newWorld(t, func(cfg *settings.File) { cfg.HTTP.Answer, cfg.HTTP.Bodies = 30, 300 })
+	c := w.dial(t)
+	c.send(post("/v1/chat/completions", `{"model":"m","max_tokens":200,"messages":[{"role":"user","content":"x"}]}`))
+	if res, body := c.answer(); res.StatusCode != 500 || !strings.Contains(body, "too large") {
+		t.Errorf("%v %s", res, body)
+	}
+	c.send(post("/v1/embeddings", `{"model":"m","input":"`+strings.Repeat("x", 400)+`"}`))
+	if res, body := c.answer(); res.StatusCode != 503 || !strings.Contains(body, `"refused"`) {
+		t.Errorf("%v %s", res, body)
+	}
+	again := w.dial(t) // what was read of it is free again
+	again.send(post("/v1/embeddings", embedding))
+	if res, body := again.answer(); res.StatusCode != 500 || !strings.Contains(body, "too large") { // 30 bytes hold no embedding
+		t.Errorf("%v %s", res, body)
+	}
+}
+
 // A client that leaves takes its batch back: the engine's work is called off,
 // nothing stays open.
 func TestClientLeavesBatch(t *testing.T) {
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -20,7 +20,8 @@
 
 	mu     sync.Mutex // held while a token is written: never by Final
 	begun  bool
-	broken bool // the client does not read, or the text is too long
+	broken bool // the client does not read
+	long   bool // the text is larger than an answer may be
 	text   []byte
 	event  []byte
 }
@@ -70,13 +71,13 @@
 func (k *chat) Token(text []byte) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.broken || k.x.over() {
+	if k.broken || k.long || k.x.over() {
 		return false
 	}
 	if !k.ask.Stream {
 		k.text = append(k.text, text[1:len(text)-1]...)
-		k.broken = len(k.text) > int(k.x.l.s.cfg.Load().HTTP.Answer)
-		return !k.broken
+		k.long = len(k.text) > int(k.x.l.s.cfg.Load().HTTP.Answer)
+		return !k.long
 	}
 	k.event = k.event[:0]
 	if !k.begun {
@@ -120,6 +121,9 @@
 	if a.Tokens >= k.x.job.MaxTokens {
 		reason = "length"
 	}
+	if k.long { // its engine was cut off, as if nobody read
+		a = driver.Answer{Kind: driver.Failed, Reason: "the answer is too large", MayHaveRun: true}
+	}
 	switch {
 	case k.broken || a.Kind == driver.Cancelled:
 		k.x.keep = false // nobody reads
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -47,6 +47,10 @@
 	x := &exchange{l: l, req: req, class: -1, done: make(chan struct{}),
 		id:   fmt.Sprintf("%s-%s-%d", map[settings.Work]string{settings.Chat: "chatcmpl", settings.Embedding: "embd", settings.Rerank: "rerank"}[work], l.s.boot, l.s.serial.Add(1)),
 		keep: req.Minor == 1 && !req.Header.Has("Connection", "close")}
+	defer func() {
+		l.s.bodies.Add(-l.held)
+		l.held = 0
+	}()
 	stops := l.s.stopping()
 	if stops && !l.s.adopted(l.raw) {
 		x.keep = false
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -35,6 +35,7 @@
 	boot   string                        // names this life of the router
 	guard  *guard
 	serial atomic.Uint64
+	bodies atomic.Int64 // bytes of requests under way
 	done   func(driver.Summary)
 	left   func() // a connection has ended
 
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -46,7 +46,7 @@
 	"limits attempts", "limits repeats", "limits retry-after", "limits open",
 	"admit on", "admit waiting", "admit wait-part", "admit in-hand-least", "admit in-hand-start", "admit in-hand-most",
 	"admit retries", "admit clients", "admit shed", "admit back", "admit back-most",
-	"http body", "http answer", "http read", "http idle", "http write",
+	"http body", "http bodies", "http answer", "http read", "http idle", "http write",
 	"http part", "http part-items", "http parts-out", "http part-tries",
 	"sessions most", "sessions responses", "sessions message", "sessions conversation", "sessions pending",
 	"sessions idle", "sessions handshake", "sessions bytes-per-token", "sessions drain",
--- a/internal/settings/admit.go
+++ b/internal/settings/admit.go
@@ -61,8 +61,8 @@
 		return sexp.Errorf(a.At, "waiting, clients and in-hand-least are 1 at the least; in-hand-start and in-hand-most no less than that")
 	case a.WaitPart <= 0 || a.WaitPart > 1:
 		return sexp.Errorf(a.At, "wait-part is above 0 and 1 at the most")
-	case h.Body < 1024 || h.Answer < 1024 || h.Part < 1 || h.PartItems < 1 || h.PartsOut < 1 || h.PartTries < 1:
-		return sexp.Errorf(f.At, "http: body and answer are 1KiB at the least; part, part-items, parts-out and part-tries 1")
+	case h.Body < 1024 || h.Bodies < h.Body || h.Answer < 1024 || h.Part < 1 || h.PartItems < 1 || h.PartsOut < 1 || h.PartTries < 1:
+		return sexp.Errorf(f.At, "http: body and answer are 1KiB at the least, bodies no less than body; part, part-items, parts-out and part-tries 1")
 	case f.Keys.File != "" && f.Keys.Every <= 0:
 		return sexp.Errorf(f.At, "(every ...) of the keys is above 0")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,6 +127,7 @@
 // HTTP bounds the HTTP APIs.
 type HTTP struct {
 	Body      sexp.Bytes    `gann:"body"`
+	Bodies    sexp.Bytes    `gann:"bodies"` // of all requests under way
 	Answer    sexp.Bytes    `gann:"answer"`
 	Read      time.Duration `gann:"read"`  // a request's body is whole by then
 	Idle      time.Duration `gann:"idle"`  // an unused connection closes
@@ -306,7 +307,7 @@
 			Drain: 30 * time.Second},
 		Admit: Admit{On: true, Waiting: 2000, WaitPart: 0.5, Least: 4, Start: 64, Most: 8192, Retries: 0.2, Clients: 100000,
 			Shed: true, Back: 250 * time.Millisecond, BackMost: 10 * time.Second},
-		HTTP: HTTP{Body: 16 << 20, Answer: 128 << 20, Read: 30 * time.Second, Idle: 75 * time.Second, Write: 10 * time.Second,
+		HTTP: HTTP{Body: 16 << 20, Bodies: 1 << 30, Answer: 128 << 20, Read: 30 * time.Second, Idle: 75 * time.Second, Write: 10 * time.Second,
 			Part: 1000, PartItems: 64, PartsOut: 8, PartTries: 8},
 		Keys: Keys{Every: time.Second},
 		Engines: Engines{Holds: true, Cancel: true, Dial: e.Dial, Idle: e.Idle, IdleConns: e.IdleConns, Spare: e.Spare,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,7 +82,7 @@
 		`(tls (cert "c"))`:                                            `f:3:1: tls needs (domain ...), (cert ...), (key ...) and (authority ...)`,
 		`(admit (in-hand-least 100))`:                                 `f:3:1: waiting, clients and in-hand-least are 1 at the least; in-hand-start and in-hand-most no less than that`,
 		`(admit (wait-part 2))`:                                       `f:3:1: wait-part is above 0 and 1 at the most`,
-		`(http (part 0))`:                                             `f:1:1: http: body and answer are 1KiB at the least; part, part-items, parts-out and part-tries 1`,
+		`(http (part 0))`:                                             `f:1:1: http: body and answer are 1KiB at the least, bodies no less than body; part, part-items, parts-out and part-tries 1`,
 		`(name other)`:                                                `f:3:1: "name" is given twice`,
 	} {
 		_, err := Parse("f", good+"\n"+change)
