--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -88,18 +88,24 @@
 
 // idle waits for the next request.
 func (l *link) idle() bool {
-	if !l.s.rest(l.raw, true) {
-		return false
-	}
+	l.s.rest(l.raw, true)
 	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Load().HTTP.Idle))
 	if l.s.stopping() { // it may have turned before the deadline was set
-		return false
+		l.nc.SetReadDeadline(past)
 	}
 	_, err := l.br.Peek(1)
+	if err != nil && l.s.stopping() {
+		// Woken by the router's turn: a request that is on its way is taken, for its client can't know.
+		l.nc.SetReadDeadline(time.Now().Add(onItsWay))
+		_, err = l.br.Peek(1)
+	}
 	l.s.rest(l.raw, false)
 	return err == nil
 }
 
+// onItsWay is how long an idle connection is still heard once the router turns.
+const onItsWay = 50 * time.Millisecond
+
 // upgrade makes the connection a session's.
 func (l *link) upgrade(req *http1.Request) {
 	who, bad := l.s.caller(req, l.identity)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -235,15 +235,13 @@
 // past wakes a read that waits.
 var past = time.Unix(1, 0)
 
-// rest marks a connection as between two requests, or as at work again. It tells
-// whether the router takes more on it.
-func (s *Server) rest(nc net.Conn, idle bool) bool {
+// rest marks a connection as between two requests, or as at work again.
+func (s *Server) rest(nc net.Conn, idle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g := s.conns[nc]; g != nil {
 		g.idle = idle
 	}
-	return !s.closing
 }
 
 // Cut closes every connection, whatever it is about.
