--- a/internal/limits/queue_test.go
+++ b/internal/limits/queue_test.go
@@ -201,3 +201,23 @@
 		})
 	}
 }
+
+// Within a tenant the higher priority comes first, then the earlier; it moves nothing between tenants.
+func TestPriority(t *testing.T) {
+	q := NewQueue(100, alike)
+	for i, priority := range []int{0, 0, 2, 1, 2} {
+		q.Add(Item{ID: uint64(i), Tenant: 1, Size: 1, Priority: priority, Deadline: time.Hour})
+		q.Add(Item{ID: uint64(10 + i), Tenant: 2, Size: 1, Deadline: time.Hour})
+	}
+	var ones []uint64
+	for range 10 {
+		if x := q.Next(); x.Tenant == 1 {
+			ones = append(ones, x.ID)
+		} else if gap := len(ones)*2 - int(x.ID-9)*2; gap < -2 || gap > 2 {
+			t.Errorf("%d of the first tenant before the %d. of the other", len(ones), x.ID-9)
+		}
+	}
+	if fmt.Sprint(ones) != "[2 4 3 0 1]" {
+		t.Errorf("order %v", ones)
+	}
+}
