Retry budgets grow with a client's first tries, so that router deaths are let pass

Ten saved up are a tenth of a second of a busy tenant's requests: when half the routers die, all that they had open comes again at once, and would have been refused with a wait of ten seconds. Two seconds' worth is saved up now.

--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -205,7 +205,7 @@
 		l.clients[a.Client] = b
 	}
 	if a.Retry {
-		return b.again(now)
+		return b.again(now, l.set.Retries)
 	}
 	b.first(now, l.set.Retries)
 	return 0
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -230,6 +230,36 @@
 	}
 }
 
+// When half the routers die, the requests that they had open come again at once at
+// the others: a client with many requests has saved up enough for them.
+func TestRetriesAfterDeaths(t *testing.T) {
+	l := New(settings(func(set *Settings) { set.Retries, set.Start, set.Most = 0.2, 1e6, 1e6 }))
+	id, refused := uint64(0), 0
+	try := func(now time.Duration, again bool) {
+		id++
+		a := request(id, 0, 0)
+		a.Client, a.Retry = 1, again
+		if !only(t, l.Ask(now, a)).Pass {
+			refused++
+		}
+	}
+	for at := time.Duration(0); at < 30*s; at += 10 * ms {
+		try(at, false)
+	}
+	for range 150 { // a second and a half of all that the dead ones had
+		try(30*s, true)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 150 turned away", refused)
+	}
+	for range 1500 { // and a storm
+		try(30*s, true)
+	}
+	if refused < 1300 {
+		t.Errorf("%d of a storm of 1,500 turned away", refused)
+	}
+}
+
 // Clients are forgotten within their bound.
 func TestClientsBounded(t *testing.T) {
 	l := New(settings(func(set *Settings) { set.Retries, set.Start, set.Most = 0.1, 1e6, 1e6 }))
--- a/internal/limits/quota.go
+++ b/internal/limits/quota.go
@@ -95,33 +95,39 @@
 }
 
 // retries is a client's budget of tries again (as Finagle's and gRPC's): each
-// first try adds a part of one, each try again takes one.
+// first try adds a part of one, each try again takes one. What is saved up is
+// bounded by the client's first tries of late: when half the routers die, all
+// that they had open comes again at once, and is let in; a storm is not.
 type retries struct {
-	left float64
-	at   time.Duration
+	left   float64
+	at     time.Duration
+	firsts arrivals
 }
 
 const (
-	retriesMost = 10.0 // saved up at the most, and had at the start
+	retriesMost = 10.0 // saved up at the least bound, and had at the start
+	retriesPart = 0.2  // of the first tries in countOver, which may be saved up: what two seconds brought
 	retriesIdle = 0.1  // a second, so that a client with few requests may try again
 )
 
 func (b *retries) settle(now time.Duration) {
-	b.left = min(b.left+retriesIdle*(now-b.at).Seconds(), retriesMost)
+	b.left = min(b.left+retriesIdle*(now-b.at).Seconds(), max(retriesMost, retriesPart*b.firsts.left(now)))
 	b.at = now
 }
 
 func (b *retries) first(now time.Duration, part float64) {
+	b.firsts.count(now)
+	b.left += part
 	b.settle(now)
-	b.left = min(b.left+part, retriesMost)
 }
 
 // again takes one; it tells how long the next one is away where there is none.
-func (b *retries) again(now time.Duration) time.Duration {
+func (b *retries) again(now time.Duration, part float64) time.Duration {
 	b.settle(now)
 	if b.left >= 1 {
 		b.left--
 		return 0
 	}
-	return time.Duration((1 - b.left) / retriesIdle * float64(time.Second))
+	perSecond := retriesIdle + part*b.firsts.left(now)/countOver.Seconds()
+	return time.Duration((1 - b.left) / perSecond * float64(time.Second))
 }
