--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -162,7 +162,7 @@
 		t.turnAway(driver.Answer{Kind: driver.Refused, Reason: err.Error(), RetryAfter: time.Second})
 		return false
 	}
-	if gone {
+	if gone && call != nil {
 		call.Abandon()
 	}
 	return true
