--- a/internal/daemon/http_test.go
+++ b/internal/daemon/http_test.go
@@ -184,6 +184,11 @@
 			t.Errorf("%s: %d %s", c.name, res.StatusCode, body)
 		}
 	}
+	slow := w.dial(t) // its whole body is on its way before it reads
+	slow.send(post("/v1/embeddings", `{"model":"m","input":"`+strings.Repeat("x", 800<<10)+`"}`))
+	if res, _ := slow.answer(); res.StatusCode != 413 {
+		t.Errorf("a large body: %v", res)
+	}
 	for _, e := range w.log.Events() {
 		if e.Kind == "arrive" {
 			t.Errorf("an engine got %v", e)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -43,10 +43,15 @@
 }
 
 // api serves one request; it tells whether another may follow.
-func (l *link) api(req *http1.Request, path string, work settings.Work) bool {
+func (l *link) api(req *http1.Request, work settings.Work) bool {
 	x := &exchange{l: l, req: req, class: -1, done: make(chan struct{}),
 		id:   fmt.Sprintf("%s-%s-%d", map[settings.Work]string{settings.Chat: "chatcmpl", settings.Embedding: "embd", settings.Rerank: "rerank"}[work], l.s.boot, l.s.serial.Add(1)),
 		keep: req.Minor == 1 && !req.Header.Has("Connection", "close")}
+	defer func() {
+		if !x.keep {
+			l.linger() // what was not read of the body would reset the connection, and lose the answer
+		}
+	}()
 	defer func() {
 		l.s.bodies.Add(-l.held)
 		l.held = 0
@@ -76,9 +81,6 @@
 	if bad != nil {
 		x.fail(bad)
 	}
-	if !x.keep {
-		l.linger()
-	}
 	return x.keep
 }
 
@@ -128,7 +130,7 @@
 	class := &cfg.Classes[x.class]
 	x.job.Job = driver.Job{Class: x.class, ClassName: class.Name, Tenant: tenant, TenantName: name, SessionID: x.id,
 		GiveUp: class.GiveUp, Model: model, Idempotency: x.req.Header.Get("Idempotency-Key")}
-	if strings.ContainsFunc(x.job.Idempotency, func(r rune) bool { return r <= ' ' || r > '~' }) || len(x.job.Idempotency) > realtime.MaxMetaText {
+	if !printable(x.job.Idempotency) || len(x.job.Idempotency) > realtime.MaxMetaText {
 		return rest.Invalid("Idempotency-Key", "printable ASCII without spaces expected")
 	}
 	n, _ := strconv.Atoi(x.req.Header.Get("X-Stainless-Retry-Count")) // OpenAI's clients tell their tries again
@@ -248,7 +250,7 @@
 // write writes in steps that each have the time of a write: a client that reads
 // slowly is waited for, one that has stopped is cut.
 func (x *exchange) write(p []byte) {
-	for len(p) > 0 && x.l.bw != nil {
+	for len(p) > 0 {
 		n := min(len(p), 64<<10)
 		x.l.nc.SetWriteDeadline(time.Now().Add(x.l.s.cfg.Load().HTTP.Write))
 		if _, err := x.l.bw.Write(p[:n]); err != nil {
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -73,7 +73,7 @@
 	case isAPI && req.Method != "POST":
 		l.plain("405 Method Not Allowed", http1.Field{Name: "Allow", Value: "POST"})
 	case isAPI:
-		return l.api(req, path, work)
+		return l.api(req, work)
 	case path == LivePath, path == ReadyPath && !l.s.stopping():
 		l.plain("200 OK")
 	case path != Path && path != ReadyPath:
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -81,7 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.revoked:
+	case c.revoked || c.who.key != "" && !c.srv.keys.Load().Good(time.Now(), c.who.key): // it may have ended by its time
 		return "invalid_api_key", "the session's API key was taken back"
 	case c.going:
 		return "going_away", "the router stops; open a session elsewhere"
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -390,7 +390,7 @@
 func (l *Limiter) drain(now time.Duration) {
 	l.shed.round(now)
 	if l.fleet.tick(now) {
-		l.divide(now, l.fleet.now)
+		l.divide(now, l.fleet.next)
 	}
 	for x := l.queue.Late(now); x != nil; x = l.queue.Late(now) {
 		l.shed.count(true)
@@ -507,15 +507,15 @@
 	l.settle(now)
 	before := l.set
 	l.set = set
-	if set.Routers != before.Routers {
-		l.Fleet(now, set.Routers)
-	}
 	for key := range l.meters {
 		t := key[0]
 		if t >= len(set.Tenants) || len(set.Tenants[t].Budgets) != len(before.Tenants[t].Budgets) {
 			delete(l.meters, key)
 		}
 	}
+	if set.Routers != before.Routers { // by the budgets that are left
+		l.Fleet(now, set.Routers)
+	}
 	level := l.shed.level
 	l.shed = newShed(set.Classes)
 	l.shed.level, l.shed.since = min(level, l.shed.top), now
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -181,6 +181,29 @@
 	if used := l.meters[[2]int{0, 0}].requests.used; used > 25 {
 		t.Errorf("%.1f of 50 are owed after half a second at 50 a second", used)
 	}
+	l = New(l.set)
+	for id := range uint64(50) {
+		l.Ask(0, request(id, 0, 0))
+	}
+	l.Fleet(0, 1) // the other has died
+	l.Tick(3 * s)
+	if p := l.meters[[2]int{0, 0}]; p.requests.at != 3*s || p.requests.used != 0 || l.fleet.now != 1 {
+		t.Errorf("%+v, %d routers", p, l.fleet.now)
+	}
+}
+
+// A reload that takes a budget away and changes the routers at once looks at no budget that is gone.
+func TestReloadTakesBudgetAway(t *testing.T) {
+	set := settings(func(set *Settings) {
+		set.Tenants[0].Budgets = []Budget{{Class: -1, Requests: Rate{10, 10}}, {Class: 0, Requests: Rate{5, 5}}}
+	})
+	l := New(set)
+	l.Ask(0, request(1, 0, 0))
+	next := settings(func(set *Settings) { set.Routers = 7 })
+	l.Reload(ms, next)
+	if v := only(t, l.Ask(2*ms, request(2, 0, 0))); !v.Pass || l.View().Routers != 7 {
+		t.Errorf("%+v, %d routers", v, l.View().Routers)
+	}
 }
 
 // A batch pays once; its parts then pass, and count no try of its client.
--- a/internal/limits/quota.go
+++ b/internal/limits/quota.go
@@ -38,12 +38,9 @@
 // due tells when tick changes the divisor.
 func (r *routers) due() (time.Duration, bool) { return r.nextAt, r.next < r.now }
 
+// tick tells whether the smaller number counts now.
 func (r *routers) tick(now time.Duration) bool {
-	if r.next >= r.now || now < r.nextAt {
-		return false
-	}
-	r.now = r.next
-	return true
+	return r.next < r.now && now >= r.nextAt
 }
 
 // arrivals counts a tenant's own requests at this router, older ones fading.
