--- /dev/null
+++ b/cmd/gannethook/platform.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"gannethook/internal/platform"
+	"gannethook/internal/platform/config"
+)
+
+func platformCommand() *cobra.Command {
+	var level string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a router on the users' platform",
+		Long: `Run a router that speaks the users' platform's protocol (docs/platform.md). What
+it needs to know comes by EDGE_CONFIG, EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY.
+
+SIGTERM answers all that was taken and stops. SIGHUP reads the configuration again.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			signals := make(chan os.Signal, 4) // from the first moment on
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+			defer signal.Stop(signals)
+			cfg, err := config.Load(os.Getenv)
+			if err != nil {
+				return err
+			}
+			log, _, err := logger(level)
+			if err != nil {
+				return err
+			}
+			r, err := platform.New(cfg, log)
+			if err != nil {
+				return err
+			}
+			return r.Run(context.Background(), signals)
+		},
+	}
+	cmd.Flags().StringVar(&level, "log", "info", "level of the log: debug, info, warn, error or off")
+	return cmd
+}
--- /dev/null
+++ b/internal/attempt/attempt.go
@@ -0,0 +1,56 @@
+// Package attempt has what the driver and its ways out to servers tell each
+// other of one attempt, whatever protocol carries it.
+package attempt
+
+import (
+	"encoding/json"
+	"time"
+
+	"gannethook"
+)
+
+// Call is one attempt at a server.
+type Call struct {
+	Addr        string // or another name that the way out knows the server by
+	Key         string // names the read and its state at the servers
+	Model       string
+	Class       string
+	Tenant      string
+	Idempotency string
+	Prompt      string
+	MaxTokens   int
+	PromptSize  float64 // tokens, as the router counts them
+	KeptKey     string  // the shared beginning, for servers that keep text by it
+	Params      json.RawMessage
+	Sampling    json.RawMessage         // an object of fields that the server takes as they are
+	Path        string                  // of a request that goes as it came, and of one-stage work
+	Body        []byte                  // its body, as the server takes it,
+	Check       func(body []byte) error // and whether an answer is one
+	Timeout     time.Duration           // how long the router will wait; 0: not known
+	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Outcome  gannethook.Outcome
+	NoState  bool
+	Reported bool
+	Memory   float64
+	Params   json.RawMessage // of a read that is done
+	Tokens   int
+	Body     json.RawMessage // of one-stage work that is done
+	Detail   string          // why, for the log
+}
+
+// Held is a state or place that may be held for a request.
+type Held struct{ Addr, Key string }
+
+// Place answers a request for a place.
+type Place int
+
+// The answers. What is Unknown may be held all the same.
+const (
+	Unknown Place = iota
+	Granted
+	Denied
+)
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -22,6 +22,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
 
+	"gannethook/internal/attempt"
 	"gannethook/internal/client"
 	"gannethook/internal/control"
 	pb "gannethook/internal/control/controlpb"
@@ -130,9 +131,9 @@
 	first := func(addr string, read string) time.Duration {
 		from, took := time.Now(), time.Duration(0)
 		if read != "" {
-			cl.Read(context.Background(), &engine.Call{Addr: read, Key: "k", Prompt: "hello", MaxTokens: 4})
+			cl.Read(context.Background(), &attempt.Call{Addr: read, Key: "k", Prompt: "hello", MaxTokens: 4})
 		}
-		r := cl.Write(context.Background(), &engine.Call{Addr: addr, Key: "k", Prompt: "hello", MaxTokens: 4},
+		r := cl.Write(context.Background(), &attempt.Call{Addr: addr, Key: "k", Prompt: "hello", MaxTokens: 4},
 			func() bool { took = time.Since(from); return true }, func([]byte) bool { return true })
 		if took == 0 {
 			b.Fatalf("%+v", r)
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"gannethook"
-	"gannethook/internal/engine"
+	"gannethook/internal/attempt"
 )
 
 // Call is one request until its last attempt has ended. All but Abandon is the
@@ -20,7 +20,7 @@
 	sink Sink
 	came time.Time
 
-	attempts  []*attempt
+	attempts  []*try
 	out       int // attempts that are out
 	answered  bool
 	forgotten bool
@@ -34,24 +34,18 @@
 	params   []byte // that its reader returned; nil once its state was let go
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
-	held     []heldAt // what may be held, and where, until it is let go
-	releases int      // how often all was let go: tells late grants
+	held     []attempt.Held // what may be held, and where, until it is let go
+	releases int            // how often all was let go: tells late grants
 }
 
-const releaseTries = 4 // each bounded by the engines' client
-
-// heldAt is a state or place that may be held for the request.
-type heldAt struct {
-	server gannethook.ServerID
-	key    string
-}
-
-type attempt struct {
+type try struct {
 	n      int
 	server gannethook.ServerID
 	reads  bool
 	out    bool
 	cancel context.CancelFunc
+	sent   *attempt.Mark
+	over   chan struct{} // closed once its goroutine has left the server's connection; nil: there is none
 	// Once it has ended; 0 before:
 	outcome gannethook.Outcome
 	detail  string
@@ -68,7 +62,7 @@
 		c.d.tell(gannethook.ClientGone{ID: c.id})
 		for _, a := range c.attempts { // a stream is the client's: it ends with it
 			if a.out {
-				c.finish(a.n, engine.Result{Outcome: gannethook.Cancelled, Detail: "its client left"})
+				c.finish(a.n, attempt.Result{Outcome: gannethook.Cancelled, Detail: "its client left"})
 			}
 		}
 	})
@@ -88,7 +82,7 @@
 
 // mayHaveRun tells whether an attempt at a writer is not proven not to have run.
 func (c *Call) mayHaveRun() bool {
-	return slices.ContainsFunc(c.attempts, func(a *attempt) bool {
+	return slices.ContainsFunc(c.attempts, func(a *try) bool {
 		return !a.reads && a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed &&
 			a.outcome != gannethook.Moot
 	})
@@ -97,28 +91,32 @@
 // send starts an attempt. One for a request that is answered, or whose stream
 // has begun, is moot.
 func (c *Call) send(s gannethook.Send) gannethook.Event {
-	a := &attempt{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
+	a := &try{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
 		out: true}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	var ctx context.Context
 	ctx, a.cancel = context.WithCancel(c.d.ctx)
 	if c.answered || c.streaming {
-		return c.end(a.n, engine.Result{Outcome: gannethook.Moot})
+		return c.end(a.n, attempt.Result{Outcome: gannethook.Moot})
 	}
-	if a.reads || c.params == nil { // a server that reads and writes gets the request whole
+	switch {
+	case c.job.Name != "":
+		c.key = c.job.Name
+	case a.reads || c.params == nil: // a server that reads and writes gets the request whole
 		c.key = fmt.Sprintf("%s-%d-%d", c.d.boot, c.id, a.n)
 	}
 	switch {
 	case a.reads:
-		c.held = append(c.held, heldAt{s.Server, c.key})
+		c.held = append(c.held, attempt.Held{Addr: string(s.Server), Key: c.key})
 		c.reader = s.Server
 	case c.oneStage():
 		c.reader = s.Server
 	default:
 		c.writer = s.Server
 	}
-	call := &engine.Call{Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
+	a.sent, a.over = attempt.NewMark(), make(chan struct{})
+	call := &attempt.Call{Sent: a.sent, Timeout: c.allowed(s.Timeout), Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
 		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body, Check: c.job.Check,
 		Sampling: c.job.Sampling}
@@ -132,21 +130,32 @@
 	return nil
 }
 
+// allowed is how long an attempt is waited for, until the client gives up at most.
+func (c *Call) allowed(timeout gannethook.Millis) time.Duration {
+	left := c.job.GiveUp - time.Since(c.came)
+	if timeout > 0 {
+		left = min(left, time.Duration(float64(timeout)*1e6))
+	}
+	return max(left, time.Millisecond)
+}
+
 // oneStage tells whether the work ends where it is read.
 func (c *Call) oneStage() bool { return c.d.cfg.Settings.Classes[c.job.Class].OneStage }
 
 // attempt runs on its own goroutine.
-func (c *Call) attempt(ctx context.Context, a *attempt, call *engine.Call) {
-	var r engine.Result
+func (c *Call) attempt(ctx context.Context, a *try, call *attempt.Call) {
+	var r attempt.Result
 	switch {
 	case a.reads:
 		r = c.d.cfg.Engines.Read(ctx, call)
-	case call.Path != "":
+	case c.oneStage():
 		r = c.d.cfg.Engines.Do(ctx, call)
 	default:
 		r = c.d.cfg.Engines.Write(ctx, call, func() bool { return c.started(a) }, c.relay)
 	}
 	a.cancel()
+	a.sent.Set(false)
+	close(a.over)
 	c.d.post(func() { c.finish(a.n, r) })
 }
 
@@ -155,7 +164,7 @@
 
 // started asks the driver's goroutine whether the first token may pass: it may
 // not where the final answer was quicker.
-func (c *Call) started(a *attempt) bool {
+func (c *Call) started(a *try) bool {
 	ok := make(chan bool, 1)
 	if !c.d.post(func() { ok <- c.stream(a) }) {
 		return false
@@ -168,7 +177,7 @@
 	}
 }
 
-func (c *Call) stream(a *attempt) bool {
+func (c *Call) stream(a *try) bool {
 	if !a.out || c.answered || c.streaming {
 		return false
 	}
@@ -179,7 +188,7 @@
 }
 
 // finish takes an attempt's outcome to the module.
-func (c *Call) finish(n int, r engine.Result) {
+func (c *Call) finish(n int, r attempt.Result) {
 	if ev := c.end(n, r); ev != nil {
 		c.d.tell(ev)
 	}
@@ -187,7 +196,7 @@
 
 // end takes an attempt out and returns its event; nil if it had ended before.
 // A stream's end is the client's final answer.
-func (c *Call) end(n int, r engine.Result) gannethook.Event {
+func (c *Call) end(n int, r attempt.Result) gannethook.Event {
 	if n < 0 || n >= len(c.attempts) || !c.attempts[n].out {
 		return nil
 	}
@@ -217,7 +226,7 @@
 // timedOut ends an attempt whose time has run out before its first token.
 func (c *Call) timedOut(n int) {
 	if n < len(c.attempts) && c.attempts[n].out && !c.streaming {
-		c.finish(n, engine.Result{Outcome: gannethook.TimedOut, Detail: "time-out"})
+		c.finish(n, attempt.Result{Outcome: gannethook.TimedOut, Detail: "time-out"})
 	}
 }
 
@@ -228,14 +237,14 @@
 	if n < 0 || c.key == "" {
 		return
 	}
-	call := &engine.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
-		Class: c.job.ClassName}
-	reader, epoch := string(c.reader), c.releases
-	c.held = append(c.held, heldAt{w, c.key})
+	call := &attempt.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
+		Class: c.job.ClassName, Sent: c.attempts[n].sent}
+	reader, epoch, h := string(c.reader), c.releases, attempt.Held{Addr: string(w), Key: c.key}
+	c.held = append(c.held, h)
 	c.d.work.Go(func() {
-		ok, err := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
-		if !c.d.post(func() { c.granted(w, call.Key, n, epoch, ok, err) }) {
-			c.letGo([]heldAt{{w, call.Key}})
+		place := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
+		if !c.d.post(func() { c.granted(h, n, epoch, place) }) {
+			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), []attempt.Held{h})
 		}
 	})
 }
@@ -243,19 +252,19 @@
 // granted takes the answer to a hold that was asked for during attempt n. One
 // that is late is let go, also where the answer streams: it may have been
 // granted after the stream had come in without it.
-func (c *Call) granted(w gannethook.ServerID, key string, n, epoch int, ok bool, err error) {
-	refused := !ok && err == nil // for certain: nothing is held
+func (c *Call) granted(h attempt.Held, n, epoch int, place attempt.Place) {
 	if c.forgotten || epoch != c.releases {
-		if !refused {
-			c.letGo([]heldAt{{w, key}})
+		if place != attempt.Denied {
+			c.letGo([]attempt.Held{h})
 		}
 		return
 	}
-	if refused {
-		c.held = slices.DeleteFunc(c.held, func(h heldAt) bool { return h == heldAt{w, key} })
+	if place == attempt.Denied {
+		c.held = slices.DeleteFunc(c.held, func(o attempt.Held) bool { return o == h })
 	}
-	if c.attempts[n].out {
-		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: ok})
+	// A named request has one place at most: while it is not known whether it is held, no other is asked for.
+	if c.attempts[n].out && (place != attempt.Unknown || c.job.Name == "") {
+		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: place == attempt.Granted})
 	}
 }
 
@@ -267,27 +276,33 @@
 }
 
 // releaseRest lets go, as a stream begins, of what it did not take: the state
-// has left its reader, and the place is the stream's.
+// has left its reader, and the place is the stream's. Servers that know a
+// request by its name let go of the rest themselves.
 func (c *Call) releaseRest() {
-	c.held = slices.DeleteFunc(c.held, func(h heldAt) bool {
-		return h.key == c.key && (h.server == c.writer || h.server == c.reader)
+	c.held = slices.DeleteFunc(c.held, func(h attempt.Held) bool {
+		return c.job.Name != "" || h.Key == c.key && (h.Addr == string(c.writer) || h.Addr == string(c.reader))
 	})
 	c.release()
 }
 
-// letGo tells the servers, several times if need be: an engine that can't be
-// reached at all lets go by itself, when it dies or by its own limit.
-func (c *Call) letGo(list []heldAt) {
-	for _, h := range list {
-		c.d.work.Go(func() {
-			ctx := context.WithoutCancel(c.d.ctx) // the engines' client bounds its time
-			for range releaseTries {
-				if c.d.cfg.Engines.Release(ctx, string(h.server), h.key) == nil {
-					return
-				}
-			}
-		})
+// letGo tells the servers, once the attempts that have ended have left them: a
+// read that was called off may have ended well just before.
+func (c *Call) letGo(list []attempt.Held) {
+	if len(list) == 0 {
+		return
+	}
+	var ended []chan struct{}
+	for _, a := range c.attempts {
+		if !a.out && a.over != nil {
+			ended = append(ended, a.over)
+		}
 	}
+	c.d.work.Go(func() {
+		for _, over := range ended {
+			<-over
+		}
+		c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) // which bounds its time
+	})
 }
 
 func (c *Call) summary() Summary {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"gannethook"
-	"gannethook/internal/engine"
+	"gannethook/internal/attempt"
 	"gannethook/internal/limits"
 )
 
@@ -26,13 +26,15 @@
 // ErrStopped tells that the driver has ended.
 var ErrStopped = errors.New("the router has stopped")
 
-// Engines makes attempts; engine.Client does.
+// Engines makes attempts; engine.Client does, and the platform's workers do.
 type Engines interface {
-	Read(ctx context.Context, call *engine.Call) engine.Result
-	Do(ctx context.Context, call *engine.Call) engine.Result
-	Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result
-	Hold(ctx context.Context, call *engine.Call, reader string) (ok bool, err error)
-	Release(ctx context.Context, addr, key string) error
+	Read(ctx context.Context, call *attempt.Call) attempt.Result
+	Do(ctx context.Context, call *attempt.Call) attempt.Result
+	Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result
+	// Hold asks for a place for what reader is about to read; call.Sent, if set, is that read's.
+	Hold(ctx context.Context, call *attempt.Call, reader string) attempt.Place
+	// Release lets go, with tries again of its own; it ends in bounded time.
+	Release(ctx context.Context, list []attempt.Held)
 }
 
 // Decider decides; gannethook.Router does. A baseline may stand in for it in comparisons.
@@ -52,8 +54,9 @@
 	MaxTokens             int
 	Model, Prompt         string
 	Idempotency           string
+	Name                  string                  // the request's own id, where servers know it and all held for it by that; else ""
 	Sampling              json.RawMessage         // an object of fields that the engine takes as they are
-	Path                  string                  // of a one-stage class: the engines' path,
+	Path                  string                  // of a named or one-stage request: the servers' path,
 	Body                  []byte                  // the request as they take it,
 	Check                 func(body []byte) error // and whether an answer is one
 	Waited                time.Duration           // of GiveUp, before it came to the driver
@@ -85,9 +88,10 @@
 	MayHaveRun bool          // an attempt at a writer is not known not to have run
 }
 
-// Sink receives a request's answer. Token comes from the attempt's goroutine,
-// as a raw JSON string that is valid during the call; it returns false once
-// nobody reads, and may wait for its reader alone. Final comes once, last, from
+// Sink receives a request's answer. Token comes from the attempt's goroutine, as
+// the way out gives it (a raw JSON string from engines, events from platform
+// workers), valid during the call; it returns false once nobody reads, and may
+// wait for its reader alone. Final comes once, last, from
 // the driver's goroutine, and may not wait.
 type Sink interface {
 	Token(text []byte) bool
@@ -226,7 +230,7 @@
 	for _, c := range d.calls {
 		c.answer(Answer{Kind: Failed, Reason: "the router stops"})
 		for _, a := range c.attempts {
-			c.end(a.n, engine.Result{Outcome: gannethook.Cancelled, Detail: "the router stops"})
+			c.end(a.n, attempt.Result{Outcome: gannethook.Cancelled, Detail: "the router stops"})
 		}
 		c.release()
 	}
@@ -363,7 +367,7 @@
 		}
 	case gannethook.Cancel:
 		if c := d.calls[a.ID]; c != nil {
-			return c.end(a.Attempt, engine.Result{Outcome: gannethook.Cancelled, Detail: "called off"})
+			return c.end(a.Attempt, attempt.Result{Outcome: gannethook.Cancelled, Detail: "called off"})
 		}
 	case gannethook.Hold:
 		if c := d.calls[a.ID]; c != nil {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"gannethook"
-	"gannethook/internal/engine"
+	"gannethook/internal/attempt"
 )
 
 const ms = time.Millisecond
@@ -23,8 +23,8 @@
 	tokens            int
 	gap               time.Duration
 	holdOK            bool
-	writeEnds         engine.Result // in place of a stream, if it has an outcome
-	readEnds          engine.Result
+	writeEnds         attempt.Result // in place of a stream, if it has an outcome
+	readEnds          attempt.Result
 	failFirst         bool // the first read fails
 	stall             bool // the stream never goes on after its first token
 	mu                sync.Mutex
@@ -48,7 +48,7 @@
 	}
 }
 
-var calledOff = engine.Result{Outcome: gannethook.Cancelled}
+var calledOff = attempt.Result{Outcome: gannethook.Cancelled}
 
 func (f *fake) count(m map[string]int, server, key string) {
 	f.mu.Lock()
@@ -56,7 +56,7 @@
 	f.mu.Unlock()
 }
 
-func (f *fake) Read(ctx context.Context, call *engine.Call) engine.Result {
+func (f *fake) Read(ctx context.Context, call *attempt.Call) attempt.Result {
 	f.mu.Lock()
 	f.reads++
 	n := f.reads
@@ -65,16 +65,16 @@
 		return calledOff
 	}
 	if f.failFirst && n == 1 {
-		return engine.Result{Outcome: gannethook.Failed}
+		return attempt.Result{Outcome: gannethook.Failed}
 	}
 	if f.readEnds.Outcome != 0 {
 		return f.readEnds
 	}
 	f.count(f.held, call.Addr, call.Key)
-	return engine.Result{Outcome: gannethook.ReadDone, Params: json.RawMessage(`{}`)}
+	return attempt.Result{Outcome: gannethook.ReadDone, Params: json.RawMessage(`{}`)}
 }
 
-func (f *fake) Do(ctx context.Context, call *engine.Call) engine.Result {
+func (f *fake) Do(ctx context.Context, call *attempt.Call) attempt.Result {
 	f.mu.Lock()
 	f.writes++
 	f.mu.Unlock()
@@ -84,10 +84,10 @@
 	if f.writeEnds.Outcome != 0 {
 		return f.writeEnds
 	}
-	return engine.Result{Outcome: gannethook.Served, Body: call.Body}
+	return attempt.Result{Outcome: gannethook.Served, Body: call.Body}
 }
 
-func (f *fake) Write(ctx context.Context, call *engine.Call, started func() bool, token func([]byte) bool) engine.Result {
+func (f *fake) Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
 	f.mu.Lock()
 	f.writes++
 	f.params = append(f.params, call.Params != nil)
@@ -109,25 +109,29 @@
 			return calledOff
 		}
 	}
-	return engine.Result{Outcome: gannethook.Served, Tokens: f.tokens}
+	return attempt.Result{Outcome: gannethook.Served, Tokens: f.tokens}
 }
 
-func (f *fake) Hold(ctx context.Context, call *engine.Call, _ string) (bool, error) {
+func (f *fake) Hold(ctx context.Context, call *attempt.Call, _ string) attempt.Place {
 	if wait(ctx, f.hold); f.holdOK {
 		f.count(f.held, call.Addr, call.Key)
 	}
-	return f.holdOK, nil
+	if f.holdOK {
+		return attempt.Granted
+	}
+	return attempt.Denied
 }
 
-func (f *fake) Release(_ context.Context, addr, key string) error {
+func (f *fake) Release(_ context.Context, list []attempt.Held) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.releases++
-	if k := addr + " " + key; f.held[k] > 0 { // what comes before the grant lets nothing go
-		delete(f.held, k)
-		f.let[k]++
+	for _, h := range list {
+		f.releases++
+		if k := h.Addr + " " + h.Key; f.held[k] > 0 { // what comes before the grant lets nothing go
+			delete(f.held, k)
+			f.let[k]++
+		}
 	}
-	return nil
 }
 
 // sink records what a client would get.
@@ -338,7 +342,7 @@
 		if a := whole(d, 2); a.Kind != Served || string(a.Body) != "{}" || !a.MayHaveRun {
 			t.Errorf("%+v", a)
 		}
-		f.writeEnds = engine.Result{Outcome: gannethook.Broken}
+		f.writeEnds = attempt.Result{Outcome: gannethook.Broken}
 		if a := whole(d, 3); a.Kind != Failed || !a.MayHaveRun || f.writes != 2 {
 			t.Errorf("%+v after %d attempts; unsafe work whose attempt broke may have run", a, f.writes)
 		}
@@ -408,7 +412,7 @@
 func TestMayHaveRun(t *testing.T) {
 	for _, o := range []gannethook.Outcome{gannethook.Failed, gannethook.Broken} {
 		f := newFake()
-		f.writeEnds = engine.Result{Outcome: o}
+		f.writeEnds = attempt.Result{Outcome: o}
 		run(t, f, func(d *Driver) {
 			if _, a := ask(t, d, 1); a.Kind != Failed || !a.MayHaveRun || f.writes != 1 {
 				t.Errorf("unsafe after %v: %+v, %d writes", o, a, f.writes)
@@ -420,7 +424,7 @@
 		})
 	}
 	f := newFake()
-	f.writeEnds = engine.Result{Outcome: gannethook.Full}
+	f.writeEnds = attempt.Result{Outcome: gannethook.Full}
 	run(t, f, func(d *Driver) {
 		if _, a := ask(t, d, 1); a.Kind != Refused || a.MayHaveRun || a.RetryAfter <= 0 || f.writes < 2 {
 			t.Errorf("unsafe after being turned away: %+v, %d writes", a, f.writes)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gannethook"
+	"gannethook/internal/attempt"
 	"gannethook/internal/http1"
 	"gannethook/internal/jsonscan"
 )
@@ -30,37 +31,6 @@
 // CodeNoState is the code of an error body that tells that there is no state to fetch.
 const CodeNoState = "no_state"
 
-// Call is one attempt at an engine.
-type Call struct {
-	Addr        string
-	Key         string // names the read and its state; engines know it as X-Request-Id
-	Model       string
-	Class       string
-	Tenant      string
-	Idempotency string
-	Prompt      string
-	MaxTokens   int
-	PromptSize  float64 // tokens, as the router counts them
-	KeptKey     string  // the shared beginning, for engines that keep text by it
-	Params      json.RawMessage
-	Sampling    json.RawMessage         // an object of fields that the engine takes as they are
-	Path        string                  // of one-stage work
-	Body        []byte                  // its request, as the engine takes it,
-	Check       func(body []byte) error // and whether an answer is one
-}
-
-// Result tells how an attempt ended.
-type Result struct {
-	Outcome  gannethook.Outcome
-	NoState  bool
-	Reported bool
-	Memory   float64
-	Params   json.RawMessage // of a read that is done
-	Tokens   int
-	Body     json.RawMessage // of one-stage work that is done
-	Detail   string          // why, for the log
-}
-
 // Client makes attempts. It is safe for concurrent use.
 type Client struct {
 	pool pool
@@ -116,7 +86,7 @@
 }
 
 // open sends a request and reads the answer's head.
-func (c *Client) open(ctx context.Context, method, path string, call *Call, body []byte) (*exchange, error) {
+func (c *Client) open(ctx context.Context, method, path string, call *attempt.Call, body []byte) (*exchange, error) {
 	ctl := strings.HasPrefix(path, extensionPath)
 	cn, err := c.pool.get(ctx, call.Addr, ctl)
 	if err != nil {
@@ -176,24 +146,24 @@
 }
 
 // failed maps an error of the connection to an outcome.
-func failed(ctx context.Context, err error) Result {
+func failed(ctx context.Context, err error) attempt.Result {
 	var dial errDial
 	switch {
 	case errors.As(err, &dial):
-		return Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
+		return attempt.Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
 	case ctx.Err() != nil:
-		return Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
+		return attempt.Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
 	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge), errors.Is(err, jsonscan.ErrBad):
-		return Result{Outcome: gannethook.Failed, Detail: err.Error()}
+		return attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
 	}
-	return Result{Outcome: gannethook.Broken, Detail: err.Error()}
+	return attempt.Result{Outcome: gannethook.Broken, Detail: err.Error()}
 }
 
 // turned maps an answer that is not 200 to an outcome.
-func (x *exchange) turned() Result {
+func (x *exchange) turned() attempt.Result {
 	body, err := x.all(x.c.lim.ResponseMax)
 	x.close(err == nil)
-	r := Result{Outcome: gannethook.Failed, Detail: fmt.Sprintf("status %d", x.res.Status)}
+	r := attempt.Result{Outcome: gannethook.Failed, Detail: fmt.Sprintf("status %d", x.res.Status)}
 	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
 	raw, _, _ := jsonscan.Find(body, "error", "code")
 	code := strings.Trim(string(raw), `"`)
@@ -221,7 +191,7 @@
 var readParams = json.RawMessage(`{"do_remote_decode":true,"do_remote_prefill":false,` +
 	`"remote_engine_id":null,"remote_block_ids":null,"remote_host":null,"remote_port":null}`)
 
-func (call *Call) body(maxTokens int, stream bool, params json.RawMessage) []byte {
+func bodyOf(call *attempt.Call, maxTokens int, stream bool, params json.RawMessage) []byte {
 	b, _ := json.Marshal(completion{Model: call.Model, Prompt: call.Prompt, MaxTokens: maxTokens, Stream: stream,
 		Params: params, Size: int(call.PromptSize), KeptKey: call.KeptKey})
 	if len(call.Sampling) > len("{}") {
@@ -231,8 +201,8 @@
 }
 
 // Read has a prompt read by a reader, whose state then waits there.
-func (c *Client) Read(ctx context.Context, call *Call) Result {
-	x, err := c.open(ctx, "POST", CompletionsPath, call, call.body(1, false, readParams))
+func (c *Client) Read(ctx context.Context, call *attempt.Call) attempt.Result {
+	x, err := c.open(ctx, "POST", CompletionsPath, call, bodyOf(call, 1, false, readParams))
 	if err != nil {
 		return failed(ctx, err)
 	}
@@ -244,18 +214,18 @@
 	if err != nil {
 		return failed(ctx, err)
 	}
-	r := Result{Outcome: gannethook.ReadDone}
+	r := attempt.Result{Outcome: gannethook.ReadDone}
 	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
 	params, found, err := jsonscan.Find(body, "kv_transfer_params")
 	if err != nil || !found || bytes.Equal(params, []byte("null")) {
-		return Result{Outcome: gannethook.Failed, Detail: "the reader returned no kv_transfer_params"}
+		return attempt.Result{Outcome: gannethook.Failed, Detail: "the reader returned no kv_transfer_params"}
 	}
 	r.Params = json.RawMessage(params)
 	return r
 }
 
 // Do has one-stage work done and returns the whole answer.
-func (c *Client) Do(ctx context.Context, call *Call) Result {
+func (c *Client) Do(ctx context.Context, call *attempt.Call) attempt.Result {
 	x, err := c.open(ctx, "POST", call.Path, call, call.Body)
 	if err != nil {
 		return failed(ctx, err)
@@ -268,11 +238,11 @@
 	if err != nil {
 		return failed(ctx, err)
 	}
-	r := Result{Outcome: gannethook.Served, Body: body}
+	r := attempt.Result{Outcome: gannethook.Served, Body: body}
 	r.Memory, r.Reported = Report(x.res.Header.Get(ReportHeader))
 	if call.Check != nil {
 		if err := call.Check(body); err != nil {
-			r = Result{Outcome: gannethook.Failed, Detail: err.Error()}
+			r = attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
 		}
 	}
 	return r
@@ -281,8 +251,8 @@
 // Write streams an answer. started is called at the first token; where it says
 // no, the attempt is over. token gets each token's text as raw JSON string,
 // valid during the call, and may say no as well.
-func (c *Client) Write(ctx context.Context, call *Call, started func() bool, token func([]byte) bool) Result {
-	x, err := c.open(ctx, "POST", CompletionsPath, call, call.body(call.MaxTokens, true, call.Params))
+func (c *Client) Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
+	x, err := c.open(ctx, "POST", CompletionsPath, call, bodyOf(call, call.MaxTokens, true, call.Params))
 	if err != nil {
 		return failed(ctx, err)
 	}
@@ -296,7 +266,7 @@
 }
 
 // stream reads tokens to the end. Only "[DONE]" makes an answer whole.
-func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) Result {
+func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) attempt.Result {
 	events := http1.NewEvents(x.body)
 	for n := 0; ; {
 		data, err := events.Next()
@@ -313,21 +283,21 @@
 				var one [1]byte
 				x.body.Read(one[:]) // the end of a chunked body; not waited for
 			}
-			return Result{Outcome: gannethook.Served, Tokens: n}
+			return attempt.Result{Outcome: gannethook.Served, Tokens: n}
 		}
 		text, found, err := jsonscan.Find(data, "choices", "0", "text")
 		if err != nil || !found || len(text) < 2 || text[0] != '"' {
-			return Result{Outcome: gannethook.Failed, Tokens: n, Detail: "an event of the stream has no text"}
+			return attempt.Result{Outcome: gannethook.Failed, Tokens: n, Detail: "an event of the stream has no text"}
 		}
 		if len(text) == 2 {
 			continue // the event that only tells why the answer ended
 		}
 		if n == 0 && !started() {
-			return Result{Outcome: gannethook.Cancelled, Detail: "ended before its first token"}
+			return attempt.Result{Outcome: gannethook.Cancelled, Detail: "ended before its first token"}
 		}
 		n++
 		if !token(text) {
-			return Result{Outcome: gannethook.Cancelled, Tokens: n, Detail: "the client is gone"}
+			return attempt.Result{Outcome: gannethook.Cancelled, Tokens: n, Detail: "the client is gone"}
 		}
 		x.conn.SetReadDeadline(time.Now().Add(x.c.lim.StreamIdle))
 		if ctx.Err() != nil { // called off meanwhile: its deadline must stand
@@ -345,28 +315,51 @@
 }
 
 // Hold asks a writer for a place for the state that a reader is about to have.
-// With an error it is not known whether a place is held.
-func (c *Client) Hold(ctx context.Context, call *Call, reader string) (ok bool, err error) {
+func (c *Client) Hold(ctx context.Context, call *attempt.Call, reader string) attempt.Place {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
 	defer cancel()
 	body, _ := json.Marshal(place{call.Key, reader, int(call.PromptSize) + call.MaxTokens,
 		c.lim.PlaceIdle.Milliseconds()})
 	status, err := c.extension(ctx, "POST", PlacesPath, call, body)
-	return status == 201, err
+	switch {
+	case err != nil:
+		return attempt.Unknown
+	case status == 201:
+		return attempt.Granted
+	}
+	return attempt.Denied
+}
+
+const releaseTries = 4 // each bounded by Extension
+
+// Release tells the servers to let go, several times if need be: an engine that
+// can't be reached at all lets go by itself, when it dies or by its own limit.
+func (c *Client) Release(ctx context.Context, list []attempt.Held) {
+	var wg sync.WaitGroup
+	for _, h := range list {
+		wg.Go(func() {
+			for range releaseTries {
+				if c.release(ctx, h) == nil {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
 }
 
-// Release lets an engine's state and place of a read go. Unknown ones count as let go.
-func (c *Client) Release(ctx context.Context, addr, key string) error {
+// release lets an engine's state and place of a read go. Unknown ones count as let go.
+func (c *Client) release(ctx context.Context, h attempt.Held) error {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
 	defer cancel()
-	status, err := c.extension(ctx, "DELETE", StatesPath+key, &Call{Addr: addr, Key: key}, nil)
+	status, err := c.extension(ctx, "DELETE", StatesPath+h.Key, &attempt.Call{Addr: h.Addr, Key: h.Key}, nil)
 	if err == nil && status/100 != 2 && status != 404 {
 		err = fmt.Errorf("release: status %d", status)
 	}
 	return err
 }
 
-func (c *Client) extension(ctx context.Context, method, path string, call *Call, body []byte) (int, error) {
+func (c *Client) extension(ctx context.Context, method, path string, call *attempt.Call, body []byte) (int, error) {
 	x, err := c.open(ctx, method, path, call, body)
 	if err != nil {
 		return 0, err
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"gannethook"
+	"gannethook/internal/attempt"
 	"gannethook/internal/http1"
 )
 
@@ -156,8 +157,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			p, cl := script(t, c.answer), newClient(t)
-			call := &Call{Addr: p.addr, Key: "k", Prompt: "p", MaxTokens: 5, Idempotency: "i", Class: "c"}
-			var r Result
+			call := &attempt.Call{Addr: p.addr, Key: "k", Prompt: "p", MaxTokens: 5, Idempotency: "i", Class: "c"}
+			var r attempt.Result
 			n := 0
 			if c.write {
 				r = cl.Write(context.Background(), call, func() bool { return true }, func(text []byte) bool {
@@ -184,7 +185,7 @@
 	ln, _ := net.Listen("tcp", "127.0.0.1:0")
 	addr := ln.Addr().String()
 	ln.Close()
-	r := newClient(t).Write(context.Background(), &Call{Addr: addr}, nil, nil)
+	r := newClient(t).Write(context.Background(), &attempt.Call{Addr: addr}, nil, nil)
 	if r.Outcome != gannethook.ConnectFailed {
 		t.Errorf("a closed port: %+v", r)
 	}
@@ -199,7 +200,7 @@
 		c := NewClient(lim)
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(20*time.Millisecond, cancel)
-		if r := c.Write(ctx, &Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }); r.Outcome != gannethook.Cancelled {
+		if r := c.Write(ctx, &attempt.Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }); r.Outcome != gannethook.Cancelled {
 			t.Errorf("%s: %+v", name, r)
 		}
 		c.Close()
@@ -209,7 +210,7 @@
 // A first token that may not pass ends the attempt.
 func TestNotStarted(t *testing.T) {
 	p, c := script(t, stream(tok, "[DONE]")), newClient(t)
-	r := c.Write(context.Background(), &Call{Addr: p.addr}, func() bool { return false }, func([]byte) bool {
+	r := c.Write(context.Background(), &attempt.Call{Addr: p.addr}, func() bool { return false }, func([]byte) bool {
 		t.Error("a token passed")
 		return true
 	})
@@ -224,7 +225,7 @@
 func TestConnections(t *testing.T) {
 	done := stream(tok, "[DONE]")
 	write := func(c *Client, p *peer) gannethook.Outcome {
-		return c.Write(context.Background(), &Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }).Outcome
+		return c.Write(context.Background(), &attempt.Call{Addr: p.addr}, func() bool { return true }, func([]byte) bool { return true }).Outcome
 	}
 	p, shuts := script(t, done), script(t, done+"CUT", done)
 	c := newClient(t)
@@ -294,14 +295,14 @@
 // A release finds the connection that the place came by, while streams hold all others.
 func TestControlApart(t *testing.T) {
 	p, c := script(t, answer("201 Created", "", "")), newClient(t)
-	call := &Call{Addr: p.addr, Key: "k", PromptSize: 10, MaxTokens: 5}
-	if ok, err := c.Hold(context.Background(), call, "reader:1"); !ok || err != nil {
+	call := &attempt.Call{Addr: p.addr, Key: "k", PromptSize: 10, MaxTokens: 5}
+	if got := c.Hold(context.Background(), call, "reader:1"); got != attempt.Granted {
 		t.Fatal("no place")
 	}
 	if cn := c.pool.pop(p.addr); cn != nil {
 		t.Fatal("an attempt could take the connection")
 	}
-	if err := c.Release(context.Background(), p.addr, "k"); err != nil || p.conns.Load() != 1 {
+	if err := c.release(context.Background(), attempt.Held{Addr: p.addr, Key: "k"}); err != nil || p.conns.Load() != 1 {
 		t.Errorf("release: %v on %d connections", err, p.conns.Load())
 	}
 	if want := `{"request_id":"k","reader":"reader:1","tokens":15,"idle_ms":500}`; p.body[0] != want {
@@ -327,8 +328,8 @@
 		}
 	}()
 	c := newClient(t)
-	call := &Call{Addr: p.addr, Key: "k", MaxTokens: 5}
-	if ok, err := c.Hold(context.Background(), call, "r"); !ok || err != nil {
+	call := &attempt.Call{Addr: p.addr, Key: "k", MaxTokens: 5}
+	if got := c.Hold(context.Background(), call, "r"); got != attempt.Granted {
 		t.Fatal("no place")
 	}
 	write := func() gannethook.Outcome {
@@ -346,10 +347,10 @@
 
 func TestHoldTimesOut(t *testing.T) {
 	p, c := script(t, "HANG"), newClient(t)
-	if ok, err := c.Hold(context.Background(), &Call{Addr: p.addr, Key: "k"}, "r"); ok || err == nil {
+	if got := c.Hold(context.Background(), &attempt.Call{Addr: p.addr, Key: "k"}, "r"); got != attempt.Unknown {
 		t.Error("a place without an answer, or one that is refused for certain")
 	}
-	if err := c.Release(context.Background(), p.addr, "k"); err == nil || errors.Is(err, context.Canceled) {
+	if err := c.release(context.Background(), attempt.Held{Addr: p.addr, Key: "k"}); err == nil || errors.Is(err, context.Canceled) {
 		t.Errorf("release: %v", err)
 	}
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -4,9 +4,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -141,10 +143,12 @@
 	}
 }
 
+// trimLine takes the line's end off. A bare LF is refused as a bare CR is: what
+// one party takes for a line's end and another does not is a way to smuggle.
 func trimLine(line []byte) (string, error) {
-	line = line[:len(line)-1]
-	if n := len(line); n > 0 && line[n-1] == '\r' {
-		line = line[:n-1]
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return "", fmt.Errorf("%w: line end", ErrMalformed)
 	}
 	for _, c := range line {
 		if c < ' ' && c != '\t' || c == 0x7f {
@@ -322,9 +326,17 @@
 	if err != nil {
 		return 0, err
 	}
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return 0, ErrMalformed
+	}
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	size = bytes.TrimRight(size, " \t")
+	if len(size) == 0 || len(size) > 12 {
+		return 0, ErrMalformed
+	}
 	var n int64
-	digits := 0
-	for _, c := range line {
+	for _, c := range size {
 		var d byte
 		switch {
 		case c >= '0' && c <= '9':
@@ -333,17 +345,47 @@
 			d = c - 'a' + 10
 		case c >= 'A' && c <= 'F':
 			d = c - 'A' + 10
-		case digits > 0 && (c == ';' || c == '\r' || c == '\n' || c == ' ' || c == '\t'):
-			return n, nil
 		default:
 			return 0, ErrMalformed
 		}
-		if digits++; digits > 12 {
-			return 0, ErrMalformed
-		}
 		n = n<<4 | int64(d)
 	}
-	return 0, ErrMalformed
+	return n, nil
+}
+
+// Chunked tells whether the body comes in chunks, which alone tell its end for certain.
+func (b *Body) Chunked() bool { return b.chunked }
+
+// NextChunk reads one whole chunk with its line end into buf, which grows to
+// most bytes. io.EOF tells that the last chunk and the trailer have come. It is
+// not to be mixed with Read.
+func (b *Body) NextChunk(buf []byte, most int) ([]byte, error) {
+	if b.done {
+		return nil, io.EOF
+	}
+	size, err := readChunkSize(b.r)
+	if err != nil {
+		return nil, bodyError(err, "chunk size")
+	}
+	left := MaxHead
+	if size == 0 {
+		if _, err := readHeader(b.r, &left); err != nil {
+			return nil, bodyError(err, "trailer")
+		}
+		b.done = true
+		return nil, io.EOF
+	}
+	if size > int64(most) {
+		return nil, ErrTooLarge
+	}
+	buf = slices.Grow(buf[:0], int(size))[:size]
+	if _, err := io.ReadFull(b.r, buf); err != nil {
+		return nil, bodyError(err, "chunk")
+	}
+	if line, err := readLine(b.r, &left); err != nil || line != "" {
+		return nil, bodyError(err, "chunk end")
+	}
+	return buf, nil
 }
 
 func bodyError(err error, what string) error {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -20,7 +20,7 @@
 		want     error
 	}{
 		{"plain", "GET /a?b HTTP/1.1\r\nHost: x\r\nA:  b \r\n\r\n", nil},
-		{"bare newlines", "GET / HTTP/1.1\nHost: x\n\n", nil},
+		{"bare newlines", "GET / HTTP/1.1\nHost: x\n\n", ErrMalformed},
 		{"nothing", "", io.EOF},
 		{"cut in the line", "GET / HT", io.ErrUnexpectedEOF},
 		{"cut in the head", "GET / HTTP/1.1\r\nHost: x\r\n", io.ErrUnexpectedEOF},
--- /dev/null
+++ b/internal/platform/clients/exchange.go
@@ -0,0 +1,315 @@
+package clients
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/driver"
+	"gannethook/internal/http1"
+)
+
+// Paths of the platform's protocol.
+const (
+	ChatPath  = "/v1/chat/completions"
+	ReadyPath = "/ready"
+)
+
+// exchange is one request until its answer is written. The connection's
+// goroutine waits for the final answer and for the client to leave, whichever is
+// first; events are written from the attempt's goroutine as they come.
+type exchange struct {
+	l    *link
+	req  *http1.Request
+	from time.Time
+	keep bool
+	held int64 // bytes of the body
+
+	mu    sync.Mutex // never held while writing
+	begun bool       // events are passed on; false for good once the final answer came before the first
+	final *driver.Answer
+	done  chan struct{}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func path(target string) string {
+	p, _, _ := strings.Cut(target, "?")
+	return p
+}
+
+// serve serves the request; it tells whether another may follow.
+func (x *exchange) serve() bool {
+	s := x.l.s
+	defer func() { s.bodies.Add(-x.held) }()
+	job, bad := readJob(x.req, s.classes)
+	if bad == nil {
+		job.Body, bad = x.body()
+	}
+	if bad == nil {
+		bad = checkBody(job.Body)
+	}
+	if bad != nil {
+		x.l.refuse(bad.status, bad.why)
+		return false
+	}
+	if !s.begin(job.Name) {
+		x.l.refuse("409 Conflict", "a request with this id is open")
+		return false
+	}
+	defer s.end(job.Name)
+	job.Waited = time.Since(x.from)
+	call, err := s.cfg.Submit(*job, x)
+	if err != nil { // the platform's bounds: nothing has run
+		x.l.plain("503 Service Unavailable", err.Error()+"\n", x.keep)
+		return x.keep
+	}
+	a := x.wait(call.Abandon)
+	x.answer(a)
+	return x.keep && !s.stops.Load()
+}
+
+// refusal tells why a request can't be taken.
+type refusal struct{ status, why string }
+
+var errBodies = errors.New("too many bodies are under way")
+
+// counted counts what is read of a body.
+type counted struct {
+	r io.Reader
+	x *exchange
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.x.held += int64(n)
+	if c.x.l.s.bodies.Add(int64(n)) > c.x.l.s.cfg.Limits.Bodies {
+		return n, errBodies
+	}
+	return n, err
+}
+
+// body reads the request's body.
+func (x *exchange) body() ([]byte, *refusal) {
+	lim := &x.l.s.cfg.Limits
+	b, err := http1.RequestBody(x.l.br, x.req.Header)
+	if err != nil {
+		return nil, &refusal{"400 Bad Request", err.Error()}
+	}
+	if b.Length() > lim.Body {
+		return nil, &refusal{"413 Content Too Large", "the body is too large"}
+	}
+	if expect := x.req.Header.Get("Expect"); expect != "" {
+		if !strings.EqualFold(expect, "100-continue") {
+			return nil, &refusal{"417 Expectation Failed", "only 100-continue is known"}
+		}
+		io.WriteString(x.l.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	var text []byte
+	r := io.Reader(counted{b, x})
+	if n := b.Length(); n > 0 {
+		text = make([]byte, n)
+		_, err = io.ReadFull(r, text)
+	} else {
+		text, err = io.ReadAll(io.LimitReader(r, lim.Body+1))
+	}
+	var late net.Error
+	switch {
+	case err == nil && int64(len(text)) > lim.Body:
+		return nil, &refusal{"413 Content Too Large", "the body is too large"}
+	case err == nil:
+		return text, nil
+	case errors.Is(err, errBodies):
+		return nil, &refusal{"503 Service Unavailable", err.Error()}
+	case errors.As(err, &late) && late.Timeout():
+		return nil, &refusal{"408 Request Timeout", "the body did not come in time"}
+	}
+	return nil, &refusal{"400 Bad Request", "body: " + err.Error()}
+}
+
+// wait waits for the final answer. A client that leaves meanwhile takes its
+// request back. What it sends ahead waits for its turn.
+func (x *exchange) wait(abandon func()) driver.Answer {
+	x.mu.Lock()
+	if x.final == nil {
+		x.l.nc.SetReadDeadline(time.Time{})
+	}
+	x.mu.Unlock()
+	if _, err := x.l.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		x.keep = false
+		abandon()
+	}
+	<-x.done
+	return *x.final
+}
+
+// Token passes a chunk of events on.
+func (x *exchange) Token(text []byte) bool {
+	x.mu.Lock()
+	first, late := !x.begun, x.final != nil
+	x.begun = x.begun || !late
+	x.mu.Unlock()
+	if late {
+		return false
+	}
+	l := x.l
+	l.nc.SetWriteDeadline(time.Now().Add(l.s.cfg.Limits.Write))
+	if first {
+		l.bw.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	}
+	return http1.WriteChunk(l.bw, text) == nil
+}
+
+// Final takes the final answer and wakes the connection's goroutine.
+func (x *exchange) Final(a driver.Answer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.final = &a
+	close(x.done)
+	x.l.nc.SetReadDeadline(past)
+}
+
+// answer writes what is left to say. A stream that is not whole ends with its
+// connection, without the last chunk.
+func (x *exchange) answer(a driver.Answer) {
+	stops := x.l.s.stops.Load()
+	switch {
+	case a.Kind == driver.Served && x.begun:
+		x.l.nc.SetWriteDeadline(time.Now().Add(x.l.s.cfg.Limits.Write))
+		if http1.WriteChunk(x.l.bw, nil) != nil {
+			x.keep = false
+		}
+	case x.begun || a.Kind == driver.Cancelled:
+		x.keep = false
+	case a.Kind == driver.Refused:
+		var more []http1.Field
+		if a.RetryAfter > 0 {
+			more = append(more, http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)})
+		}
+		x.l.plain("503 Service Unavailable", "refused: nothing was done\n", x.keep && !stops, more...)
+	default:
+		x.l.plain("500 Internal Server Error", "failed\n", x.keep && !stops)
+	}
+}
+
+// Bounds of what a request may say of itself.
+const (
+	mostName    = 128
+	mostTokens  = 1 << 22
+	mostTimeout = int64(time.Hour / time.Millisecond)
+)
+
+// checkBody refuses what no worker could use.
+func checkBody(body []byte) *refusal {
+	if !validJSON(body) {
+		return &refusal{"400 Bad Request", "the body is not a JSON object"}
+	}
+	return nil
+}
+
+// readJob reads a request's head.
+func readJob(req *http1.Request, classes map[string]int) (*driver.Job, *refusal) {
+	bad := func(why string) (*driver.Job, *refusal) { return nil, &refusal{"400 Bad Request", why} }
+	if path(req.Target) != ChatPath {
+		return nil, &refusal{"404 Not Found", "only " + ChatPath + " is served"}
+	}
+	if req.Method != "POST" {
+		return nil, &refusal{"405 Method Not Allowed", "POST is expected"}
+	}
+	if req.Header.Get("Host") == "" {
+		return bad("Host is missing")
+	}
+	var values [len(headers)]string
+	for i, name := range headers {
+		v, ok := only(req.Header, name)
+		if !ok {
+			return bad(name + " comes twice")
+		}
+		values[i] = v
+	}
+	name, class, key, timeout, attrs := values[0], values[1], values[2], values[3], values[4]
+	if !isName(name) {
+		return bad("X-Request-ID: up to 128 letters, digits, '-', '_' or '.' expected")
+	}
+	at, ok := classes[class]
+	if !ok {
+		return bad("X-Priority-Class: not known")
+	}
+	ms, err := strconv.ParseInt(timeout, 10, 64)
+	if err != nil || ms <= 0 || ms > mostTimeout {
+		return bad("X-Timeout-Ms: milliseconds expected")
+	}
+	job := &driver.Job{Name: name, Class: at, ClassName: class, Path: req.Target, Session: keyOf(key),
+		SessionID: key, GiveUp: time.Duration(ms) * time.Millisecond}
+	if why := readAttrs(attrs, job); why != "" {
+		return bad(why)
+	}
+	return job, nil
+}
+
+var headers = [...]string{"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms", "X-Attrs"}
+
+// only is a field's one value.
+func only(h http1.Header, name string) (value string, ok bool) {
+	seen := false
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			if seen {
+				return "", false
+			}
+			seen, value = true, f.Value
+		}
+	}
+	return value, true
+}
+
+func isName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= mostName
+}
+
+// readAttrs reads what a request says of its prompt; it returns what is wrong.
+func readAttrs(attrs string, job *driver.Job) string {
+	for part := range strings.SplitSeq(attrs, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if name == "" && !ok {
+			continue
+		}
+		if name == "prefix" {
+			job.Prefix, job.PrefixName = keyOf(value), value
+			continue
+		}
+		n, err := strconv.ParseUint(value, 10, 32)
+		if err != nil || n > mostTokens {
+			return "X-Attrs: " + strconv.Quote(name) + " is not a number of tokens"
+		}
+		switch name {
+		case "prompt_len":
+			job.PromptSize = float64(n)
+		case "prefix_len":
+			job.Kept = float64(n)
+		case "max_out":
+			job.MaxTokens = int(n)
+		}
+	}
+	return ""
+}
+
+// keyOf names a session or a shared beginning in the module's terms.
+func keyOf(text string) gannethook.Key {
+	if text == "" {
+		return 0
+	}
+	return gannethook.Key(hash(text))
+}
--- /dev/null
+++ b/internal/platform/clients/server.go
@@ -0,0 +1,302 @@
+// Package clients is the way in from the platform's clients: connections,
+// requests with their ids and deadlines, answers and streams. It decides nothing
+// but what can't be taken as a request at all.
+package clients
+
+import (
+	"bufio"
+	"container/list"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gannethook/internal/driver"
+	"gannethook/internal/http1"
+)
+
+// Limits bound what clients can take up.
+type Limits struct {
+	Conns  int           // open at once
+	Body   int64         // bytes of one body
+	Bodies int64         // of all bodies under way
+	Head   time.Duration // for a request to come in whole, and for a new connection to begin one
+	Idle   time.Duration // an unused connection closes
+	Write  time.Duration // a client that takes nothing for so long is cut
+	Linger time.Duration // how long a client that still sends is heard out after its error
+}
+
+// Config sets a server up.
+type Config struct {
+	Limits  Limits
+	Classes []string // their names, in the module's order
+	Submit  func(driver.Job, driver.Sink) (*driver.Call, error)
+	Ready   func() bool
+}
+
+// Server serves clients. Its methods may be called from anywhere.
+type Server struct {
+	cfg     Config
+	classes map[string]int
+	wg      sync.WaitGroup
+	bodies  atomic.Int64
+	stops   atomic.Bool
+
+	mu    sync.Mutex
+	open  map[*link]struct{}
+	idle  *list.List          // of *link, the longest unused first
+	names map[string]struct{} // ids of open requests
+	shut  bool
+}
+
+// New returns a server; Serve takes connections.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, classes: map[string]int{}, open: map[*link]struct{}{}, idle: list.New(), names: map[string]struct{}{}}
+	for i, name := range cfg.Classes {
+		s.classes[name] = i
+	}
+	return s
+}
+
+var past = time.Unix(1, 0)
+
+// Serve takes connections until the listener closes or breaks.
+func (s *Server) Serve(ln net.Listener) error {
+	pause := time.Duration(0)
+	for {
+		nc, err := ln.Accept()
+		var soon interface{ Temporary() bool }
+		switch {
+		case err == nil:
+			pause = 0
+			s.accept(nc)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.As(err, &soon) && soon.Temporary(): // as without descriptors: what is open goes on
+			pause = min(max(2*pause, time.Millisecond), 50*time.Millisecond)
+			time.Sleep(pause)
+		default:
+			return err
+		}
+	}
+}
+
+// accept begins a connection, in place of the one unused for longest where there are too many.
+func (s *Server) accept(nc net.Conn) {
+	l := &link{s: s, nc: nc}
+	s.mu.Lock()
+	full := false
+	if len(s.open) >= s.cfg.Limits.Conns {
+		if full = s.idle.Len() == 0; !full {
+			o := s.idle.Remove(s.idle.Front()).(*link)
+			o.place, o.evicted = nil, true
+			delete(s.open, o)
+			o.nc.Close()
+		}
+	}
+	if full || s.shut {
+		s.mu.Unlock()
+		nc.SetWriteDeadline(time.Now().Add(time.Millisecond))
+		io.WriteString(nc, crowded)
+		nc.Close()
+		return
+	}
+	s.open[l] = struct{}{}
+	l.place = s.idle.PushBack(l) // it has begun nothing yet
+	s.mu.Unlock()
+	s.wg.Go(func() {
+		defer s.close(l)
+		l.serve()
+	})
+}
+
+const crowded = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+func (s *Server) close(l *link) {
+	l.nc.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest(l, false)
+	delete(s.open, l)
+}
+
+// resting notes that a connection waits for a request, or no more. It is false
+// where the connection was closed for want of room.
+func (s *Server) resting(l *link, rests bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rest(l, rests && !l.evicted)
+	return !l.evicted
+}
+
+func (s *Server) rest(l *link, rests bool) {
+	switch {
+	case rests && l.place == nil:
+		l.place = s.idle.PushBack(l)
+	case !rests && l.place != nil:
+		s.idle.Remove(l.place)
+		l.place = nil
+	}
+}
+
+// begin takes a request's id; an open one is taken once.
+func (s *Server) begin(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, taken := s.names[name]; taken {
+		return false
+	}
+	s.names[name] = struct{}{}
+	return true
+}
+
+func (s *Server) end(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.names, name)
+}
+
+// Drain has every connection close once its request is answered; it is ready no more.
+func (s *Server) Drain() { s.stops.Store(true) }
+
+// Idle closes the connections that wait for a request. One whose request is on
+// its way is heard first.
+func (s *Server) Idle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		e.Value.(*link).nc.SetReadDeadline(past)
+	}
+}
+
+// Wait waits until every connection has closed, or the context ends.
+func (s *Server) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Cut closes every connection.
+func (s *Server) Cut() {
+	s.mu.Lock()
+	s.shut = true
+	for l := range s.open {
+		l.nc.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// link is a client's connection. One goroutine has it.
+type link struct {
+	s       *Server
+	nc      net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	place   *list.Element // among the idle; the server's lock guards it
+	evicted bool          // the same
+}
+
+// serve reads requests until the connection ends.
+func (l *link) serve() {
+	l.br, l.bw = bufio.NewReaderSize(l.nc, 2048), bufio.NewWriterSize(l.nc, 2048)
+	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Head))
+	for l.awaits() && l.next() {
+		l.s.resting(l, true)
+		l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Idle))
+		if l.s.stops.Load() {
+			l.nc.SetReadDeadline(past)
+		}
+	}
+}
+
+// onItsWay is how long an unused connection is still heard once the router stops.
+const onItsWay = 50 * time.Millisecond
+
+// awaits waits for the first byte of a request.
+func (l *link) awaits() bool {
+	_, err := l.br.Peek(1)
+	if err != nil && l.s.stops.Load() {
+		l.nc.SetReadDeadline(time.Now().Add(onItsWay))
+		_, err = l.br.Peek(1)
+	}
+	return l.s.resting(l, false) && err == nil
+}
+
+// next serves one request; it tells whether another may follow.
+func (l *link) next() bool {
+	from := time.Now()
+	l.nc.SetReadDeadline(from.Add(l.s.cfg.Limits.Head))
+	req, err := http1.ReadRequest(l.br)
+	if err != nil {
+		l.badHead(err)
+		return false
+	}
+	if req.Method == "GET" && path(req.Target) == ReadyPath {
+		return l.ready(req)
+	}
+	x := &exchange{l: l, req: req, from: from, done: make(chan struct{}),
+		keep: req.Minor == 1 && !req.Header.Has("Connection", "close")}
+	return x.serve()
+}
+
+// ready answers the front.
+func (l *link) ready(req *http1.Request) bool {
+	status, keep := "200 OK", req.Minor == 1 && !req.Header.Has("Connection", "close")
+	if l.s.stops.Load() || !l.s.cfg.Ready() {
+		status = "503 Service Unavailable"
+	}
+	if b, err := http1.RequestBody(l.br, req.Header); err != nil || b.Length() > 0 || b.Chunked() {
+		l.refuse("400 Bad Request", "a body has no place here")
+		return false
+	}
+	l.plain(status, "", keep)
+	return keep
+}
+
+func (l *link) badHead(err error) {
+	var late net.Error
+	switch {
+	case errors.Is(err, http1.ErrTooLarge):
+		l.refuse("431 Request Header Fields Too Large", err.Error())
+	case errors.Is(err, http1.ErrMalformed):
+		l.refuse("400 Bad Request", err.Error())
+	case errors.As(err, &late) && late.Timeout():
+		l.refuse("408 Request Timeout", "the head did not come in time")
+	}
+}
+
+// plain writes an answer without a stream.
+func (l *link) plain(status, text string, keep bool, more ...http1.Field) {
+	l.nc.SetWriteDeadline(time.Now().Add(l.s.cfg.Limits.Write))
+	h := append(http1.Header{{Name: "Content-Length", Value: itoa(len(text))}}, more...)
+	if !keep {
+		h = append(h, http1.Field{Name: "Connection", Value: "close"})
+	}
+	http1.WriteHead(l.bw, "HTTP/1.1 "+status, h)
+	l.bw.WriteString(text)
+	l.bw.Flush()
+}
+
+// refuse writes an error, the connection's last answer, and lets it out: to
+// close on unread bytes would reset the connection, and the error might be lost.
+func (l *link) refuse(status, why string) {
+	l.plain(status, why+"\n", false)
+	c, ok := l.nc.(interface{ CloseWrite() error })
+	if !ok || c.CloseWrite() != nil {
+		return
+	}
+	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Linger))
+	io.CopyN(io.Discard, l.br, mostLinger)
+}
+
+const mostLinger = 512 << 10 // bytes heard after an error
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,213 @@
+// Package platform puts one router of the users' platform together: the module
+// behind its driver, clients in, workers out, discovery beside. docs/platform.md
+// has the protocol as it is met, every bound, and what an operator sees.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gannethook/internal/driver"
+	"gannethook/internal/platform/clients"
+	"gannethook/internal/platform/config"
+	"gannethook/internal/platform/discovery"
+	"gannethook/internal/platform/workers"
+)
+
+// Times of the platform's protocol.
+const (
+	firstList  = 300 * time.Millisecond // discovery's first answer is waited for so long, then what is known must do
+	accepting  = 600 * time.Millisecond // new connections are taken for so long after SIGTERM
+	lastStream = 5 * time.Minute        // streams end by themselves within this after SIGTERM
+)
+
+// Router is one router.
+type Router struct {
+	cfg     *config.Config
+	log     *zap.Logger
+	driver  *driver.Driver
+	workers *workers.Client
+	clients *clients.Server
+	watch   *discovery.Watch
+	next    chan string // discovery's new address
+	ready   atomic.Bool
+	listed  chan struct{} // closed with discovery's first answer
+	once    sync.Once
+}
+
+// New builds a router; Run starts it. It sets the process's memory and processor bounds.
+func New(cfg *config.Config, log *zap.Logger) (*Router, error) {
+	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	r := &Router{cfg: cfg, log: log, next: make(chan string, 1), listed: make(chan struct{})}
+	r.workers = workers.New(workers.Limits{Conns: cfg.Sockets * 45 / 100, Spare: cfg.Sockets / 8,
+		Dial: time.Duration(max(float64(cfg.Profile.Dial), 50) * 1e6), Idle: retire(float64(cfg.Profile.Settings.ConnIdle)),
+		Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond})
+	conns := cfg.Sockets * 45 / 100
+	var err error
+	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Name: cfg.Name, Seed: cfg.Seed, Inbox: 4096,
+		MaxOpen: conns, Engines: r.workers, Done: r.done})
+	if err != nil {
+		return nil, err
+	}
+	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load,
+		Limits: clients.Limits{Conns: conns, Body: 256 << 10, Bodies: cfg.Memory / 5, Head: 2 * time.Second,
+			Idle: 20 * time.Second, Write: 4 * time.Second, Linger: 500 * time.Millisecond}})
+	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1}
+	return r, nil
+}
+
+// retire is when an unused connection goes: well before its worker closes it.
+func retire(idleMS float64) time.Duration {
+	if idleMS <= 0 {
+		return 10 * time.Second
+	}
+	return time.Duration(idleMS * 0.8 * 1e6)
+}
+
+// told takes news of the list, first to where the workers are, then to the module.
+func (r *Router) told(l *discovery.List) {
+	r.list(l)
+	r.once.Do(func() { close(r.listed) })
+}
+
+func (r *Router) list(l *discovery.List) {
+	list := make([]workers.Worker, 0, len(l.Targets))
+	m := l.Membership(r.cfg.Profile)
+	for i, t := range l.Targets {
+		list = append(list, workers.Worker{ID: t.UID, Addr: t.Endpoint, Boot: t.Boot, Gone: t.State == "DELETED"})
+		if m.Servers[i].Kind < 0 {
+			r.log.Warn("a worker's model is not known", zap.String("worker", t.UID), zap.String("model", t.Model))
+		}
+	}
+	r.workers.Update(l.All, list)
+	r.driver.Update(m)
+}
+
+// done logs one request.
+func (r *Router) done(s driver.Summary) {
+	if e := r.log.Check(zap.DebugLevel, "request"); e != nil {
+		e.Write(zap.String("class", s.Class), zap.String("session", s.Session), zap.Stringer("outcome", s.Outcome),
+			zap.String("reason", s.Reason), zap.Strings("ends", s.Ends), zap.String("reader", s.Reader),
+			zap.String("writer", s.Writer), zap.Duration("first", s.FirstToken), zap.Duration("whole", s.Whole))
+	}
+}
+
+// Run serves until a signal stops it, and returns once all that it had taken is answered.
+func (r *Router) Run(ctx context.Context, signals <-chan os.Signal) error {
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", r.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return r.Serve(ctx, ln, signals)
+}
+
+// Serve is Run on a listener.
+func (r *Router) Serve(ctx context.Context, ln net.Listener, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer cancel()
+	parts.Go(func() { r.driver.Run(ctx) })
+	if r.cfg.Known != nil {
+		known := *r.cfg.Known
+		known.All = true
+		r.list(&known)
+	}
+	parts.Go(func() { r.watch.Run(ctx, r.cfg.Discovery, r.next) })
+	parts.Go(func() {
+		select {
+		case <-r.listed:
+		case <-time.After(firstList):
+		case <-ctx.Done():
+		}
+		r.ready.Store(true)
+		r.log.Info("ready", zap.Stringer("listen", ln.Addr()))
+	})
+	broken := make(chan error, 1)
+	parts.Go(func() { broken <- r.clients.Serve(ln) })
+	defer r.workers.Close()
+	err := r.obey(ctx, signals, broken)
+	r.stop(ctx, ln, signals)
+	return err
+}
+
+// obey follows signals until one stops the router, or something else ends it.
+func (r *Router) obey(ctx context.Context, signals <-chan os.Signal, broken <-chan error) error {
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				r.log.Info("stopping", zap.Stringer("signal", s))
+				return nil
+			}
+			r.reload()
+		case err := <-broken:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reload takes up a new configuration; one that can't be used changes nothing.
+func (r *Router) reload() {
+	next, err := config.Load(os.Getenv)
+	if err != nil {
+		r.log.Error("the new configuration is not taken up", zap.Error(err))
+		return
+	}
+	set := &next.Profile.Settings
+	if err := r.cfg.Profile.Settings.Compatible(set); err != nil {
+		r.log.Error("the new settings are not taken up", zap.Error(err))
+	} else {
+		r.driver.Swap(*set, r.cfg.Sockets*45/100)
+	}
+	r.log.Info("new configuration", zap.String("discovery", next.Discovery))
+	select {
+	case <-r.next: // one that was not taken up yet
+	default:
+	}
+	r.next <- next.Discovery
+}
+
+// stop answers all that was taken. New connections keep coming for a while, and
+// are taken; a second signal changes nothing, since work is still owed.
+func (r *Router) stop(ctx context.Context, ln net.Listener, signals <-chan os.Signal) {
+	r.clients.Drain()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					r.reload()
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	select {
+	case <-time.After(accepting):
+	case <-ctx.Done():
+	}
+	ln.Close()
+	r.clients.Idle()
+	wait, cancel := context.WithTimeout(ctx, lastStream)
+	defer cancel()
+	r.clients.Wait(wait)
+	r.clients.Cut()
+}
--- /dev/null
+++ b/internal/platform/workers/pool.go
@@ -0,0 +1,199 @@
+package workers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Limits bound the connections to all workers.
+type Limits struct {
+	Conns  int           // open at once, used or not
+	Spare  int           // unused ones kept for each worker
+	Dial   time.Duration // a connection not made by then has failed to connect
+	Idle   time.Duration // an unused connection is retired; under the workers' own time
+	Silent time.Duration // a stream that brings nothing for so long is broken
+	Hold   time.Duration // a place not answered by then is not known
+	Let    time.Duration // one worker's time to answer a release
+}
+
+// conn is one connection, owned by one exchange at a time.
+type conn struct {
+	net.Conn
+	addr string
+	br   *bufio.Reader
+	used time.Time
+}
+
+// errDial marks that the request was not written whole, so that nothing can have run.
+type errDial struct{ error }
+
+func (e errDial) Unwrap() error { return e.error }
+
+var errNoRoom = errors.New("all connections to workers are in use")
+
+// pool keeps the unused connections by address, newest last, and counts all.
+type pool struct {
+	lim  Limits
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open int
+	shut bool
+}
+
+// get gives a connection: an unused one that still stands, else a new one.
+func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+// pop takes the newest unused connection.
+func (p *pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	if p.idle[addr] = list[:len(list)-1]; len(list) == 1 {
+		delete(p.idle, addr)
+	}
+	return c
+}
+
+// dial makes a connection, in place of the one unused for longest where there are too many.
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+	if !p.room() {
+		return nil, errDial{errNoRoom}
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.lim.Dial)
+	defer cancel()
+	d := net.Dialer{KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, errDial{err}
+	}
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, 2048)}, nil
+}
+
+// room counts one more connection, if there may be one.
+func (p *pool) room() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.lim.Conns {
+		p.open++
+		return true
+	}
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].used.Before(oldest.used) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.forget(oldest)
+	oldest.Close() // its place in the count is the new one's
+	return true
+}
+
+// forget takes an unused connection out of the list.
+func (p *pool) forget(c *conn) {
+	list := slices.DeleteFunc(p.idle[c.addr], func(o *conn) bool { return o == c })
+	if p.idle[c.addr] = list; len(list) == 0 {
+		delete(p.idle, c.addr)
+	}
+}
+
+// drop closes a connection that was taken.
+func (p *pool) drop(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// put takes a connection back after a whole exchange. What talks out of turn is of no use.
+func (p *pool) put(c *conn) {
+	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		p.drop(c)
+		return
+	}
+	c.used = time.Now()
+	p.mu.Lock()
+	full := p.shut || len(p.idle[c.addr]) >= p.lim.Spare
+	if !full {
+		p.idle[c.addr] = append(p.idle[c.addr], c)
+	}
+	p.mu.Unlock()
+	if full {
+		p.drop(c)
+	}
+}
+
+// sweep retires what has been unused for too long, or all that gone tells.
+func (p *pool) sweep(gone func(addr string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		keep := slices.DeleteFunc(list, func(c *conn) bool {
+			old := time.Since(c.used) >= p.lim.Idle || gone(addr)
+			if old {
+				c.Close()
+				p.open--
+			}
+			return old
+		})
+		if p.idle[addr] = keep; len(keep) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// unused tells how many connections to an address wait.
+func (p *pool) unused(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr])
+}
+
+// stands tells whether nothing is readable on an unused connection: neither its
+// end nor bytes that nobody asked for. A request written into a closed one would
+// count as one that may have run.
+func stands(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/platform/workers/workers.go
@@ -0,0 +1,326 @@
+// Package workers is the way out to the platform's workers: requests passed on
+// as they came, places and releases by the request's own id, over pooled
+// connections. It carries out one attempt and tells how it ended; it decides
+// nothing and sends nothing again.
+package workers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/attempt"
+	"gannethook/internal/http1"
+)
+
+// HoldsPath is where places are asked for and let go, followed by the request's id.
+const HoldsPath = "/v1/holds/"
+
+// Bounds of an answer.
+const (
+	mostChunk   = 64 << 10 // bytes of one chunk of a stream
+	mostAnswer  = 64 << 10 // bytes of an answer that is no stream
+	mostInterim = 8        // 1xx answers ahead of the answer
+	headTime    = time.Second
+	headersRoom = 256
+)
+
+// worker is what is known of one.
+type worker struct {
+	addr  string
+	boot  float64
+	heard time.Time // when it last answered anything
+}
+
+// Client makes attempts. It is safe for concurrent use.
+type Client struct {
+	pool pool
+	lim  Limits
+	mu   sync.Mutex
+	byID map[string]*worker
+	stop chan struct{}
+	wg   sync.WaitGroup
+}
+
+// New returns a client; Close ends it.
+func New(lim Limits) *Client {
+	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, byID: map[string]*worker{}, stop: make(chan struct{})}
+	c.wg.Go(func() {
+		tick := time.NewTicker(max(lim.Idle/8, 100*time.Millisecond))
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				c.pool.sweep(func(string) bool { return false })
+			case <-c.stop:
+				return
+			}
+		}
+	})
+	return c
+}
+
+// Close closes unused connections; those in use close when their attempts end.
+func (c *Client) Close() {
+	close(c.stop)
+	c.wg.Wait()
+	c.pool.mu.Lock()
+	c.pool.shut = true
+	c.pool.mu.Unlock()
+	c.pool.sweep(func(string) bool { return true })
+}
+
+// Worker is a worker's address, as discovery has it.
+type Worker struct {
+	ID, Addr string
+	Boot     float64
+	Gone     bool
+}
+
+// Update takes news of the list; whole tells that who is not in it is gone.
+// Connections to one that moved, restarted or went are of no more use.
+func (c *Client) Update(whole bool, list []Worker) {
+	c.mu.Lock()
+	old := c.byID
+	if whole {
+		c.byID = make(map[string]*worker, len(list))
+	}
+	for _, w := range list {
+		if w.Gone {
+			delete(c.byID, w.ID)
+		} else if o := old[w.ID]; o != nil && o.addr == w.Addr && o.boot == w.Boot {
+			c.byID[w.ID] = o
+		} else {
+			c.byID[w.ID] = &worker{addr: w.Addr, boot: w.Boot}
+		}
+	}
+	known := make(map[string]bool, len(c.byID))
+	for _, w := range c.byID {
+		known[w.addr] = true
+	}
+	for _, w := range list {
+		if now := c.byID[w.ID]; now != nil && now.heard.IsZero() {
+			known[w.Addr] = false // started again: what is open leads to its former life
+		}
+	}
+	c.mu.Unlock()
+	c.pool.sweep(func(addr string) bool { return !known[addr] })
+}
+
+func (c *Client) addr(id string) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		return w.addr, nil
+	}
+	return "", errDial{fmt.Errorf("worker %s is not listed", id)}
+}
+
+// heard notes that a worker answered.
+func (c *Client) heard(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		w.heard = time.Now()
+	}
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	c    *Client
+	id   string // the worker's
+	conn *conn
+	res  *http1.Response
+	body *http1.Body
+	stop func() bool
+}
+
+// open sends a request and reads the answer's head.
+func (c *Client) open(ctx context.Context, id string, head []byte, call *attempt.Call) (*exchange, error) {
+	addr, err := c.addr(id)
+	if err != nil {
+		return nil, err
+	}
+	cn, err := c.pool.get(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{c: c, id: id, conn: cn}
+	x.stop = context.AfterFunc(ctx, func() { cn.Close() }) // closing calls the work off
+	bufs := net.Buffers{head, call.Body}
+	if len(call.Body) == 0 {
+		bufs = bufs[:1]
+	}
+	if _, err := bufs.WriteTo(cn.Conn); err != nil {
+		x.close(false)
+		return nil, errDial{err}
+	}
+	call.Sent.Set(true)
+	if err := x.head(); err != nil {
+		x.close(false)
+		return nil, err
+	}
+	c.heard(id)
+	return x, nil
+}
+
+// head reads the answer's head. It may take its time to begin, but not to end.
+func (x *exchange) head() (err error) {
+	if _, err = x.conn.br.Peek(1); err != nil {
+		return err
+	}
+	x.conn.SetReadDeadline(time.Now().Add(headTime))
+	for range mostInterim {
+		if x.res, err = http1.ReadResponse(x.conn.br); err != nil {
+			return err
+		}
+		if x.res.Status >= 200 {
+			x.body, err = http1.ResponseBody(x.conn.br, x.res)
+			return err
+		}
+		x.conn.SetReadDeadline(time.Time{})
+		if _, err = x.conn.br.Peek(1); err != nil {
+			return err
+		}
+		x.conn.SetReadDeadline(time.Now().Add(headTime))
+	}
+	return fmt.Errorf("%w: more than %d interim answers", http1.ErrTooLarge, mostInterim)
+}
+
+// close gives the connection back if the exchange is whole, else cuts it.
+func (x *exchange) close(whole bool) {
+	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
+		x.c.pool.put(x.conn)
+		return
+	}
+	x.c.pool.drop(x.conn)
+}
+
+// finish reads what is left of an answer that is no stream.
+func (x *exchange) finish() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(x.body, mostAnswer+1))
+	if err == nil && n > mostAnswer {
+		err = http1.ErrTooLarge
+	}
+	x.close(err == nil)
+	return err
+}
+
+// failed maps an error of the connection to an outcome.
+func failed(ctx context.Context, err error) attempt.Result {
+	var dial errDial
+	switch {
+	case errors.As(err, &dial):
+		return attempt.Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
+	case ctx.Err() != nil:
+		return attempt.Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
+	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge):
+		return attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
+	}
+	return attempt.Result{Outcome: gannethook.Broken, Detail: err.Error()}
+}
+
+// turned maps an answer that is neither a state nor a stream to an outcome.
+func (x *exchange) turned() attempt.Result {
+	status, notRun := x.res.Status, x.res.Header.Get("X-Not-Processed") == "1"
+	x.finish()
+	r := attempt.Result{Outcome: gannethook.Failed, Detail: "status " + strconv.Itoa(status)}
+	switch {
+	case status == 410 && notRun:
+		r.Outcome, r.NoState = gannethook.Full, true
+	case notRun:
+		r.Outcome = gannethook.Full
+	case status == 400 || status == 404 || status == 413 || status == 431:
+		r.Outcome = gannethook.Moot // the request itself can't be taken: no worker is to blame, none would take it
+	}
+	return r
+}
+
+// requestHead is a request's head; a method without a body has no length.
+func requestHead(method, path, id string, call *attempt.Call) []byte {
+	b := make([]byte, 0, headersRoom+len(path))
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, path...)
+	b = append(b, " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: "...)
+	b = append(b, id...)
+	if call.Timeout > 0 {
+		b = append(b, "\r\nX-Timeout-Ms: "...)
+		b = strconv.AppendInt(b, max(call.Timeout.Milliseconds(), 1), 10)
+	}
+	if method == "POST" {
+		b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(call.Body)), 10)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
+// Read has a prompt read by a reader, whose state then waits there.
+func (c *Client) Read(ctx context.Context, call *attempt.Call) attempt.Result {
+	x, err := c.open(ctx, call.Addr, requestHead("POST", call.Path, call.Key, call), call)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if x.res.Status != 202 {
+		return x.turned()
+	}
+	if err := x.finish(); err != nil {
+		return failed(ctx, err)
+	}
+	return attempt.Result{Outcome: gannethook.ReadDone}
+}
+
+// Do is not part of the platform's protocol.
+func (c *Client) Do(context.Context, *attempt.Call) attempt.Result {
+	return attempt.Result{Outcome: gannethook.Moot, Detail: "one-stage work is not part of the platform's protocol"}
+}
+
+// Write streams an answer. started is called with the first whole chunk in
+// hand; where it says no, the attempt is over. token gets each whole chunk,
+// valid during the call, and may say no as well.
+func (c *Client) Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
+	x, err := c.open(ctx, call.Addr, requestHead("POST", call.Path, call.Key, call), call)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	if x.res.Status != 200 {
+		return x.turned()
+	}
+	r := x.stream(ctx, started, token)
+	x.close(r.Outcome == gannethook.Served)
+	return r
+}
+
+// stream passes chunks on to the last one, which alone makes the answer whole.
+func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) attempt.Result {
+	if !x.body.Chunked() || !strings.HasPrefix(x.res.Header.Get("Content-Type"), "text/event-stream") {
+		return attempt.Result{Outcome: gannethook.Failed, Detail: "the answer is not a stream in chunks"}
+	}
+	var buf []byte
+	for n := 0; ; n++ {
+		x.conn.SetReadDeadline(time.Now().Add(x.c.lim.Silent))
+		chunk, err := x.body.NextChunk(buf, mostChunk)
+		switch {
+		case errors.Is(err, io.EOF) && n > 0:
+			return attempt.Result{Outcome: gannethook.Served, Tokens: n}
+		case errors.Is(err, io.EOF):
+			return attempt.Result{Outcome: gannethook.Failed, Detail: "the stream has no event"}
+		case err != nil:
+			r := failed(ctx, err)
+			r.Tokens = n
+			return r
+		case n == 0 && !started():
+			return attempt.Result{Outcome: gannethook.Cancelled, Detail: "ended before its first event"}
+		case !token(chunk):
+			return attempt.Result{Outcome: gannethook.Cancelled, Tokens: n, Detail: "the client is gone"}
+		}
+		buf = chunk
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/profile/profile.go
@@ -1,4 +1,6 @@
-package wire
+// Package profile decodes the settings object that the users' platform gives a
+// router, on the simulator's wire and in a router's configuration file alike.
+package profile
 
 import (
 	"encoding/json"
@@ -9,11 +11,12 @@
 	"gannethook"
 )
 
-// profile is the start-up settings object as it comes; unknown keys are skipped.
-type profile struct {
+// object is the settings object as it comes; unknown keys are skipped.
+type object struct {
 	Ceilings struct {
 		Cancel        bool    `json:"cancel"`
 		ConnIdle      float64 `json:"connIdleMs"`
+		Dial          float64 `json:"dialTimeoutMs"`
 		MaxAttempts   int     `json:"maxAttempts"`
 		MaxRetryAfter float64 `json:"maxRetryAfterMs"`
 		RetryAfter    bool    `json:"retryAfter"`
@@ -21,6 +24,7 @@
 	Classes []struct {
 		Aim      *float64 `json:"aimMs"`
 		Effect   string   `json:"effect"`
+		Name     string   `json:"name"`
 		Group    string   `json:"group"`
 		Worth    float64  `json:"importance"`
 		Streamed bool     `json:"streamed"`
@@ -60,21 +64,25 @@
 	groups = map[string]gannethook.Group{"": 0, "all": gannethook.GroupAll, "zone": gannethook.GroupZone, "cell": gannethook.GroupCell}
 )
 
-// layout is what later messages need of the start-up settings.
-type layout struct {
-	memory int       // place of the memory share in a load report; -1: none
-	zones  int       // how many there are
-	pace   []float64 // wanted ms a token, by class
+// Profile is what a router is told at its start.
+type Profile struct {
+	Settings gannethook.Settings
+	Classes  []string          // their names
+	Kinds    []string          // the same
+	Zones    []string          // the same
+	Memory   int               // place of the memory share in a load report; -1: none
+	Pace     []float64         // wanted ms a token, by class
+	Dial     gannethook.Millis // a connection not made by then has failed; 0: not told
 }
 
-// parseSettings translates the start-up settings.
-func parseSettings(text string) (gannethook.Settings, layout, error) {
-	var p profile
-	if err := json.Unmarshal([]byte(text), &p); err != nil {
-		return gannethook.Settings{}, layout{}, fmt.Errorf("profileData: %w", err)
+// Parse decodes the object. Errors name the field.
+func Parse(text []byte) (*Profile, error) {
+	var p object
+	if err := json.Unmarshal(text, &p); err != nil {
+		return nil, err
 	}
 	if p.Peers == nil {
-		return gannethook.Settings{}, layout{}, errors.New("profileData: peersTotal is missing")
+		return nil, errors.New("peersTotal is missing")
 	}
 	s := gannethook.Settings{
 		Routers:  *p.Peers,
@@ -93,19 +101,24 @@
 		s.Tenants = append(s.Tenants, gannethook.Tenant{QuotaPerS: t.Quota})
 	}
 	if err := addKinds(&s, &p); err != nil {
-		return s, layout{}, err
+		return nil, err
 	}
 	if err := addClasses(&s, &p); err != nil {
-		return s, layout{}, err
+		return nil, err
 	}
-	return s, layout{slices.Index(p.Report.Fields, "x0"), max(len(p.Zones), 1), p.Domain.TokenAim}, nil
+	out := &Profile{Settings: s, Kinds: p.Kinds, Zones: p.Zones, Memory: slices.Index(p.Report.Fields, "x0"),
+		Pace: p.Domain.TokenAim, Dial: gannethook.Millis(p.Ceilings.Dial)}
+	for _, c := range p.Classes {
+		out.Classes = append(out.Classes, c.Name)
+	}
+	return out, nil
 }
 
-func addKinds(s *gannethook.Settings, p *profile) error {
+func addKinds(s *gannethook.Settings, p *object) error {
 	for i, name := range p.Domain.Roles {
 		role, ok := roles[name]
 		if !ok {
-			return fmt.Errorf("profileData: kindRole %q is not a role", name)
+			return fmt.Errorf("kindRole %q is not a role", name)
 		}
 		kind := gannethook.Kind{Role: role}
 		if i < len(p.Domain.Memory) {
@@ -114,23 +127,23 @@
 		s.Kinds = append(s.Kinds, kind)
 	}
 	if len(s.Kinds) < len(p.Kinds) {
-		return fmt.Errorf("profileData: %d kinds but %d roles", len(p.Kinds), len(s.Kinds))
+		return fmt.Errorf("%d kinds but %d roles", len(p.Kinds), len(s.Kinds))
 	}
 	return nil
 }
 
-func addClasses(s *gannethook.Settings, p *profile) error {
+func addClasses(s *gannethook.Settings, p *object) error {
 	for i, c := range p.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return fmt.Errorf("profileData: effect %q of class %d is not known", c.Effect, i)
+			return fmt.Errorf("effect %q of class %d is not known", c.Effect, i)
 		}
 		group, ok := groups[c.Group]
 		if !ok {
-			return fmt.Errorf("profileData: group %q of class %d is not known", c.Group, i)
+			return fmt.Errorf("group %q of class %d is not known", c.Group, i)
 		}
 		if c.Aim == nil {
-			return fmt.Errorf("profileData: aimMs of class %d is missing", i)
+			return fmt.Errorf("aimMs of class %d is missing", i)
 		}
 		class := gannethook.Class{
 			Aim: gannethook.Millis(*c.Aim), Worth: c.Worth, Effect: effect, Group: group,
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -9,14 +9,13 @@
 	"strings"
 
 	"gannethook"
+	"gannethook/internal/profile"
 )
 
 // instance is one hosted router with what is needed to translate for it.
 type instance struct {
 	router *gannethook.Router
-	layout
-	kinds int
-	set   gannethook.Settings
+	*profile.Profile
 }
 
 // host translates between the pipe and its instances.
@@ -129,19 +128,19 @@
 // open starts an instance.
 func (h *host) open(id uint64, r *reader) error {
 	seed := r.integer("randomSeed")
-	profile := r.text("profileData")
+	text := r.text("profileData")
 	if r.err != nil {
 		return r.err
 	}
-	set, places, err := parseSettings(profile)
+	told, err := profile.Parse([]byte(text))
 	if err != nil {
-		return fmt.Errorf("OPEN_INSTANCE: %w", err)
+		return fmt.Errorf("OPEN_INSTANCE: profileData: %w", err)
 	}
-	router, err := gannethook.New(set, uint64(seed))
+	router, err := gannethook.New(told.Settings, uint64(seed))
 	if err != nil {
 		return fmt.Errorf("OPEN_INSTANCE: %w", err)
 	}
-	h.instances[id] = &instance{router: router, layout: places, kinds: len(set.Kinds), set: set}
+	h.instances[id] = &instance{router: router, Profile: told}
 	return nil
 }
 
@@ -201,22 +200,22 @@
 		e.fail("readiness", "a state")
 	}
 	return gannethook.Server{
-		ID: server(e), Kind: e.index("model", inst.kinds), Zone: e.index("area", inst.zones),
+		ID: server(e), Kind: e.index("model", len(inst.Settings.Kinds)), Zone: e.index("area", max(len(inst.Zones), 1)),
 		Cell:  int(e.wholeOr("cell", 0)),
 		Since: gannethook.Millis(e.numberOr("sinceMs", 0)), State: state,
 	}
 }
 
 func order(_ *host, inst *instance, r *reader) gannethook.Event {
-	class := r.index("lane", len(inst.set.Classes))
+	class := r.index("lane", len(inst.Settings.Classes))
 	ev := gannethook.Request{
-		ID: request(r), Class: class, Tenant: r.index("tenant", max(len(inst.set.Tenants), 1)),
+		ID: request(r), Class: class, Tenant: r.index("tenant", max(len(inst.Settings.Tenants), 1)),
 		Session: gannethook.Key(r.wholeOr("dialogue", 0)), Prefix: gannethook.Key(r.wholeOr("prefix", 0)),
 		Budget: gannethook.Millis(r.number("budgetMs")), Prompt: r.numberOr("promptLen", 0),
 		PrefixLen: r.numberOr("prefixLen", 0), MaxOut: r.numberOr("maxOut", 0),
 	}
-	if class < len(inst.pace) && inst.pace[class] > 0 {
-		ev.Hint = r.numberOr("weightHintMs", 0) / inst.pace[class]
+	if class < len(inst.Pace) && inst.Pace[class] > 0 {
+		ev.Hint = r.numberOr("weightHintMs", 0) / inst.Pace[class]
 	}
 	return ev
 }
@@ -256,7 +255,7 @@
 // report reads the memory share of a load report, if there is one; other values are skipped.
 func (inst *instance) report(r *reader) (share float64, ok bool) {
 	row := r.fields["report"]
-	if row == "" || row == "-" || inst.memory < 0 {
+	if row == "" || row == "-" || inst.Memory < 0 {
 		return 0, false
 	}
 	for i, part := range strings.Split(row, ",") {
@@ -268,7 +267,7 @@
 			r.fail("report", "a row of numbers")
 			return 0, false
 		}
-		if i == inst.memory {
+		if i == inst.Memory {
 			share, ok = v, true
 		}
 	}
