--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -74,7 +74,7 @@
 			zap.Duration("give-up", job.GiveUp), zap.String("retried", x.req.Header.Get("X-Retried")),
 			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.from)))
 	}
-	job.Waited = time.Since(x.from)
+	job.GiveUp, job.Waited = s.left(job.GiveUp), time.Since(x.from)
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // the platform's bounds: nothing has run
 		x.l.plain("503 Service Unavailable", err.Error()+"\n", x.keep)
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -48,7 +48,8 @@
 	classes map[string]int
 	wg      sync.WaitGroup
 	bodies  atomic.Int64
-	stops   atomic.Bool
+	ends    atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
+	stops   atomic.Bool  // no connection takes another request
 
 	mu    sync.Mutex
 	open  map[*link]struct{}
@@ -168,12 +169,22 @@
 	delete(s.names, name)
 }
 
-// Drain has every connection close once its request is answered; it is ready no more.
-func (s *Server) Drain() { s.stops.Store(true) }
+// Drain has the server ready no more. It goes on taking requests, of which each
+// must be answered within so long from now.
+func (s *Server) Drain(within time.Duration) { s.ends.Store(int64(time.Since(s.start) + within)) }
 
-// Idle closes the connections that wait for a request. One whose request is on
-// its way is heard first.
-func (s *Server) Idle() {
+// left is how long a client that waits so long may be kept waiting.
+func (s *Server) left(waits time.Duration) time.Duration {
+	if ends := s.ends.Load(); ends != 0 {
+		return min(waits, max(time.Duration(ends)-time.Since(s.start), time.Millisecond))
+	}
+	return waits
+}
+
+// Turn has every connection close once its request is answered, and now where
+// none is open. One whose request is on its way is heard first.
+func (s *Server) Turn() {
+	s.stops.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for e := s.idle.Front(); e != nil; e = e.Next() {
@@ -293,13 +304,16 @@
 // ready answers the front.
 func (l *link) ready(req *http1.Request) bool {
 	status, keep := "200 OK", req.Minor == 1 && !req.Header.Has("Connection", "close")
-	if l.s.stops.Load() || !l.s.cfg.Ready() {
+	if l.s.ends.Load() != 0 || !l.s.cfg.Ready() {
 		status = "503 Service Unavailable"
 	}
 	if b, err := http1.RequestBody(l.br, req.Header); err != nil || b.Length() > 0 || b.Chunked() {
 		l.refuse("400 Bad Request", "a body has no place here")
 		return false
 	}
+	if e := l.s.cfg.Log.Check(zap.DebugLevel, "asked whether it is ready"); e != nil {
+		e.Write(zap.String("answer", status))
+	}
 	l.plain(status, "", keep)
 	return keep
 }
--- a/internal/platform/parting/parting.go
+++ b/internal/platform/parting/parting.go
@@ -18,24 +18,22 @@
 // Plan is how one router parts with its streams. Times count from the stop.
 type Plan struct {
 	From, Until time.Duration
-	most        int // streams that were open at the first look
+	resumes     bool // clients ask for the rest of a stream
 	looked      bool
+	most        int // streams that were open at the first look
 }
 
 // Parts of the time until the kill.
 const (
 	from  = 0.48 // ours: a router stopped a while before this one is back by then
-	until = 0.78 // ours: one stopped next still takes clients in
+	until = 0.86 // ours: one stopped next still takes clients in
 )
 
 // NewPlan makes a plan for a router that is killed at the earliest after so
-// long. It is nil where clients do not ask for the rest of a stream: there, what
-// is cut is lost, and only what the kill breaks is broken.
+// long. Where clients do not ask for the rest of a stream none is ended: what is
+// cut is lost, and only what the kill breaks is broken.
 func NewPlan(kill time.Duration, resumes bool) *Plan {
-	if !resumes || kill <= 0 {
-		return nil
-	}
-	return &Plan{From: time.Duration(from * float64(kill)), Until: time.Duration(until * float64(kill))}
+	return &Plan{From: time.Duration(from * float64(kill)), Until: time.Duration(until * float64(kill)), resumes: resumes}
 }
 
 // Stream is an open stream.
@@ -48,7 +46,7 @@
 // first: the older ones are more likely to end by themselves, and have more that
 // must be read again.
 func (p *Plan) Part(passed time.Duration, open []Stream) []Stream {
-	if p == nil || passed < p.From {
+	if !p.resumes || passed < p.From {
 		return nil
 	}
 	if !p.looked {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,9 +28,10 @@
 
 // Times of the platform's protocol.
 const (
-	firstList  = 300 * time.Millisecond // discovery's first answer is waited for so long, then what is known must do
-	accepting  = 600 * time.Millisecond // new connections are taken for so long after SIGTERM
-	lastStream = 5 * time.Minute        // streams end by themselves within this after SIGTERM
+	firstList   = 300 * time.Millisecond // discovery's first answer is waited for so long, where nothing is known
+	accepting   = 600 * time.Millisecond // new connections are taken for so long after SIGTERM
+	lastAnswers = 300 * time.Millisecond // before the kill, all that came after SIGTERM is answered
+	lastStream  = 5 * time.Minute        // streams end by themselves within this after SIGTERM
 
 	// A stopped router is killed at the earliest after the longest time that its
 	// clients wait, of which longestGrace counts at most, and killAfter more.
@@ -134,10 +135,12 @@
 	}
 	parts.Go(func() { r.watch.Run(ctx, r.cfg.Discovery, r.next) })
 	parts.Go(func() {
-		select {
-		case <-r.listed:
-		case <-time.After(firstList):
-		case <-ctx.Done():
+		if r.cfg.Known == nil || len(r.cfg.Known.Targets) == 0 { // without any list it could only refuse
+			select {
+			case <-r.listed:
+			case <-time.After(firstList):
+			case <-ctx.Done():
+			}
 		}
 		r.ready.Store(true)
 		r.log.Info("ready", zap.Stringer("listen", ln.Addr()))
@@ -190,9 +193,13 @@
 }
 
 // stop answers all that was taken. New connections keep coming for a while, and
-// are taken; a second signal changes nothing, since work is still owed.
+// are taken; what comes late is answered before the kill. A second signal changes
+// nothing, since work is still owed.
 func (r *Router) stop(ctx context.Context, ln net.Listener, signals <-chan os.Signal) {
-	r.clients.Drain()
+	from, p := time.Now(), r.cfg.Profile
+	kill := min(time.Duration(p.GiveUp*1e6), longestGrace) + killAfter
+	plan := parting.NewPlan(kill, p.Resume)
+	r.clients.Drain(kill - lastAnswers)
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -207,13 +214,12 @@
 			}
 		}
 	}()
-	from := time.Now()
 	select {
 	case <-time.After(accepting):
 	case <-ctx.Done():
 	}
 	ln.Close()
-	r.clients.Idle()
+	r.clients.Turn()
 	wait, cancel := context.WithTimeout(ctx, lastStream)
 	defer cancel()
 	gone := make(chan struct{})
@@ -221,15 +227,12 @@
 		r.clients.Wait(wait)
 		close(gone)
 	}()
-	r.part(from, gone)
+	r.part(plan, from, gone)
 	r.clients.Cut()
 }
 
 // part ends streams as the plan tells until all clients are gone.
-func (r *Router) part(from time.Time, gone <-chan struct{}) {
-	p := r.cfg.Profile
-	kill := min(time.Duration(p.GiveUp*1e6), longestGrace) + killAfter
-	plan := parting.NewPlan(kill, p.Resume)
+func (r *Router) part(plan *parting.Plan, from time.Time, gone <-chan struct{}) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
