After a writer's error that a missed state would end, the prompt is read again

Looked at: ends of all attempts in the log; all 14 states asked for again after a spoilt answer were gone (the writer had fetched them), none was found; with 4 attempts the miss left none for another read. Ruled out: bad clients (none of the refused was theirs), load (times to read 100 ms). Fault: again() kept the state for the next writer whatever the failure. For an error it is now read anew where a miss would be the end.

--- a/router.go
+++ b/router.go
@@ -567,7 +567,10 @@
 		}
 	}
 	q.tried, q.repeat = append(q.tried, a.on), true
-	if a.reads || ev.NoState {
+	// A writer that gave an error may have fetched the state. Guards against giving up with the last
+	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
+	taken := !a.reads && ev.Outcome == Failed && !r.attemptsLeft(q, 3)
+	if a.reads || ev.NoState || taken {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
 		q.state = nil
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -172,6 +172,28 @@
 	s.want("release 1")
 }
 
+// TestErrorAfterTheFetch: a writer that gives an error may have fetched the state. With attempts for one read
+// and one write left, the prompt is read anew; a turn at the next writer could be the last, and find no state.
+func TestErrorAfterTheFetch(t *testing.T) {
+	for _, c := range []struct {
+		most int
+		how  Outcome
+		anew bool
+	}{{4, Failed, true}, {5, Failed, false}, {0, Failed, false}, {4, ConnectFailed, false}, {4, Full, false}, {4, TimedOut, false}} {
+		set := fleet()
+		set.MaxAttempts = c.most
+		s := newScript(t, set, twoEach...)
+		s.on(1, ask(1, 0))
+		reader := s.sent()
+		s.on(5, Held{ID: 1, Attempt: 0, OK: true})
+		s.on(94, Ended{ID: 1, Attempt: 0, Server: reader, Outcome: ReadDone})
+		s.on(1, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: c.how})
+		if got := strings.Join(shorts(s.acts), ", "); strings.HasPrefix(got, "release 1, send 1 r") != c.anew {
+			t.Errorf("%d attempts, outcome %v: %s", c.most, c.how, got)
+		}
+	}
+}
+
 // TestLongPromptIsTaken: a long prompt's own quadratic price does not refuse it at an idle fleet.
 func TestLongPromptIsTaken(t *testing.T) {
 	s := newScript(t, fleet(), oneEach...)
