A release of a named request goes out before its next attempt

The release of the first read went by another connection and came after the second read's end: it let go of the new state. Fault: Call.letGo and Call.send on goroutines of their own, in no order; engines key each read, the platform knows only the id.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -35,6 +35,7 @@
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
 	held     []attempt.Held // what may be held, and where, until it is let go
+	letting  chan struct{}  // closed once the last release of a named request has gone out; nil: none has
 	releases int            // how often all was let go: tells late grants
 }
 
@@ -126,7 +127,17 @@
 	if s.Timeout > 0 {
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
-	c.d.work.Go(func() { c.attempt(ctx, a, call) })
+	// A release lets go of all that a named request holds, also of what comes after it: it goes first.
+	before := c.letting
+	c.d.work.Go(func() {
+		if before != nil {
+			select {
+			case <-before:
+			case <-ctx.Done():
+			}
+		}
+		c.attempt(ctx, a, call)
+	})
 	return nil
 }
 
@@ -297,7 +308,12 @@
 			ended = append(ended, a.over)
 		}
 	}
+	gone := make(chan struct{})
+	if c.job.Name != "" {
+		c.letting = gone
+	}
 	c.d.work.Go(func() {
+		defer close(gone)
 		for _, over := range ended {
 			<-over
 		}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -19,19 +19,23 @@
 
 // fake are engines whose steps take as long as told, on the test's clock.
 type fake struct {
-	read, first, hold time.Duration
-	tokens            int
-	gap               time.Duration
-	holdOK            bool
-	writeEnds         attempt.Result // in place of a stream, if it has an outcome
-	readEnds          attempt.Result
-	failFirst         bool // the first read fails
-	stall             bool // the stream never goes on after its first token
-	mu                sync.Mutex
-	writes, reads     int
-	params            []bool // whether each write came with a state
-	releases          int
-	held, let         map[string]int // places and states by server and read
+	read, first, hold  time.Duration
+	tokens             int
+	gap                time.Duration
+	holdOK             bool
+	writeEnds          attempt.Result // in place of a stream, if it has an outcome
+	readEnds           attempt.Result
+	failFirst          bool // the first read fails
+	stall              bool // the stream never goes on after its first token
+	mu                 sync.Mutex
+	writes, reads      int
+	params             []bool // whether each write came with a state
+	releases           int
+	slowRelease        time.Duration // a release takes so long,
+	releasing          bool          // is under way,
+	released           bool          // has ended,
+	readWhileReleasing bool
+	held, let          map[string]int // places and states by server and read
 }
 
 func newFake() *fake {
@@ -59,6 +63,7 @@
 func (f *fake) Read(ctx context.Context, call *attempt.Call) attempt.Result {
 	f.mu.Lock()
 	f.reads++
+	f.readWhileReleasing = f.readWhileReleasing || f.releasing
 	n := f.reads
 	f.mu.Unlock()
 	if !wait(ctx, f.read) {
@@ -123,8 +128,13 @@
 }
 
 func (f *fake) Release(_ context.Context, list []attempt.Held) {
+	f.mu.Lock()
+	f.releasing = true
+	f.mu.Unlock()
+	time.Sleep(f.slowRelease)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.releasing, f.released = false, true
 	for _, h := range list {
 		f.releases++
 		if k := h.Addr + " " + h.Key; f.held[k] > 0 { // what comes before the grant lets nothing go
@@ -613,3 +623,25 @@
 	wg.Wait()
 	b.ReportMetric(float64(events)/took, "events/s")
 }
+
+// A release lets go of all that a request with a name of its own holds: it is out before the next attempt, which
+// would lose its state to it.
+func TestReleaseGoesFirst(t *testing.T) {
+	f := newFake()
+	f.failFirst = true
+	f.slowRelease = 50 * ms
+	run(t, f, func(d *Driver) {
+		s, j := newSink(t), job(0)
+		j.Name = "a"
+		if _, err := d.Submit(j, s); err != nil {
+			t.Fatal(err)
+		}
+		<-s.done
+		if a := s.finals[0]; a.Kind != Served || f.reads != 2 {
+			t.Errorf("%+v after %d reads", a, f.reads)
+		}
+		if !f.released || f.readWhileReleasing {
+			t.Errorf("released %v, read meanwhile %v", f.released, f.readWhileReleasing)
+		}
+	})
+}
