--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -108,11 +108,10 @@
 // until waits for what must come true soon.
 func (s *site) until(what string, ok func() bool) {
 	s.t.Helper()
-	for range 500 {
+	for from := time.Now(); time.Since(from) < 5*time.Second; time.Sleep(10 * ms) {
 		if ok() {
 			return
 		}
-		time.Sleep(10 * ms)
 	}
 	s.t.Fatalf("%s: not within 5 s", what)
 }
@@ -280,13 +279,17 @@
 
 // An id that is open is refused; the request that has it goes on.
 func TestOpenID(t *testing.T) {
+	var reader *standin.Worker
 	s := open(t, func(f *standin.Fleet) {
-		f.Add(standin.Prompt, func(int, string) standin.Script { return standin.Script{Wait: 500 * ms} })
+		reader = f.Add(standin.Prompt, func(int, string) standin.Script { return standin.Script{Wait: time.Second} })
 		f.Add(standin.Answer, nil)
 	})
 	got := make(chan answer, 1)
 	go func() { got <- s.ask("x", "question", 4000) }()
-	s.until("a second is refused", func() bool { return s.ask("x", "adjustment", 4000).status == 409 })
+	s.until("the first is out", func() bool { n, _, _ := reader.Count(); return n == 1 })
+	if a := s.ask("x", "adjustment", 4000); a.status != 409 {
+		t.Errorf("%+v", a)
+	}
 	s.wantServed(<-got, "x")
 }
 
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -61,6 +61,7 @@
 	states  map[string]string // where a request's state waits
 	places  map[string]string // where a place is held for it
 	out     map[string]int    // its attempts that are out
+	reading map[string]bool   // one of them is a read
 	idle    map[string]time.Time
 	ran     map[string]int // attempts at writers that may have run
 	bodies  map[string]string
@@ -86,7 +87,7 @@
 // New starts a platform without workers.
 func New() *Fleet {
 	f := &Fleet{changed: make(chan struct{}), rev: 1, states: map[string]string{}, places: map[string]string{},
-		out: map[string]int{}, idle: map[string]time.Time{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{})}
+		out: map[string]int{}, reading: map[string]bool{}, idle: map[string]time.Time{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{})}
 	f.agent = httptest.NewServer(http.HandlerFunc(f.discover))
 	return f
 }
@@ -238,7 +239,7 @@
 }
 
 // begin notes an attempt, end its end; what a request holds meanwhile is not pinned.
-func (f *Fleet) begin(id, body string) {
+func (f *Fleet) begin(id, body string, reads bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if old, ok := f.bodies[id]; ok && old != body {
@@ -247,11 +248,13 @@
 	f.bodies[id] = body
 	f.unpin(id)
 	f.out[id]++
+	f.reading[id] = reads
 }
 
 func (f *Fleet) end(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reading[id] = false
 	if f.out[id]--; f.out[id] == 0 {
 		f.idle[id] = time.Now()
 	}
@@ -268,7 +271,6 @@
 	delete(f.idle, id)
 }
 
-// unlist tells whether the worker is to get nothing new.
 func unsafe(id string) bool { return strings.HasPrefix(id, Unsafe) }
 
 // hang waits until the router gives the attempt up.
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -21,7 +21,7 @@
 		return
 	}
 	f := w.f
-	f.begin(id, req.URL.String()+string(body))
+	f.begin(id, req.URL.String()+string(body), w.Kind == Prompt)
 	defer f.end(id)
 	f.mu.Lock()
 	s := w.plan(w.Requests, id)
@@ -184,7 +184,7 @@
 	}
 	w.Holds++
 	switch {
-	case f.out[id] == 0:
+	case !f.reading[id]:
 		rw.WriteHeader(http.StatusNoContent)
 	case f.places[id] != "":
 		rw.WriteHeader(http.StatusConflict)
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -17,8 +17,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Hold)
 	defer cancel()
-	ask := &attempt.Call{}
-	x, err := c.open(ctx, call.Addr, requestHead("POST", HoldsPath+call.Key, call.Key, ask), ask)
+	x, err := c.open(ctx, call.Addr, "POST", HoldsPath+call.Key, &attempt.Call{Key: call.Key})
 	var dial errDial
 	switch {
 	case errors.As(err, &dial):
@@ -64,8 +63,7 @@
 func (c *Client) release(ctx context.Context, id, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Let)
 	defer cancel()
-	call := &attempt.Call{}
-	x, err := c.open(ctx, id, requestHead("DELETE", HoldsPath+name, name, call), call)
+	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, &attempt.Call{Key: name})
 	if err != nil {
 		return false
 	}
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -46,12 +46,13 @@
 	shut bool
 }
 
-// get gives a connection: an unused one that still stands, else a new one.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+// get gives a connection: an unused one that still stands, else a new one; ctl
+// tells that it is for a place or a release.
+func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
 	for {
 		c := p.pop(addr)
 		if c == nil {
-			return p.dial(ctx, addr)
+			return p.dial(ctx, addr, ctl)
 		}
 		if time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
 			return c, nil
@@ -77,8 +78,8 @@
 }
 
 // dial makes a connection, in place of the one unused for longest where there are too many.
-func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	if !p.room() {
+func (p *pool) dial(ctx context.Context, addr string, ctl bool) (*conn, error) {
+	if !p.room(ctl) {
 		return nil, errDial{errNoRoom}
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.lim.Dial)
@@ -94,11 +95,16 @@
 	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, 2048)}, nil
 }
 
-// room counts one more connection, if there may be one.
-func (p *pool) room() bool {
+// room counts one more connection, if there may be one. Attempts leave a tenth
+// to places and releases: what holds a state must be able to let it go.
+func (p *pool) room(ctl bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < p.lim.Conns {
+	most := p.lim.Conns
+	if !ctl {
+		most -= most / 10
+	}
+	if p.open < most {
 		p.open++
 		return true
 	}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -196,18 +197,18 @@
 }
 
 // open sends a request and reads the answer's head.
-func (c *Client) open(ctx context.Context, id string, head []byte, call *attempt.Call) (*exchange, error) {
+func (c *Client) open(ctx context.Context, id, method, path string, call *attempt.Call) (*exchange, error) {
 	addr, err := c.addr(id)
 	if err != nil {
 		return nil, err
 	}
-	cn, err := c.pool.get(ctx, addr)
+	cn, err := c.pool.get(ctx, addr, strings.HasPrefix(path, HoldsPath))
 	if err != nil {
 		return nil, err
 	}
 	x := &exchange{c: c, id: id, conn: cn}
 	x.stop = context.AfterFunc(ctx, func() { cn.Close() }) // closing calls the work off
-	bufs := net.Buffers{head, call.Body}
+	bufs := net.Buffers{requestHead(method, path, call), call.Body}
 	if len(call.Body) == 0 {
 		bufs = bufs[:1]
 	}
@@ -274,7 +275,7 @@
 		return attempt.Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
 	case ctx.Err() != nil:
 		return attempt.Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
-	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge):
+	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge), errors.Is(err, os.ErrDeadlineExceeded):
 		return attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
 	}
 	return attempt.Result{Outcome: gannethook.Broken, Detail: err.Error()}
@@ -297,13 +298,13 @@
 }
 
 // requestHead is a request's head; a method without a body has no length.
-func requestHead(method, path, id string, call *attempt.Call) []byte {
+func requestHead(method, path string, call *attempt.Call) []byte {
 	b := make([]byte, 0, headersRoom+len(path))
 	b = append(b, method...)
 	b = append(b, ' ')
 	b = append(b, path...)
 	b = append(b, " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: "...)
-	b = append(b, id...)
+	b = append(b, call.Key...)
 	if call.Timeout > 0 {
 		b = append(b, "\r\nX-Timeout-Ms: "...)
 		b = strconv.AppendInt(b, max(call.Timeout.Milliseconds(), 1), 10)
@@ -322,7 +323,7 @@
 
 func (c *Client) read(ctx context.Context, call *attempt.Call) attempt.Result {
 	from := time.Now()
-	x, err := c.open(ctx, call.Addr, requestHead("POST", call.Path, call.Key, call), call)
+	x, err := c.open(ctx, call.Addr, "POST", call.Path, call)
 	if err != nil {
 		return failed(ctx, err)
 	}
@@ -350,7 +351,7 @@
 
 func (c *Client) write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
 	from := time.Now()
-	x, err := c.open(ctx, call.Addr, requestHead("POST", call.Path, call.Key, call), call)
+	x, err := c.open(ctx, call.Addr, "POST", call.Path, call)
 	if err != nil {
 		return failed(ctx, err)
 	}
