Admission leaves out what servers were charged for failures that took no time

Looked at: ends of all attempts, beliefs beside sockets: 6% of attempts on kept connections were reset, at every server alike, all others answered in 60 to 100 ms; readers idle. Ruled out: age of the kept connections (resets at 0 to 900 ms alike, as answers), descriptors (232 of 768), the list. Fault: admits() took the charge of the best server for want of room.

Also after a broken connection to a writer the prompt is read again where a missed state would be the end: of 26 states asked for after a reset 7 were gone.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -187,7 +187,7 @@
 			r.log.Debug("belief", zap.String("worker", string(v.ID)), zap.Int("kind", v.Kind), zap.Int("state", int(v.State)),
 				zap.Float64("freeness", v.Freeness), zap.Float64("charge", v.Charge), zap.Float64("backlog", v.Backlog),
 				zap.Int("holds", v.Holds), zap.Int("out", s.Out), zap.Int("sent", s.Sent), zap.Int("failed", s.Failed),
-				zap.Int("full", s.Full), zap.Duration("first", s.First), zap.Int("unused", s.Unused))
+				zap.Int("full", s.Full), zap.Duration("first", s.First), zap.Int("kept", s.Kept), zap.Int("unused", s.Unused))
 		}
 	}
 }
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -27,7 +27,8 @@
 	net.Conn
 	addr string
 	br   *bufio.Reader
-	used time.Time
+	used time.Time     // when it was put back last; zero: never
+	idle time.Duration // how long it had been unused when it was taken; 0: it is new
 }
 
 // errDial marks that the request was not written whole, so that nothing can have run.
@@ -54,7 +55,8 @@
 		if c == nil {
 			return p.dial(ctx, addr, ctl)
 		}
-		if time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+		c.idle = time.Since(c.used)
+		if c.idle < p.lim.Idle && stands(c.Conn) {
 			return c, nil
 		}
 		p.drop(c)
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -49,6 +49,7 @@
 	Sent, Failed int           // attempts, and those that ended without an answer of use
 	Full         int           // of these, turned away
 	First        time.Duration // the last time to the head of an answer of use
+	Kept         int           // answers on connections that were used before
 	Unused       int           // connections that wait
 }
 
@@ -219,9 +220,17 @@
 	call.Sent.Set(true)
 	if err := x.head(); err != nil {
 		x.close(false)
+		if cn.idle > 0 {
+			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.idle.Round(time.Millisecond), err)
+		}
 		return nil, err
 	}
 	c.heard(id)
+	c.note(id, func(s *Seen) {
+		if cn.idle > 0 {
+			s.Kept++
+		}
+	})
 	return x, nil
 }
 
--- a/router.go
+++ b/router.go
@@ -89,6 +89,7 @@
 	repeats fading
 	full    map[int]fading // freeness taken off for a flow that it turned away
 	charge  fading         // freeness taken off for failures and lateness
+	quick   fading         // of this, for failures that took no time
 	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
 }
@@ -247,6 +248,7 @@
 // admits tells whether a request is taken on. Its freeness is the best reader's or, as other routers' load is
 // unseen, that of the times to read and to the first token seen of late, or that of the best writer's memory,
 // whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner.
+// Charges for what failed at once are left out: where all servers fail a part, they refused what had room.
 // Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
 	floor := 1 - (1-admitFloor)/r.overShare(q.Tenant)
@@ -261,9 +263,9 @@
 	}
 	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
 	if s := r.pickReader(q); s != nil {
-		free = math.Min(free, r.freeness(s, q))
+		free = math.Min(free, r.freeness(s, q)+r.quickOf(s))
 		if w := r.pickWriter(q, s); w != nil && !r.oneStage(q) {
-			free = math.Min(free, r.memory(w, q)/(2*near))
+			free = math.Min(free, (r.memory(w, q)+r.quickOf(w))/(2*near))
 		}
 	}
 	return (floor-free)/admitRamp <= unit(uint64(q.ID), r.seed)
@@ -357,7 +359,7 @@
 	}
 	a := &q.out[0]
 	if a.letBe {
-		r.blame(a.on, 1)
+		r.blame(a.on, false)
 		return
 	}
 	if a.on.moved > max(a.sent, a.seen) && q.deadline-r.now > 10*sweepEvery {
@@ -366,7 +368,7 @@
 		return
 	}
 	r.do(Cancel{ID: q.ID, Attempt: a.n})
-	r.blame(a.on, 1)
+	r.blame(a.on, false)
 }
 
 // hold asks the writer of highest freeness for a place, as a read starts, but not while writers turn the flow
@@ -552,7 +554,7 @@
 		// An answer spoilt on its way was begun well, as the next may be. Guards against streams spoilt from
 		// all writers alike: charged for each, all but one looked bad, and that one drowned.
 		if !q.ended && !(q.stream && ev.Outcome == Failed) {
-			r.blame(a.on, 1)
+			r.blame(a.on, ev.Outcome != TimedOut)
 		}
 	}
 }
@@ -569,9 +571,9 @@
 		}
 	}
 	q.tried, q.repeat = append(q.tried, a.on), true
-	// A writer that gave an error may have fetched the state. Guards against giving up with the last
+	// A writer that failed or broke off may have fetched the state. Guards against giving up with the last
 	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
-	taken := !a.reads && ev.Outcome == Failed && !r.attemptsLeft(q, 3)
+	taken := !a.reads && (ev.Outcome == Failed || ev.Outcome == Broken) && !r.attemptsLeft(q, 3)
 	if a.reads || ev.NoState || taken {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
@@ -837,9 +839,12 @@
 	s.share, s.heard = ev.Memory, r.now
 }
 
-// blame charges a failure to a server's freeness.
-func (r *Router) blame(s *server, weight float64) {
-	s.charge = fading{math.Min(r.chargeOf(s)+weight, chargeMax), r.now}
+// blame charges a failure to a server's freeness. What fails at once tells of its health, not of its room.
+func (r *Router) blame(s *server, quick bool) {
+	if quick {
+		s.quick = fading{math.Min(r.quickOf(s)+1, chargeMax), r.now}
+	}
+	s.charge = fading{math.Min(r.chargeOf(s)+1, chargeMax), r.now}
 }
 
 // praise lightens a server's charge after a success, but for the part of the aim that it came late by. That
@@ -849,6 +854,7 @@
 		r.dialled(0)
 	}
 	s.linked = r.now
+	s.quick = fading{r.quickOf(s) * chargeKeep, r.now}
 	s.charge = fading{r.chargeOf(s)*chargeKeep + lateGain*math.Max(float64(late), 0), r.now}
 }
 
@@ -863,6 +869,8 @@
 	return s.charge.left(r.now, max(chargeFade, r.window()))
 }
 
+func (r *Router) quickOf(s *server) float64 { return s.quick.left(r.now, max(chargeFade, r.window())) }
+
 // warmth is the fraction of its capacity that a server can be counted on for.
 func (r *Router) warmth(s *server) float64 {
 	age := r.now - s.Since
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -179,7 +179,7 @@
 		most int
 		how  Outcome
 		anew bool
-	}{{4, Failed, true}, {5, Failed, false}, {0, Failed, false}, {4, ConnectFailed, false}, {4, Full, false}, {4, TimedOut, false}} {
+	}{{4, Failed, true}, {5, Failed, false}, {0, Failed, false}, {4, Broken, true}, {4, ConnectFailed, false}, {4, Full, false}, {4, TimedOut, false}} {
 		set := fleet()
 		set.MaxAttempts = c.most
 		s := newScript(t, set, twoEach...)
@@ -216,6 +216,36 @@
 	}
 }
 
+// TestQuickFailuresLeaveRoom: where every server fails a part of what it gets, at once, requests are taken on as
+// before; what is slow refuses them.
+func TestQuickFailuresLeaveRoom(t *testing.T) {
+	for _, c := range []struct {
+		quick bool
+		taken int
+	}{{true, 50}, {false, 0}} {
+		s := newScript(t, fleet(), twoEach...)
+		s.on(1, ask(1, 0))
+		for _, v := range s.r.list {
+			s.r.blame(v, c.quick)
+			s.r.blame(v, c.quick)
+		}
+		taken := 0
+		for id := RequestID(100); id < 150; id++ {
+			s.on(0, ask(id, 0))
+			if !strings.Contains(strings.Join(shorts(s.acts), ", "), "send") {
+				continue
+			}
+			taken++
+			reader := s.sent()
+			s.on(0, ClientGone{ID: id})
+			s.on(0, Ended{ID: id, Attempt: 0, Server: reader, Outcome: Cancelled, Done: true})
+		}
+		if taken != c.taken {
+			t.Errorf("quick %v: %d taken", c.quick, taken)
+		}
+	}
+}
+
 // TestLongPromptIsTaken: a long prompt's own quadratic price does not refuse it at an idle fleet.
 func TestLongPromptIsTaken(t *testing.T) {
 	s := newScript(t, fleet(), oneEach...)
