--- /dev/null
+++ b/internal/platform/trust/trust_test.go
@@ -0,0 +1,87 @@
+package trust
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// day notes requests ten a second, of which each nth on a kept and on a new connection breaks.
+func day(k *Kept, from time.Duration, seconds, kept, fresh int) time.Duration {
+	for i := range seconds * 10 {
+		from += 100 * time.Millisecond
+		k.Note(from, true, kept > 0 && i%kept == 0)
+		k.Note(from, false, fresh > 0 && i%fresh == 0)
+	}
+	return from
+}
+
+func TestCalm(t *testing.T) {
+	var k Kept
+	now := day(&k, 0, 20, 0, 0)
+	if k.Fresh(now, true) || k.Fresh(now, false) {
+		t.Error("kept connections are not trusted on a calm day")
+	}
+	k.Note(now, true, true)
+	if k.Fresh(now, false) {
+		t.Error("one break changes all")
+	}
+}
+
+func TestResets(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		kept, fresh int
+		once, usual bool
+	}{
+		{"kept ones break", 10, 0, true, true},
+		{"kept ones break a little", 40, 0, true, false},
+		{"all break alike", 10, 10, false, false},
+		{"new ones break", 0, 10, false, false},
+	} {
+		var k Kept
+		now := day(&k, 0, 20, c.kept, c.fresh)
+		if once, usual := k.Fresh(now, true), k.Fresh(now, false); once != c.once || usual != c.usual {
+			t.Errorf("%s: once %v, usual %v", c.name, once, usual)
+		}
+	}
+}
+
+// After the trouble kept connections are used again, by what still goes by them.
+func TestAfterwards(t *testing.T) {
+	var k Kept
+	now, fresh := day(&k, 0, 20, 5, 0), 0
+	for range 600 {
+		now += 100 * time.Millisecond
+		if k.Fresh(now, false) {
+			fresh++
+			k.Note(now, false, false)
+		} else {
+			k.Note(now, true, false)
+		}
+	}
+	if k.Fresh(now, true) || fresh == 0 || fresh > 400 {
+		t.Errorf("fresh %d times in a minute", fresh)
+	}
+}
+
+// Whatever is noted, parts stay parts and what is seen of both alike is trusted.
+func TestAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var k Kept
+		now := time.Duration(0)
+		for range rapid.IntRange(0, 100).Draw(t, "n") {
+			now += time.Duration(rapid.IntRange(-1000, 100000).Draw(t, "ms")) * time.Millisecond
+			bad := rapid.Bool().Draw(t, "bad")
+			k.Note(now, true, bad)
+			k.Note(now, false, bad)
+			if p := k.part(true); p < 0 || p > 1 {
+				t.Fatalf("part %v", p)
+			}
+			if k.Fresh(now, true) {
+				t.Fatal("kept ones are left though new ones do as badly")
+			}
+		}
+	})
+}
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -48,9 +48,9 @@
 }
 
 // get gives a connection: an unused one that still stands, else a new one; ctl
-// tells that it is for a place or a release.
-func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
-	for {
+// tells that it is for a place or a release, fresh that a new one is wanted.
+func (p *pool) get(ctx context.Context, addr string, ctl, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.pop(addr)
 		if c == nil {
 			return p.dial(ctx, addr, ctl)
@@ -61,6 +61,7 @@
 		}
 		p.drop(c)
 	}
+	return p.dial(ctx, addr, ctl)
 }
 
 // pop takes the newest unused connection.
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -20,6 +20,7 @@
 	"gannethook"
 	"gannethook/internal/attempt"
 	"gannethook/internal/http1"
+	"gannethook/internal/platform/trust"
 )
 
 // HoldsPath is where places are asked for and let go, followed by the request's id.
@@ -100,13 +101,15 @@
 	lim  Limits
 	mu   sync.Mutex
 	byID map[string]*worker
+	kept trust.Kept // guarded by mu
+	from time.Time
 	stop chan struct{}
 	wg   sync.WaitGroup
 }
 
 // New returns a client; Close ends it.
 func New(lim Limits) *Client {
-	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, byID: map[string]*worker{}, stop: make(chan struct{})}
+	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
 	c.wg.Go(func() {
 		tick := time.NewTicker(max(lim.Idle/8, 100*time.Millisecond))
 		defer tick.Stop()
@@ -187,6 +190,24 @@
 	}
 }
 
+// fresh tells whether a request should go by a new connection.
+func (c *Client) fresh(once bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kept.Fresh(time.Since(c.from), once)
+}
+
+// went notes how a request on a connection went; one that was called off tells nothing.
+func (c *Client) went(ctx context.Context, cn *conn, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	bad := err != nil && failed(ctx, err).Outcome == gannethook.Broken
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept.Note(time.Since(c.from), cn.idle > 0, bad)
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	c    *Client
@@ -203,7 +224,8 @@
 	if err != nil {
 		return nil, err
 	}
-	cn, err := c.pool.get(ctx, addr, strings.HasPrefix(path, HoldsPath))
+	ctl := strings.HasPrefix(path, HoldsPath)
+	cn, err := c.pool.get(ctx, addr, ctl, !ctl && c.fresh(call.Once))
 	if err != nil {
 		return nil, err
 	}
@@ -218,7 +240,9 @@
 		return nil, errDial{err}
 	}
 	call.Sent.Set(true)
-	if err := x.head(); err != nil {
+	err = x.head()
+	c.went(ctx, cn, err)
+	if err != nil {
 		x.close(false)
 		if cn.idle > 0 {
 			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.idle.Round(time.Millisecond), err)
