--- a/router.go
+++ b/router.go
@@ -85,6 +85,7 @@
 	size    float64    // learned memory size in tokens
 	linked  Millis     // last time that it answered on a connection
 	moved   Millis     // last time that an own read ended here
+	passed  Millis     // when the youngest of these was sent
 	firsts  fading     // first attempts sent here, and repeats
 	repeats fading
 	full    map[int]fading // freeness taken off for a flow that it turned away
@@ -351,7 +352,8 @@
 
 // checkRead takes a read away from a reader that has ended nothing since the last look. Guards against
 // hung and silent readers; one that still ends reads, in turn, is slow or full like all others, and
-// to read elsewhere what it has half read would only add load. Where silence tells nothing, an overdue read
+// to read elsewhere what it has half read would only add load; unless younger reads have passed this one,
+// which then is stuck, as on a connection that fell silent. Where silence tells nothing, an overdue read
 // charges its reader and is let be: others then go elsewhere, and early, against servers that grow slow.
 func (r *Router) checkRead(q *request) {
 	if q == nil || q.ended || len(q.out) != 1 || !q.out[0].reads || r.now < q.out[0].check {
@@ -362,13 +364,13 @@
 		r.blame(a.on, false)
 		return
 	}
-	if a.on.moved > max(a.sent, a.seen) && q.deadline-r.now > 10*sweepEvery {
+	if a.on.moved > max(a.sent, a.seen) && a.on.passed <= a.sent && q.deadline-r.now > 10*sweepEvery {
 		a.seen = r.now
 		r.watch(q, a)
 		return
 	}
 	r.do(Cancel{ID: q.ID, Attempt: a.n})
-	r.blame(a.on, false)
+	r.blame(a.on, a.on.passed > a.sent)
 }
 
 // hold asks the writer of highest freeness for a place, as a read starts, but not while writers turn the flow
@@ -530,7 +532,7 @@
 	switch ev.Outcome {
 	case ReadDone, Served:
 		if a.reads {
-			a.on.moved = r.now
+			a.on.moved, a.on.passed = r.now, max(a.on.passed, a.sent)
 			r.prove(a.on.role)
 			r.praise(a.on, (took-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
 			a.on.speed.add(speedKeep, a.queue, float64(took))
@@ -571,9 +573,9 @@
 		}
 	}
 	q.tried, q.repeat = append(q.tried, a.on), true
-	// A writer that failed or broke off may have fetched the state. Guards against giving up with the last
+	// A writer that failed or fell silent may have fetched the state. Guards against giving up with the last
 	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
-	taken := !a.reads && (ev.Outcome == Failed || ev.Outcome == Broken) && !r.attemptsLeft(q, 3)
+	taken := !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed && !r.attemptsLeft(q, 3)
 	if a.reads || ev.NoState || taken {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -179,7 +179,7 @@
 		most int
 		how  Outcome
 		anew bool
-	}{{4, Failed, true}, {5, Failed, false}, {0, Failed, false}, {4, Broken, true}, {4, ConnectFailed, false}, {4, Full, false}, {4, TimedOut, false}} {
+	}{{4, Failed, true}, {5, Failed, false}, {0, Failed, false}, {4, Broken, true}, {4, ConnectFailed, false}, {4, Full, false}, {4, TimedOut, true}} {
 		set := fleet()
 		set.MaxAttempts = c.most
 		s := newScript(t, set, twoEach...)
@@ -377,32 +377,33 @@
 	}
 }
 
-// TestProgressKeepsRead: a read is taken away only from a reader that ends nothing.
+// TestProgressKeepsRead: a read is taken away only from a reader that ends nothing, or that ended what was sent
+// later.
 func TestProgressKeepsRead(t *testing.T) {
-	for _, moves := range []bool{true, false} {
+	for _, c := range []struct{ ended, watched RequestID }{{91, 92}, {0, 92}, {92, 91}} {
 		s := newScript(t, fleet(func(set *Settings) { set.MaxAttempts = 0 }), oneEach...)
 		s.rounds(30, 50)
+		var watch Wake
 		for id := RequestID(91); id <= 92; id++ {
 			q := ask(id, 0)
 			q.Prompt = 100
 			s.on(1, q)
-		}
-		var watch Wake
-		for _, a := range s.acts {
-			if w, ok := a.(Wake); ok && w.Ref%refStep == refPatience {
-				watch = w
+			for _, a := range s.acts {
+				if w, ok := a.(Wake); ok && w.Ref == uint64(c.watched)*refStep+refPatience {
+					watch = w
+				}
 			}
 		}
-		if moves {
-			s.on(100, Ended{ID: 91, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		if c.ended != 0 {
+			s.on(100, Ended{ID: c.ended, Attempt: 0, Server: "r1", Outcome: ReadDone})
 		} else {
 			s.on(100, Wakeup{Ref: 3})
 		}
 		s.on(watch.In-100, Wakeup{Ref: watch.Ref})
-		if moves {
+		if c.ended == 91 {
 			s.want()
 		} else {
-			s.want("cancel 92")
+			s.want(fmt.Sprintf("cancel %d", c.watched))
 		}
 	}
 }
