--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -222,3 +222,34 @@
 	e.at = (e.at + n) % len(e.text)
 	return n, nil
 }
+
+// FuzzChunks reads a chunked body in both ways: where whole chunks come to the end, the bytes are the same, and
+// nothing is taken as whole by one that the other refuses.
+func FuzzChunks(f *testing.F) {
+	f.Add("3\r\nabc\r\n0\r\n\r\n")
+	f.Add("A;x=y\r\n0123456789\r\n1\r\n-\r\n0\r\nT: v\r\n\r\n")
+	f.Add("1\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		body := func() *Body {
+			b, err := RequestBody(bufio.NewReader(strings.NewReader(text)), Header{{"Transfer-Encoding", "chunked"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return b
+		}
+		whole, err := io.ReadAll(body())
+		var got, buf []byte
+		var chunkErr error
+		for b := body(); chunkErr == nil; {
+			if buf, chunkErr = b.NextChunk(buf, 1<<20); chunkErr == nil {
+				got = append(got, buf...)
+			}
+		}
+		if (err == nil) != (chunkErr == io.EOF) && !errors.Is(chunkErr, ErrTooLarge) {
+			t.Fatalf("read: %v, by chunks: %v", err, chunkErr)
+		}
+		if err == nil && chunkErr == io.EOF && !bytes.Equal(whole, got) {
+			t.Fatalf("%q and %q", whole, got)
+		}
+	})
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -554,3 +554,60 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// BenchmarkAdded times the first event of a request read and written by hand, straight at the workers, and through
+// the router, in turns.
+func BenchmarkAdded(b *testing.B) {
+	f := standin.New()
+	defer f.Close()
+	reader, writer := f.Add(standin.Prompt, nil), f.Add(standin.Answer, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":256},"known":%s,"settings":%s}`,
+		ln.Addr(), f.Addr(), f.Known(), standin.Settings)
+	cfg, err := config.Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		b.Fatal(err)
+	}
+	r, err := New(cfg, func(string) string { return "" }, zap.NewNop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.Serve(ctx, ln, make(chan os.Signal))
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	post := func(addr, id string) {
+		req, _ := http.NewRequest("POST", "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
+		for name, value := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "question", "X-Timeout-Ms": "4000"} {
+			req.Header.Set(name, value)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+	}
+	var straight, through time.Duration
+	for i := range b.N {
+		from := time.Now()
+		post(reader.Addr(), fmt.Sprint("s", i))
+		post(writer.Addr(), fmt.Sprint("s", i))
+		straight += time.Since(from)
+		from = time.Now()
+		post(ln.Addr().String(), fmt.Sprint("t", i))
+		through += time.Since(from)
+	}
+	b.ReportMetric(float64(straight.Microseconds())/float64(b.N), "us-straight")
+	b.ReportMetric(float64(through.Microseconds())/float64(b.N), "us-through")
+	b.ReportMetric(float64(through)/float64(straight), "times")
+	cancel()
+	<-ended
+}
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -150,6 +150,9 @@
 	w.server.CloseClientConnections()
 }
 
+// Addr is where a worker listens.
+func (w *Worker) Addr() string { return w.server.Listener.Addr().String() }
+
 // Count is how many requests a worker got, and calls for holds and releases.
 func (w *Worker) Count() (requests, holds, releases int) {
 	w.f.mu.Lock()
@@ -199,7 +202,7 @@
 		if since < 0 && w.state == "DELETED" || w.rev <= since {
 			continue
 		}
-		targets = append(targets, map[string]any{"uid": w.UID, "endpoint": w.server.Listener.Addr().String(), "az": "north",
+		targets = append(targets, map[string]any{"uid": w.UID, "endpoint": w.Addr(), "az": "north",
 			"model": w.Kind, "pod_group": 0, "state": w.state, "capacity_hint": 1.0, "boot_ms": w.boot})
 	}
 	return map[string]any{"rev": f.rev, "all": since < 0, "targets": targets}
--- /dev/null
+++ b/internal/platform/workers/workers_test.go
@@ -0,0 +1,221 @@
+package workers
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"gannethook"
+	"gannethook/internal/attempt"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script serves connections by hand until the test ends.
+func script(t *testing.T, serve func(nc net.Conn, br *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, nc)
+			mu.Unlock()
+			wg.Go(func() {
+				defer nc.Close()
+				serve(nc, bufio.NewReader(nc))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		mu.Lock()
+		for _, nc := range open {
+			nc.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// take reads one request; it tells whether there was one.
+func take(br *bufio.Reader) (*http.Request, bool) {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req, err == nil
+}
+
+func client(t *testing.T, conns int, addr string) *Client {
+	c := New(Limits{Conns: conns, Spare: 10, Dial: time.Second, Idle: 10 * time.Second, Silent: time.Second, Hold: time.Second,
+		Let: 300 * time.Millisecond})
+	c.Update(true, []Worker{{ID: "w", Addr: addr}})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func call(i int) *attempt.Call {
+	return &attempt.Call{Addr: "w", Key: fmt.Sprint("r", i), Path: "/v1/chat/completions", Body: []byte("{}")}
+}
+
+const done = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"
+
+// A kept connection is used again, not one that its worker closed, nor one that talks out of turn.
+func TestKept(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after string // behind the first answer
+		close bool
+		conns int32
+	}{{"kept", "", false, 1}, {"closed", "", true, 2}, {"talks", "x", false, 2}} {
+		var conns atomic.Int32
+		wrote := make(chan struct{}, 10)
+		cl := client(t, 10, script(t, func(nc net.Conn, br *bufio.Reader) {
+			conns.Add(1)
+			for first := true; ; first = false {
+				if _, ok := take(br); !ok {
+					return
+				}
+				io.WriteString(nc, done)
+				if first {
+					io.WriteString(nc, c.after)
+					if c.close {
+						nc.Close()
+					}
+					wrote <- struct{}{}
+				}
+			}
+		}))
+		for i := range 2 {
+			if r := cl.Read(context.Background(), call(i)); r.Outcome != gannethook.ReadDone {
+				t.Errorf("%s: %+v", c.name, r)
+			}
+			if i == 0 {
+				<-wrote
+			}
+		}
+		if n := conns.Load(); n != c.conns {
+			t.Errorf("%s: %d connections", c.name, n)
+		}
+	}
+}
+
+// Where kept connections are reset at their next request, new ones are soon made.
+func TestResetsOfKept(t *testing.T) {
+	cl := client(t, 20, script(t, func(nc net.Conn, br *bufio.Reader) {
+		if _, ok := take(br); ok {
+			io.WriteString(nc, done)
+		}
+		take(br)
+		nc.(*net.TCPConn).SetLinger(0)
+	}))
+	bad := [2]int{}
+	for i := range 200 {
+		if r := cl.Read(context.Background(), call(i)); r.Outcome == gannethook.Broken {
+			bad[i/100]++
+		} else if r.Outcome != gannethook.ReadDone {
+			t.Fatalf("%+v", r)
+		}
+	}
+	if bad[0] == 0 || bad[1] > 10 {
+		t.Errorf("%v broke of a hundred each", bad)
+	}
+	once := call(1)
+	for i := range 20 {
+		once.Once = true
+		if r := cl.Read(context.Background(), once); r.Outcome != gannethook.ReadDone {
+			t.Errorf("what may not be made again, the %dth: %+v", i, r)
+		}
+	}
+}
+
+// When attempts take up all connections, the next could not connect, and what is held is still let go.
+func TestRoomForReleases(t *testing.T) {
+	var let atomic.Int32
+	var reads sync.WaitGroup
+	cl := client(t, 20, script(t, func(nc net.Conn, br *bufio.Reader) {
+		for {
+			req, ok := take(br)
+			if !ok {
+				return
+			}
+			if req.Method == "DELETE" {
+				let.Add(1)
+				io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+				continue
+			}
+			reads.Done()
+		}
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	var out sync.WaitGroup
+	reads.Add(18)
+	for i := range 18 {
+		out.Go(func() { cl.Read(ctx, call(i)) })
+	}
+	reads.Wait()
+	if r := cl.Read(ctx, call(99)); r.Outcome != gannethook.ConnectFailed {
+		t.Errorf("one more: %+v", r)
+	}
+	cl.Release(ctx, []attempt.Held{{Addr: "w", Key: "r1"}, {Addr: "w", Key: "r1"}})
+	if n := let.Load(); n != 1 {
+		t.Errorf("%d releases of one request", n)
+	}
+	cancel()
+	out.Wait()
+}
+
+// A release that a silent worker does not answer goes to another.
+func TestReleaseGoesOn(t *testing.T) {
+	silent := script(t, func(_ net.Conn, br *bufio.Reader) {
+		for {
+			if _, ok := take(br); !ok {
+				return
+			}
+		}
+	})
+	let := make(chan string, 10)
+	well := script(t, func(nc net.Conn, br *bufio.Reader) {
+		for {
+			req, ok := take(br)
+			if !ok {
+				return
+			}
+			let <- req.URL.Path
+			io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	cl := client(t, 10, silent)
+	cl.Update(false, []Worker{{ID: "v", Addr: well}})
+	cl.heard("w")
+	cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}})
+	select {
+	case path := <-let:
+		if path != HoldsPath+"r" {
+			t.Errorf("released %s", path)
+		}
+	default:
+		t.Error("nothing was released")
+	}
+}
