--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -223,9 +223,9 @@
 	return n, nil
 }
 
-// FuzzChunks reads a chunked body in both ways: where whole chunks come to the end, the bytes are the same, and
+// FuzzNextChunk reads a chunked body in both ways: where whole chunks come to the end, the bytes are the same, and
 // nothing is taken as whole by one that the other refuses.
-func FuzzChunks(f *testing.F) {
+func FuzzNextChunk(f *testing.F) {
 	f.Add("3\r\nabc\r\n0\r\n\r\n")
 	f.Add("A;x=y\r\n0123456789\r\n1\r\n-\r\n0\r\nT: v\r\n\r\n")
 	f.Add("1\r\nabc\r\n0\r\n\r\n")
