--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -637,6 +637,8 @@
 			t.Fatal(err)
 		}
 		<-s.done
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		if a := s.finals[0]; a.Kind != Served || f.reads != 2 {
 			t.Errorf("%+v after %d reads", a, f.reads)
 		}
@@ -658,8 +660,11 @@
 			t.Fatal(err)
 		}
 		time.Sleep(35 * ms) // the first grant came during the second read
-		if f.releases > 2 { // of what the first read held: its state and its place
-			t.Errorf("%d releases while the second read is out", f.releases)
+		f.mu.Lock()
+		n := f.releases
+		f.mu.Unlock()
+		if n > 2 { // of what the first read held: its state and its place
+			t.Errorf("%d releases while the second read is out", n)
 		}
 		<-s.done
 	})
