--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -16,6 +16,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/conns"
 	"gannethook/internal/http1"
 )
 
@@ -289,7 +290,7 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	list := c.pool.idle[addr]
-	return len(list) == 1 && !stands(list[0].Conn)
+	return len(list) == 1 && !conns.Stands(list[0].Conn)
 }
 
 // A release finds the connection that the place came by, while streams hold all others.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -8,11 +8,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"gannethook/internal/conns"
 )
 
 // Limits bound the connections to one engine.
@@ -129,7 +129,7 @@
 func (p *pool) unused(addr string) *conn {
 	for {
 		c := p.pop(addr)
-		if c == nil || time.Since(c.used) < p.lim.Idle && stands(c.Conn) {
+		if c == nil || time.Since(c.used) < p.lim.Idle && conns.Stands(c.Conn) {
 			return c
 		}
 		c.Close()
@@ -199,25 +199,3 @@
 		}
 	}
 }
-
-// stands tells whether the peer has not closed an unused connection. Without
-// the look, a request written into a closed one would count as one that may
-// have run, and an unsafe one could not go again.
-func stands(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && quiet
-}
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -7,8 +7,9 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
+
+	"gannethook/internal/conns"
 )
 
 // Limits bound the connections to all workers.
@@ -56,7 +57,7 @@
 			return p.dial(ctx, addr, ctl)
 		}
 		c.idle = time.Since(c.used)
-		if c.idle < p.lim.Idle && stands(c.Conn) {
+		if c.idle < p.lim.Idle && conns.Stands(c.Conn) {
 			return c, nil
 		}
 		p.drop(c)
@@ -184,25 +185,3 @@
 	defer p.mu.Unlock()
 	return len(p.idle[addr])
 }
-
-// stands tells whether nothing is readable on an unused connection: neither its
-// end nor bytes that nobody asked for. A request written into a closed one would
-// count as one that may have run.
-func stands(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && quiet
-}
