A length that a client only tells takes no memory; both fronts read bodies one way

Found on reading the change again: the platform's clients made room for a body by its told length before a byte had come, past the bound on all bodies together. 345 connections that each tell 256 KiB and send nothing (sockets 768, as configured) are 88 MB of a limit of 96. And what counts bodies stood in the other front already. Now http1.Body.ReadWhole with a Budget serves both: memory grows as bytes come.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -53,7 +53,7 @@
 		}
 	}()
 	defer func() {
-		l.s.bodies.Add(-l.held)
+		l.s.bodies.Give(l.held)
 		l.held = 0
 	}()
 	stops := l.s.stopping()
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -146,24 +146,6 @@
 	}
 }
 
-// errBodies tells that the bodies under way take all the memory that they may.
-var errBodies = errors.New("too many large requests are under way; nothing has run")
-
-// counted counts what is read of a body, until its request is over.
-type counted struct {
-	r io.Reader
-	l *link
-}
-
-func (c *counted) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.l.held += int64(n)
-	if c.l.s.bodies.Add(int64(n)) > int64(c.l.s.cfg.Load().HTTP.Bodies) {
-		return n, errBodies
-	}
-	return n, err
-}
-
 // body reads a request's body, which the client may want to be asked for first.
 func (l *link) body(req *http1.Request) ([]byte, *rest.Error) {
 	most := int64(l.s.cfg.Load().HTTP.Body)
@@ -185,16 +167,17 @@
 		l.bw.Flush()
 	}
 	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Load().HTTP.Read))
-	text, err := io.ReadAll(&counted{io.LimitReader(b, most+1), l})
+	text, held, err := b.ReadWhole(most, int64(l.s.cfg.Load().HTTP.Bodies), &l.s.bodies)
+	l.held += held
 	switch {
-	case errors.Is(err, errBodies):
-		return nil, &rest.Error{Status: 503, Type: rest.Overloaded, Code: rest.CodeRefused, Message: err.Error()}
+	case errors.Is(err, http1.ErrCrowded):
+		return nil, &rest.Error{Status: 503, Type: rest.Overloaded, Code: rest.CodeRefused, Message: err.Error() + "; nothing has run"}
+	case errors.Is(err, http1.ErrBodyTooLarge):
+		return nil, tooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &rest.Error{Status: 408, Type: rest.InvalidRequest, Code: "timeout", Message: "the body did not come in time"}
 	case err != nil:
 		return nil, &rest.Error{Status: 400, Type: rest.InvalidRequest, Code: "malformed", Message: "body: " + err.Error()}
-	case int64(len(text)) > most:
-		return nil, tooLarge
 	}
 	return text, nil
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,6 +14,7 @@
 
 	"gannethook/internal/apikeys"
 	"gannethook/internal/driver"
+	"gannethook/internal/http1"
 	"gannethook/internal/intake"
 	"gannethook/internal/settings"
 )
@@ -35,7 +36,7 @@
 	boot   string                        // names this life of the router
 	guard  *guard
 	serial atomic.Uint64
-	bodies atomic.Int64 // bytes of requests under way
+	bodies http1.Budget // of requests under way
 	done   func(driver.Summary)
 	left   func() // a connection has ended
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // Bounds of a head.
@@ -24,6 +25,9 @@
 var (
 	ErrTooLarge  = errors.New("http: head too large")
 	ErrMalformed = errors.New("http: malformed message")
+
+	ErrBodyTooLarge = errors.New("http: body too large")
+	ErrCrowded      = errors.New("http: too many large bodies are under way")
 )
 
 // Field is one header field; names are kept as sent.
@@ -356,6 +360,46 @@
 // Chunked tells whether the body comes in chunks, which alone tell its end for certain.
 func (b *Body) Chunked() bool { return b.chunked }
 
+// Budget counts the bytes of the bodies that are held together. Its zero value is ready for use.
+type Budget struct{ used atomic.Int64 }
+
+// Give takes bytes back that ReadWhole counted.
+func (b *Budget) Give(n int64) { b.used.Add(-n) }
+
+// ReadWhole reads a body of most bytes at the most; memory grows as they come,
+// whatever length the peer told. What is read counts in the budget, which holds
+// all bytes at the most, until the caller gives held back, after an error too.
+// Errors are ErrBodyTooLarge, ErrCrowded, or the connection's.
+func (b *Body) ReadWhole(most, all int64, budget *Budget) (text []byte, held int64, err error) {
+	if b.Length() > most {
+		return nil, 0, ErrBodyTooLarge
+	}
+	text = make([]byte, 0, min(max(b.Length(), firstPart), mostPart))
+	for {
+		if len(text) == cap(text) {
+			text = slices.Grow(text, 1)
+		}
+		n, err := b.Read(text[len(text):cap(text)])
+		text, held = text[:len(text)+n], held+int64(n)
+		switch {
+		case budget.used.Add(int64(n)) > all:
+			return nil, held, ErrCrowded
+		case held > most:
+			return nil, held, ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return text, held, nil
+		case err != nil:
+			return nil, held, err
+		}
+	}
+}
+
+// Memory for a body before any of it has come.
+const (
+	firstPart = 512
+	mostPart  = 4 << 10
+)
+
 // NextChunk reads one whole chunk with its line end into buf, which grows to
 // most bytes. io.EOF tells that the last chunk and the trailer have come. It is
 // not to be mixed with Read.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -253,3 +254,49 @@
 		}
 	})
 }
+
+// Bodies are held to their own bound and to one for all, and a length that a peer only tells takes no memory.
+func TestReadWhole(t *testing.T) {
+	chunked := Header{{"Transfer-Encoding", "chunked"}}
+	length := func(n int) Header { return Header{{"Content-Length", fmt.Sprint(n)}} }
+	for _, c := range []struct {
+		name      string
+		h         Header
+		in        string
+		most, all int64
+		held      int64
+		want      error
+	}{
+		{"whole", length(10), "0123456789", 10, 10, 10, nil},
+		{"chunks", chunked, "5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n", 10, 10, 10, nil},
+		{"told too large", length(11), "", 10, 100, 0, ErrBodyTooLarge},
+		{"chunks too large", chunked, "b\r\n0123456789a\r\n0\r\n\r\n", 10, 100, 11, ErrBodyTooLarge},
+		{"crowded", length(10), "0123456789", 10, 9, 10, ErrCrowded},
+		{"cut", length(1 << 30), "0123456789", 1 << 30, 1 << 30, 10, io.ErrUnexpectedEOF},
+	} {
+		var budget Budget
+		b, err := RequestBody(reader(c.in), c.h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var text []byte
+		var held int64
+		before := allocated()
+		text, held, err = b.ReadWhole(c.most, c.all, &budget)
+		if more := allocated() - before; more > 1<<20 {
+			t.Errorf("%s: took %d bytes of memory", c.name, more)
+		}
+		if !errors.Is(err, c.want) || held != c.held || err == nil && string(text) != "0123456789" {
+			t.Errorf("%s: %q, %d held, %v", c.name, text, held, err)
+		}
+		if budget.Give(held); budget.used.Load() != 0 {
+			t.Errorf("%s: %d bytes are left in the budget", c.name, budget.used.Load())
+		}
+	}
+}
+
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -1,15 +1,17 @@
 package clients
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"gannethook"
@@ -42,8 +44,6 @@
 	done  chan struct{}
 }
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 func path(target string) string {
 	p, _, _ := strings.Cut(target, "?")
 	return p
@@ -52,14 +52,11 @@
 // serve serves the request; it tells whether another may follow.
 func (x *exchange) serve() bool {
 	s := x.l.s
-	defer func() { s.bodies.Add(-x.held) }()
+	defer func() { s.bodies.Give(x.held) }()
 	job, bad := readJob(x.req, s.classes)
 	if bad == nil {
 		job.Body, bad = x.body()
 	}
-	if bad == nil {
-		bad = checkBody(job.Body)
-	}
 	if bad != nil {
 		x.l.refuse(bad.status, bad.why)
 		return false
@@ -89,23 +86,6 @@
 // refusal tells why a request can't be taken.
 type refusal struct{ status, why string }
 
-var errBodies = errors.New("too many bodies are under way")
-
-// counted counts what is read of a body.
-type counted struct {
-	r io.Reader
-	x *exchange
-}
-
-func (c counted) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.x.held += int64(n)
-	if c.x.l.s.bodies.Add(int64(n)) > c.x.l.s.cfg.Limits.Bodies {
-		return n, errBodies
-	}
-	return n, err
-}
-
 // body reads the request's body.
 func (x *exchange) body() ([]byte, *refusal) {
 	lim := &x.l.s.cfg.Limits
@@ -122,23 +102,18 @@
 		}
 		io.WriteString(x.l.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	var text []byte
-	r := io.Reader(counted{b, x})
-	if n := b.Length(); n > 0 {
-		text = make([]byte, n)
-		_, err = io.ReadFull(r, text)
-	} else {
-		text, err = io.ReadAll(io.LimitReader(r, lim.Body+1))
-	}
-	var late net.Error
+	text, held, err := b.ReadWhole(lim.Body, lim.Bodies, &x.l.s.bodies)
+	x.held = held
 	switch {
-	case err == nil && int64(len(text)) > lim.Body:
-		return nil, &refusal{"413 Content Too Large", "the body is too large"}
+	case err == nil && !validJSON(text):
+		return nil, &refusal{"400 Bad Request", "the body is not a JSON object"}
 	case err == nil:
 		return text, nil
-	case errors.Is(err, errBodies):
+	case errors.Is(err, http1.ErrBodyTooLarge):
+		return nil, &refusal{"413 Content Too Large", "the body is too large"}
+	case errors.Is(err, http1.ErrCrowded):
 		return nil, &refusal{"503 Service Unavailable", err.Error()}
-	case errors.As(err, &late) && late.Timeout():
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &refusal{"408 Request Timeout", "the body did not come in time"}
 	}
 	return nil, &refusal{"400 Bad Request", "body: " + err.Error()}
@@ -217,12 +192,10 @@
 	mostTimeout = int64(time.Hour / time.Millisecond)
 )
 
-// checkBody refuses what no worker could use.
-func checkBody(body []byte) *refusal {
-	if !validJSON(body) {
-		return &refusal{"400 Bad Request", "the body is not a JSON object"}
-	}
-	return nil
+// validJSON tells whether a body is a JSON object: no worker could use another.
+func validJSON(body []byte) bool {
+	body = bytes.TrimLeft(body, " \t\r\n")
+	return len(body) > 0 && body[0] == '{' && json.Valid(body)
 }
 
 // readJob reads a request's head.
@@ -323,5 +296,5 @@
 	if text == "" {
 		return 0
 	}
-	return gannethook.Key(hash(text))
+	return gannethook.Key(max(xxhash.Sum64String(text), 1))
 }
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -10,6 +10,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +49,7 @@
 	start   time.Time
 	classes map[string]int
 	wg      sync.WaitGroup
-	bodies  atomic.Int64
+	bodies  http1.Budget
 	ends    atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
 	stops   atomic.Bool  // no connection takes another request
 
@@ -319,13 +321,12 @@
 }
 
 func (l *link) badHead(err error) {
-	var late net.Error
 	switch {
 	case errors.Is(err, http1.ErrTooLarge):
 		l.refuse("431 Request Header Fields Too Large", err.Error())
 	case errors.Is(err, http1.ErrMalformed):
 		l.refuse("400 Bad Request", err.Error())
-	case errors.As(err, &late) && late.Timeout():
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		l.refuse("408 Request Timeout", "the head did not come in time")
 	}
 }
@@ -333,7 +334,7 @@
 // plain writes an answer without a stream.
 func (l *link) plain(status, text string, keep bool, more ...http1.Field) {
 	l.nc.SetWriteDeadline(time.Now().Add(l.s.cfg.Limits.Write))
-	h := append(http1.Header{{Name: "Content-Length", Value: itoa(len(text))}}, more...)
+	h := append(http1.Header{{Name: "Content-Length", Value: strconv.Itoa(len(text))}}, more...)
 	if !keep {
 		h = append(h, http1.Field{Name: "Connection", Value: "close"})
 	}
