Kept connections and the ends of attempts are one code for engines and workers

Found on reading the change again (and by duplicates): internal/platform/workers had a second pool and a second mapping of errors to outcomes beside internal/engine's. Now internal/conns keeps unused connections for both, and attempt.Ended names how an attempt ended; what differs (spare dials and places' own connections at engines, a bound on all and new connections at workers) stays where it was. Deciding parts moved out of the platform's folder: internal/trust, internal/parting; when an attempt counts as the last is trust's to say, the driver tells what is left. Belief's counts of a worker that was listed anew no longer go under 0. Tests of both ways out and the platform's pass.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -27,7 +27,8 @@
 	Body        []byte                  // its body, as the server takes it,
 	Check       func(body []byte) error // and whether an answer is one
 	Timeout     time.Duration           // how long the router will wait; 0: not known
-	Once        bool                    // it may not be made again should it break
+	Unsafe      bool                    // it may not be made again once it may have run
+	Left        int                     // attempts that its request may make after it; negative: any number
 	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
 }
 
--- /dev/null
+++ b/internal/conns/idle.go
@@ -0,0 +1,152 @@
+package conns
+
+import (
+	"bufio"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Conn is a connection with its buffers, owned by one exchange at a time.
+type Conn struct {
+	net.Conn
+	BR     *bufio.Reader
+	BW     *bufio.Writer
+	Unused time.Duration // before it was taken; 0: it is new
+	name   string
+	since  time.Time // when it was put back
+	once   sync.Once
+	closed func()
+}
+
+// New wraps a connection; closed, if not nil, is called once it is closed.
+func New(nc net.Conn, size int, closed func()) *Conn {
+	return &Conn{Conn: nc, BR: bufio.NewReaderSize(nc, size), BW: bufio.NewWriterSize(nc, size), closed: closed}
+}
+
+// Close closes it, from anywhere and any number of times.
+func (c *Conn) Close() error {
+	c.once.Do(func() {
+		if c.closed != nil {
+			c.closed()
+		}
+	})
+	return c.Conn.Close()
+}
+
+// Idle keeps unused connections by name, newest last. It is safe for concurrent
+// use. What it does not keep it closes.
+type Idle struct {
+	life   time.Duration // after which an unused connection is retired
+	most   int           // of one name
+	mu     sync.Mutex
+	byName map[string][]*Conn
+	shut   bool
+}
+
+// NewIdle keeps so many of one name, each unused for so long at the most.
+func NewIdle(life time.Duration, most int) *Idle {
+	return &Idle{life: life, most: most, byName: map[string][]*Conn{}}
+}
+
+// Take gives the newest that still stands, or nil. Those that do not are closed.
+func (i *Idle) Take(name string) *Conn {
+	for {
+		c := i.pop(name)
+		if c == nil {
+			return nil
+		}
+		c.Unused = time.Since(c.since)
+		if c.Unused < i.life && Stands(c.Conn) {
+			return c
+		}
+		c.Close()
+	}
+}
+
+func (i *Idle) pop(name string) *Conn {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	list := i.byName[name]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	i.set(name, list[:len(list)-1])
+	clear(list[len(list)-1:])
+	return c
+}
+
+func (i *Idle) set(name string, list []*Conn) {
+	if i.byName[name] = list; len(list) == 0 {
+		delete(i.byName, name)
+	}
+}
+
+// Put keeps a connection after a whole exchange, unless it was cut meanwhile or talks out of turn.
+func (i *Idle) Put(name string, c *Conn) {
+	c.name, c.since = name, time.Now()
+	if c.SetDeadline(time.Time{}) != nil || c.BR.Buffered() > 0 || !i.keep(c) {
+		c.Close()
+	}
+}
+
+func (i *Idle) keep(c *Conn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.shut || len(i.byName[c.name]) >= i.most {
+		return false
+	}
+	i.byName[c.name] = append(i.byName[c.name], c)
+	return true
+}
+
+// Count is how many of a name are kept.
+func (i *Idle) Count(name string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.byName[name])
+}
+
+// CloseOldest closes the one unused for longest; it is false where none is kept.
+func (i *Idle) CloseOldest() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var oldest *Conn
+	for _, list := range i.byName {
+		if oldest == nil || list[0].since.Before(oldest.since) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	i.set(oldest.name, slices.Delete(i.byName[oldest.name], 0, 1))
+	oldest.Close()
+	return true
+}
+
+// Sweep retires what has been unused for too long, and all of the names that gone tells.
+func (i *Idle) Sweep(gone func(name string) bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for name, list := range i.byName {
+		all := gone != nil && gone(name)
+		i.set(name, slices.DeleteFunc(list, func(c *Conn) bool {
+			old := all || time.Since(c.since) >= i.life
+			if old {
+				c.Close()
+			}
+			return old
+		}))
+	}
+}
+
+// Close closes all that is kept, and whatever is put back later.
+func (i *Idle) Close() {
+	i.mu.Lock()
+	i.shut = true
+	i.mu.Unlock()
+	i.Sweep(func(string) bool { return true })
+}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -117,7 +117,8 @@
 		c.writer = s.Server
 	}
 	a.sent, a.over = attempt.NewMark(), make(chan struct{})
-	call := &attempt.Call{Sent: a.sent, Once: c.once(a), Timeout: c.allowed(s.Timeout), Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
+	call := &attempt.Call{Sent: a.sent, Left: c.left(a.n),
+		Unsafe: !a.reads && c.d.cfg.Settings.Classes[c.job.Class].Effect == gannethook.Unsafe, Timeout: c.allowed(s.Timeout), Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
 		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body, Check: c.job.Check,
 		Sampling: c.job.Sampling}
@@ -150,12 +151,12 @@
 	return max(left, time.Millisecond)
 }
 
-// once tells whether an attempt may not be made again should it break: an unsafe one, or one of the last two,
-// which a read and its write take.
-func (c *Call) once(a *try) bool {
-	set := &c.d.cfg.Settings
-	unsafe := !a.reads && set.Classes[c.job.Class].Effect == gannethook.Unsafe
-	return unsafe || set.MaxAttempts > 0 && a.n+2 >= set.MaxAttempts
+// left is how many attempts the request may make after the nth.
+func (c *Call) left(n int) int {
+	if most := c.d.cfg.Settings.MaxAttempts; most > 0 {
+		return max(most-1-n, 0)
+	}
+	return -1
 }
 
 // oneStage tells whether the work ends where it is read.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/conns"
 	"gannethook/internal/http1"
 	"gannethook/internal/jsonscan"
 )
@@ -49,7 +50,7 @@
 		for {
 			select {
 			case <-tick.C:
-				c.pool.sweep(false)
+				c.pool.idle.Sweep(nil)
 			case <-c.stop:
 				return
 			}
@@ -62,9 +63,7 @@
 func (c *Client) Close() {
 	close(c.stop)
 	c.wg.Wait()
-	c.pool.cancel()
-	c.pool.sweep(true)
-	c.pool.wg.Wait()
+	c.pool.close()
 }
 
 // Warm opens spare connections to engines that are about to get work.
@@ -78,7 +77,7 @@
 type exchange struct {
 	c    *Client
 	addr string
-	conn *conn
+	conn *conns.Conn
 	res  *http1.Response
 	body *http1.Body
 	ctl  bool
@@ -102,9 +101,9 @@
 			h = append(h, f)
 		}
 	}
-	http1.WriteHead(cn.bw, method+" "+path+" HTTP/1.1", h)
-	cn.bw.Write(body)
-	if err = cn.bw.Flush(); err == nil {
+	http1.WriteHead(cn.BW, method+" "+path+" HTTP/1.1", h)
+	cn.BW.Write(body)
+	if err = cn.BW.Flush(); err == nil {
 		err = x.head()
 	}
 	if err != nil {
@@ -116,21 +115,25 @@
 
 func (x *exchange) head() (err error) {
 	for {
-		if x.res, err = http1.ReadResponse(x.conn.br); err != nil {
+		if x.res, err = http1.ReadResponse(x.conn.BR); err != nil {
 			return err
 		}
 		if x.res.Status >= 200 {
 			break
 		}
 	}
-	x.body, err = http1.ResponseBody(x.conn.br, x.res)
+	x.body, err = http1.ResponseBody(x.conn.BR, x.res)
 	return err
 }
 
 // close gives the connection back if the exchange is whole, else cuts it, which calls the engine's work off.
 func (x *exchange) close(whole bool) {
 	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
-		x.c.pool.put(x.addr, x.ctl, x.conn)
+		name := x.addr
+		if x.ctl {
+			name = control + name
+		}
+		x.c.pool.idle.Put(name, x.conn)
 		return
 	}
 	x.conn.Close()
@@ -147,16 +150,7 @@
 
 // failed maps an error of the connection to an outcome.
 func failed(ctx context.Context, err error) attempt.Result {
-	var dial errDial
-	switch {
-	case errors.As(err, &dial):
-		return attempt.Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
-	case ctx.Err() != nil:
-		return attempt.Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
-	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge), errors.Is(err, jsonscan.ErrBad):
-		return attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
-	}
-	return attempt.Result{Outcome: gannethook.Broken, Detail: err.Error()}
+	return attempt.Ended(ctx, err, http1.ErrMalformed, http1.ErrTooLarge, jsonscan.ErrBad)
 }
 
 // turned maps an answer that is not 200 to an outcome.
@@ -279,7 +273,7 @@
 			return r
 		}
 		if string(data) == "[DONE]" {
-			if x.conn.br.Buffered() > 0 {
+			if x.conn.BR.Buffered() > 0 {
 				var one [1]byte
 				x.body.Read(one[:]) // the end of a chunked body; not waited for
 			}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -259,7 +259,7 @@
 		t.Helper()
 		for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
 			c.pool.mu.Lock()
-			n, busy := len(c.pool.idle[p.addr]), c.pool.filling[p.addr]
+			n, busy := c.pool.idle.Count(p.addr), c.pool.filling[p.addr]
 			c.pool.mu.Unlock()
 			if n == want && !busy {
 				return
@@ -271,7 +271,7 @@
 	}
 	c.Warm(p.addr)
 	idle(2)
-	var took *conn
+	var took *conns.Conn
 	for range 3 {
 		cn, err := c.pool.get(context.Background(), p.addr, false)
 		if err != nil {
@@ -287,10 +287,11 @@
 }
 
 func closedByPeer(c *Client, addr string) bool {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	list := c.pool.idle[addr]
-	return len(list) == 1 && !conns.Stands(list[0].Conn)
+	cn := c.pool.idle.Take(addr)
+	if cn != nil {
+		c.pool.idle.Put(addr, cn)
+	}
+	return cn == nil
 }
 
 // A release finds the connection that the place came by, while streams hold all others.
@@ -300,7 +301,7 @@
 	if got := c.Hold(context.Background(), call, "reader:1"); got != attempt.Granted {
 		t.Fatal("no place")
 	}
-	if cn := c.pool.pop(p.addr); cn != nil {
+	if cn := c.pool.idle.Take(p.addr); cn != nil {
 		t.Fatal("an attempt could take the connection")
 	}
 	if err := c.release(context.Background(), attempt.Held{Addr: p.addr, Key: "k"}); err != nil || p.conns.Load() != 1 {
@@ -339,7 +340,7 @@
 	if o := write(); o != gannethook.Served {
 		t.Errorf("ended with %v", o)
 	}
-	c.pool.sweep(true)
+	c.pool.idle.Sweep(func(string) bool { return true })
 	<-served
 	if o := write(); o != gannethook.ConnectFailed {
 		t.Errorf("without any connection: %v", o)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,12 +6,12 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
 	"time"
 
+	"gannethook/internal/attempt"
 	"gannethook/internal/conns"
 )
 
@@ -35,24 +35,16 @@
 		PlaceIdle: 500 * time.Millisecond, ResponseMax: 1 << 20, WholeMax: 32 << 20}
 }
 
-// conn is one connection, owned by one exchange at a time.
-type conn struct {
-	net.Conn
-	br   *bufio.Reader
-	bw   *bufio.Writer
-	used time.Time
-}
-
 // control marks the connections that places and releases go by. They are apart
 // from those of attempts, which streams hold for long: what a place came by is
 // free again when the place is to be let go, also while new connections fail.
 const control = "control "
 
-// pool keeps the unused connections, newest last.
+// pool keeps unused connections, and opens some ahead.
 type pool struct {
 	lim     Limits
+	idle    *conns.Idle
 	mu      sync.Mutex
-	idle    map[string][]*conn
 	filling map[string]bool
 	shut    bool
 	ctx     context.Context // of the dials ahead
@@ -61,7 +53,7 @@
 }
 
 func (p *pool) open() {
-	p.idle, p.filling = map[string][]*conn{}, map[string]bool{}
+	p.idle, p.filling = conns.NewIdle(p.lim.Idle, p.lim.IdleConns), map[string]bool{}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 }
 
@@ -72,7 +64,7 @@
 func (p *pool) fill(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shut || p.filling[addr] || len(p.idle[addr]) >= p.lim.Spare {
+	if p.shut || p.filling[addr] || p.idle.Count(addr) >= p.lim.Spare {
 		return
 	}
 	p.filling[addr] = true
@@ -86,116 +78,57 @@
 func (p *pool) spare(addr string) bool {
 	c, err := p.dial(p.ctx, addr)
 	if err == nil {
-		p.put(addr, false, c)
+		p.idle.Put(addr, c)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	again := err == nil && !p.shut && len(p.idle[addr]) < p.lim.Spare
+	again := err == nil && !p.shut && p.idle.Count(addr) < p.lim.Spare
 	if !again {
 		delete(p.filling, addr)
 	}
 	return again
 }
 
-// errDial marks that no connection was made, so that nothing can have run.
-type errDial struct{ error }
-
-func (e errDial) Unwrap() error { return e.error }
-
 // get gives a connection: an unused one that still stands, else a new one. Control
 // may use an attempt's; an attempt uses one for control only where its dial has
 // failed: at a writer that holds its place the state is there already, and a
 // place's own connection is still open.
-func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, addr string, ctl bool) (*conns.Conn, error) {
 	defer p.fill(addr)
 	if ctl {
-		if c := p.unused(control + addr); c != nil {
+		if c := p.idle.Take(control + addr); c != nil {
 			return c, nil
 		}
 	}
-	if c := p.unused(addr); c != nil {
+	if c := p.idle.Take(addr); c != nil {
 		return c, nil
 	}
 	c, err := p.dial(ctx, addr)
 	if err != nil && !ctl && ctx.Err() == nil {
-		if c := p.unused(control + addr); c != nil {
+		if c := p.idle.Take(control + addr); c != nil {
 			return c, nil
 		}
 	}
 	return c, err
 }
 
-// unused takes an unused connection that still stands, and closes those that do not.
-func (p *pool) unused(addr string) *conn {
-	for {
-		c := p.pop(addr)
-		if c == nil || time.Since(c.used) < p.lim.Idle && conns.Stands(c.Conn) {
-			return c
-		}
-		c.Close()
-	}
-}
-
-func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+func (p *pool) dial(ctx context.Context, addr string) (*conns.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.lim.Dial)
 	defer cancel()
 	var d net.Dialer
 	nc, err := d.DialContext(dialCtx, "tcp", addr)
 	if err != nil {
-		return nil, errDial{err}
-	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096), bw: bufio.NewWriterSize(nc, 4096)}, nil
-}
-
-func (p *pool) pop(addr string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if p.idle[addr] = list[:len(list)-1]; len(list) == 1 {
-		delete(p.idle, addr)
+		return nil, attempt.NotSent{Err: err}
 	}
-	return c
+	return conns.New(nc, 4096, nil), nil
 }
 
-// put takes a connection back after a whole exchange.
-func (p *pool) put(addr string, ctl bool, c *conn) {
-	if ctl {
-		addr = control + addr
-	}
-	c.used = time.Now()
-	if c.SetDeadline(time.Time{}) != nil || c.br.Buffered() > 0 {
-		c.Close() // cut meanwhile, or it talks out of turn
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.shut || len(p.idle[addr]) >= p.lim.IdleConns {
-		c.Close()
-		return
-	}
-	p.idle[addr] = append(p.idle[addr], c)
-}
-
-// sweep closes what has been unused for too long, or all.
-func (p *pool) sweep(all bool) {
+// close closes what is unused and ends the dials ahead.
+func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.shut = p.shut || all
-	for addr, list := range p.idle {
-		keep := list[:0]
-		for _, c := range list {
-			if !all && time.Since(c.used) < p.lim.Idle {
-				keep = append(keep, c)
-			} else {
-				c.Close()
-			}
-		}
-		if p.idle[addr] = keep; len(keep) == 0 {
-			delete(p.idle, addr)
-		}
-	}
+	p.shut = true
+	p.mu.Unlock()
+	p.cancel()
+	p.idle.Close()
+	p.wg.Wait()
 }
--- a/internal/platform/parting/parting.go
+++ b/internal/parting/parting.go
@@ -11,6 +11,7 @@
 package parting
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -60,6 +61,6 @@
 		return nil
 	}
 	open = slices.Clone(open)
-	slices.SortFunc(open, func(a, b Stream) int { return int(a.Began - b.Began) })
+	slices.SortFunc(open, func(a, b Stream) int { return cmp.Compare(a.Began, b.Began) })
 	return open[keep:]
 }
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -20,7 +20,7 @@
 
 	"gannethook/internal/driver"
 	"gannethook/internal/http1"
-	"gannethook/internal/platform/parting"
+	"gannethook/internal/parting"
 )
 
 // Limits bound what clients can take up.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,10 +19,10 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/driver"
+	"gannethook/internal/parting"
 	"gannethook/internal/platform/clients"
 	"gannethook/internal/platform/config"
 	"gannethook/internal/platform/discovery"
-	"gannethook/internal/platform/parting"
 	"gannethook/internal/platform/workers"
 )
 
@@ -67,23 +67,25 @@
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
 func New(cfg *config.Config, env func(string) string, log *zap.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, env: env, log: log, next: make(chan string, 1), listed: make(chan struct{})}
-	r.workers = workers.New(workers.Limits{Conns: cfg.Sockets * 45 / 100, Spare: cfg.Sockets / 8,
+	r.workers = workers.New(workers.Limits{Conns: r.conns(), Spare: cfg.Sockets / 8,
 		Dial: time.Duration(max(float64(cfg.Profile.Dial), 50) * 1e6), Idle: retire(float64(cfg.Profile.Settings.ConnIdle)),
 		Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond})
-	conns := cfg.Sockets * 45 / 100
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Name: cfg.Name, Seed: cfg.Seed, Inbox: 4096,
-		MaxOpen: conns, Engines: r.workers, Done: r.done})
+		MaxOpen: r.conns(), Engines: r.workers, Done: r.done})
 	if err != nil {
 		return nil, err
 	}
 	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load, Log: log,
-		Limits: clients.Limits{Conns: conns, Body: 256 << 10, Bodies: cfg.Memory / 5, Head: 2 * time.Second,
+		Limits: clients.Limits{Conns: r.conns(), Body: 256 << 10, Bodies: cfg.Memory / 5, Head: 2 * time.Second,
 			Idle: 20 * time.Second, Write: 4 * time.Second, Linger: 500 * time.Millisecond}})
 	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1}
 	return r, nil
 }
 
+// conns is how many connections clients may have, and as many workers; what is left is discovery's and the port's.
+func (r *Router) conns() int { return r.cfg.Sockets * 45 / 100 }
+
 // retire is when an unused connection goes: well before its worker closes it.
 func retire(idleMS float64) time.Duration {
 	if idleMS <= 0 {
@@ -221,7 +223,7 @@
 	if err := r.cfg.Profile.Settings.Compatible(set); err != nil {
 		r.log.Error("the new settings are not taken up", zap.Error(err))
 	} else {
-		r.driver.Swap(*set, r.cfg.Sockets*45/100)
+		r.driver.Swap(*set, r.conns())
 	}
 	r.log.Info("new configuration", zap.String("discovery", next.Discovery))
 	select {
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -18,9 +18,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Hold)
 	defer cancel()
 	x, err := c.open(ctx, call.Addr, "POST", HoldsPath+call.Key, &attempt.Call{Key: call.Key})
-	var dial errDial
+	var unsent attempt.NotSent
 	switch {
-	case errors.As(err, &dial):
+	case errors.As(err, &unsent):
 		return attempt.Denied
 	case err != nil:
 		return attempt.Unknown
@@ -89,7 +89,7 @@
 	}
 	c.mu.Unlock()
 	for i := range all {
-		all[i].unused = c.pool.unused(addrs[i]) > 0
+		all[i].unused = c.pool.idle.Count(addrs[i]) > 0
 		if slices.Contains(first, all[i].id) && time.Since(all[i].heard) < time.Second {
 			all[i].heard = time.Now()
 		}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -19,8 +19,9 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/conns"
 	"gannethook/internal/http1"
-	"gannethook/internal/platform/trust"
+	"gannethook/internal/trust"
 )
 
 // HoldsPath is where places are asked for and let go, followed by the request's id.
@@ -61,37 +62,58 @@
 	list := make([]Seen, 0, len(c.byID))
 	for id, w := range c.byID {
 		s := w.seen
-		s.ID, s.Unused = id, c.pool.unused(w.addr)
+		s.ID, s.Unused = id, c.pool.idle.Count(w.addr)
 		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b Seen) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
-// note changes what was seen of a worker, if it is still listed.
-func (c *Client) note(id string, change func(*Seen)) {
+// answered notes that a worker answered on a connection.
+func (c *Client) answered(id string, cn *conns.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.byID[id]
+	if w == nil {
+		return
+	}
+	w.heard = time.Now()
+	if cn.Unused > 0 {
+		w.seen.Kept++
+	}
+}
+
+// took notes how long an answer of use took to its head.
+func (c *Client) took(id string, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w := c.byID[id]; w != nil {
-		change(&w.seen)
+		w.seen.First = d
 	}
 }
 
-// counted makes an attempt and counts it.
+// counted makes an attempt and counts it, at the worker as it was listed at the send.
 func (c *Client) counted(call *attempt.Call, do func() attempt.Result) attempt.Result {
-	c.note(call.Addr, func(s *Seen) { s.Sent, s.Out = s.Sent+1, s.Out+1 })
+	c.mu.Lock()
+	w := c.byID[call.Addr]
+	if w == nil {
+		w = &worker{} // do tells that it is not listed
+	}
+	w.seen.Sent++
+	w.seen.Out++
+	c.mu.Unlock()
 	r := do()
-	c.note(call.Addr, func(s *Seen) {
-		s.Out--
-		switch r.Outcome {
-		case gannethook.Served, gannethook.ReadDone, gannethook.Cancelled, gannethook.Moot:
-		case gannethook.Full:
-			s.Full++
-			s.Failed++
-		default:
-			s.Failed++
-		}
-	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.seen.Out--
+	switch r.Outcome {
+	case gannethook.Served, gannethook.ReadDone, gannethook.Cancelled, gannethook.Moot:
+	case gannethook.Full:
+		w.seen.Full++
+		w.seen.Failed++
+	default:
+		w.seen.Failed++
+	}
 	return r
 }
 
@@ -109,14 +131,14 @@
 
 // New returns a client; Close ends it.
 func New(lim Limits) *Client {
-	c := &Client{lim: lim, pool: pool{lim: lim, idle: map[string][]*conn{}}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
+	c := &Client{lim: lim, pool: pool{lim: lim, idle: conns.NewIdle(lim.Idle, lim.Spare)}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
 	c.wg.Go(func() {
 		tick := time.NewTicker(max(lim.Idle/8, 100*time.Millisecond))
 		defer tick.Stop()
 		for {
 			select {
 			case <-tick.C:
-				c.pool.sweep(func(string) bool { return false })
+				c.pool.idle.Sweep(nil)
 			case <-c.stop:
 				return
 			}
@@ -129,10 +151,7 @@
 func (c *Client) Close() {
 	close(c.stop)
 	c.wg.Wait()
-	c.pool.mu.Lock()
-	c.pool.shut = true
-	c.pool.mu.Unlock()
-	c.pool.sweep(func(string) bool { return true })
+	c.pool.idle.Close()
 }
 
 // Worker is a worker's address, as discovery has it.
@@ -169,7 +188,7 @@
 		}
 	}
 	c.mu.Unlock()
-	c.pool.sweep(func(addr string) bool { return !known[addr] })
+	c.pool.idle.Sweep(func(addr string) bool { return !known[addr] })
 }
 
 func (c *Client) addr(id string) (string, error) {
@@ -178,41 +197,32 @@
 	if w := c.byID[id]; w != nil {
 		return w.addr, nil
 	}
-	return "", errDial{fmt.Errorf("worker %s is not listed", id)}
-}
-
-// heard notes that a worker answered.
-func (c *Client) heard(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w := c.byID[id]; w != nil {
-		w.heard = time.Now()
-	}
+	return "", attempt.NotSent{Err: fmt.Errorf("worker %s is not listed", id)}
 }
 
 // fresh tells whether a request should go by a new connection.
-func (c *Client) fresh(once bool) bool {
+func (c *Client) fresh(call *attempt.Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.kept.Fresh(time.Since(c.from), once)
+	return c.kept.Fresh(time.Since(c.from), call.Unsafe, call.Left)
 }
 
 // went notes how a request on a connection went; one that was called off tells nothing.
-func (c *Client) went(ctx context.Context, cn *conn, err error) {
+func (c *Client) went(ctx context.Context, cn *conns.Conn, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	bad := err != nil && failed(ctx, err).Outcome == gannethook.Broken
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kept.Note(time.Since(c.from), cn.idle > 0, bad)
+	c.kept.Note(time.Since(c.from), cn.Unused > 0, bad)
 }
 
 // exchange is one request on one connection.
 type exchange struct {
 	c    *Client
-	id   string // the worker's
-	conn *conn
+	addr string
+	conn *conns.Conn
 	res  *http1.Response
 	body *http1.Body
 	stop func() bool
@@ -225,11 +235,11 @@
 		return nil, err
 	}
 	ctl := strings.HasPrefix(path, HoldsPath)
-	cn, err := c.pool.get(ctx, addr, ctl, !ctl && c.fresh(call.Once))
+	cn, err := c.pool.get(ctx, addr, ctl, !ctl && c.fresh(call))
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{c: c, id: id, conn: cn}
+	x := &exchange{c: c, addr: addr, conn: cn}
 	x.stop = context.AfterFunc(ctx, func() { cn.Close() }) // closing calls the work off
 	bufs := net.Buffers{requestHead(method, path, call), call.Body}
 	if len(call.Body) == 0 {
@@ -237,43 +247,38 @@
 	}
 	if _, err := bufs.WriteTo(cn.Conn); err != nil {
 		x.close(false)
-		return nil, errDial{err}
+		return nil, attempt.NotSent{Err: err}
 	}
 	call.Sent.Set(true)
 	err = x.head()
 	c.went(ctx, cn, err)
 	if err != nil {
 		x.close(false)
-		if cn.idle > 0 {
-			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.idle.Round(time.Millisecond), err)
+		if cn.Unused > 0 {
+			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.Unused.Round(time.Millisecond), err)
 		}
 		return nil, err
 	}
-	c.heard(id)
-	c.note(id, func(s *Seen) {
-		if cn.idle > 0 {
-			s.Kept++
-		}
-	})
+	c.answered(id, cn)
 	return x, nil
 }
 
 // head reads the answer's head. It may take its time to begin, but not to end.
 func (x *exchange) head() (err error) {
-	if _, err = x.conn.br.Peek(1); err != nil {
+	if _, err = x.conn.BR.Peek(1); err != nil {
 		return err
 	}
 	x.conn.SetReadDeadline(time.Now().Add(headTime))
 	for range mostInterim {
-		if x.res, err = http1.ReadResponse(x.conn.br); err != nil {
+		if x.res, err = http1.ReadResponse(x.conn.BR); err != nil {
 			return err
 		}
 		if x.res.Status >= 200 {
-			x.body, err = http1.ResponseBody(x.conn.br, x.res)
+			x.body, err = http1.ResponseBody(x.conn.BR, x.res)
 			return err
 		}
 		x.conn.SetReadDeadline(time.Time{})
-		if _, err = x.conn.br.Peek(1); err != nil {
+		if _, err = x.conn.BR.Peek(1); err != nil {
 			return err
 		}
 		x.conn.SetReadDeadline(time.Now().Add(headTime))
@@ -284,10 +289,10 @@
 // close gives the connection back if the exchange is whole, else cuts it.
 func (x *exchange) close(whole bool) {
 	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
-		x.c.pool.put(x.conn)
+		x.c.pool.idle.Put(x.addr, x.conn)
 		return
 	}
-	x.c.pool.drop(x.conn)
+	x.conn.Close()
 }
 
 // finish reads what is left of an answer that is no stream.
@@ -300,18 +305,9 @@
 	return err
 }
 
-// failed maps an error of the connection to an outcome.
+// failed maps an error of the connection to an outcome. What stalls once it has begun is spoilt, too.
 func failed(ctx context.Context, err error) attempt.Result {
-	var dial errDial
-	switch {
-	case errors.As(err, &dial):
-		return attempt.Result{Outcome: gannethook.ConnectFailed, Detail: err.Error()}
-	case ctx.Err() != nil:
-		return attempt.Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
-	case errors.Is(err, http1.ErrMalformed), errors.Is(err, http1.ErrTooLarge), errors.Is(err, os.ErrDeadlineExceeded):
-		return attempt.Result{Outcome: gannethook.Failed, Detail: err.Error()}
-	}
-	return attempt.Result{Outcome: gannethook.Broken, Detail: err.Error()}
+	return attempt.Ended(ctx, err, http1.ErrMalformed, http1.ErrTooLarge, os.ErrDeadlineExceeded)
 }
 
 // turned maps an answer that is neither a state nor a stream to an outcome.
@@ -366,7 +362,7 @@
 	if err := x.finish(); err != nil {
 		return failed(ctx, err)
 	}
-	c.note(call.Addr, func(s *Seen) { s.First = time.Since(from) })
+	c.took(call.Addr, time.Since(from))
 	return attempt.Result{Outcome: gannethook.ReadDone}
 }
 
@@ -391,7 +387,7 @@
 	if x.res.Status != 200 {
 		return x.turned()
 	}
-	c.note(call.Addr, func(s *Seen) { s.First = time.Since(from) })
+	c.took(call.Addr, time.Since(from))
 	r := x.stream(ctx, started, token)
 	x.close(r.Outcome == gannethook.Served)
 	return r
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -16,6 +16,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/conns"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -76,7 +77,7 @@
 }
 
 func call(i int) *attempt.Call {
-	return &attempt.Call{Addr: "w", Key: fmt.Sprint("r", i), Path: "/v1/chat/completions", Body: []byte("{}")}
+	return &attempt.Call{Addr: "w", Key: fmt.Sprint("r", i), Path: "/v1/chat/completions", Body: []byte("{}"), Left: 3}
 }
 
 const done = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"
@@ -143,7 +144,7 @@
 	}
 	once := call(1)
 	for i := range 20 {
-		once.Once = true
+		once.Unsafe = true
 		if r := cl.Read(context.Background(), once); r.Outcome != gannethook.ReadDone {
 			t.Errorf("what may not be made again, the %dth: %+v", i, r)
 		}
@@ -208,7 +209,7 @@
 	})
 	cl := client(t, 10, silent)
 	cl.Update(false, []Worker{{ID: "v", Addr: well}})
-	cl.heard("w")
+	cl.answered("w", &conns.Conn{})
 	cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}})
 	select {
 	case path := <-let:
--- a/internal/platform/trust/trust.go
+++ b/internal/trust/trust.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	fade    = 10 * time.Second // ours: in which what was seen fades to 1/e
-	prior   = 15               // ours: answers that each kind is taken to have had before any
-	dear    = 0.01             // ours: how much worse kept ones may be for what can't be tried again,
-	usual   = 0.04             // ours: and for all else
-	lookout = 0.05             // ours: part of what goes by kept ones all the same, so that an end is seen
+	fade     = 10 * time.Second // ours: in which what was seen fades to 1/e
+	prior    = 15               // ours: answers that each kind is taken to have had before any
+	dear     = 0.01             // ours: how much worse kept ones may be for what can't be tried again,
+	usual    = 0.04             // ours: and for all else
+	lastOnes = 1                // ours: attempts left at which one counts as not to be made again: a read and its write
+	lookout  = 0.05             // ours: part of what goes by kept ones all the same, so that an end is seen
 )
 
 // Kept learns how kept and new connections do. It is not safe for concurrent use.
@@ -39,10 +40,12 @@
 	}
 }
 
-// Fresh tells whether a request should go by a new connection. once marks one
-// that may not be tried again should it break.
-func (k *Kept) Fresh(now time.Duration, once bool) bool {
+// Fresh tells whether an attempt should go by a new connection: an unsafe one
+// may not be made again should it break; else left tells how many more its
+// request may make, negative any number.
+func (k *Kept) Fresh(now time.Duration, unsafe bool, left int) bool {
 	k.fade(now)
+	once := unsafe || left >= 0 && left <= lastOnes
 	most := usual
 	if once {
 		most = dear
--- a/internal/platform/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -20,11 +20,11 @@
 func TestCalm(t *testing.T) {
 	var k Kept
 	now := day(&k, 0, 20, 0, 0)
-	if k.Fresh(now, true) || k.Fresh(now, false) {
+	if k.Fresh(now, true, -1) || k.Fresh(now, false, 3) {
 		t.Error("kept connections are not trusted on a calm day")
 	}
 	k.Note(now, true, true)
-	if k.Fresh(now, false) {
+	if k.Fresh(now, false, 3) {
 		t.Error("one break changes all")
 	}
 }
@@ -42,8 +42,9 @@
 	} {
 		var k Kept
 		now := day(&k, 0, 20, c.kept, c.fresh)
-		if once, usual := k.Fresh(now, true), k.Fresh(now, false); once != c.once || usual != c.usual {
-			t.Errorf("%s: once %v, usual %v", c.name, once, usual)
+		once, last, any, usual := k.Fresh(now, true, 3), k.Fresh(now, false, 1), k.Fresh(now, false, -1), k.Fresh(now, false, 3)
+		if once != c.once || last != c.once || any != c.usual || usual != c.usual {
+			t.Errorf("%s: unsafe %v, last %v, without limit %v, usual %v", c.name, once, last, any, usual)
 		}
 	}
 }
@@ -54,14 +55,14 @@
 	now, fresh := day(&k, 0, 20, 5, 0), 0
 	for range 600 {
 		now += 100 * time.Millisecond
-		if k.Fresh(now, false) {
+		if k.Fresh(now, false, 3) {
 			fresh++
 			k.Note(now, false, false)
 		} else {
 			k.Note(now, true, false)
 		}
 	}
-	if k.Fresh(now, true) || fresh == 0 || fresh > 400 {
+	if k.Fresh(now, true, -1) || fresh == 0 || fresh > 400 {
 		t.Errorf("fresh %d times in a minute", fresh)
 	}
 }
@@ -79,7 +80,7 @@
 			if p := k.part(true); p < 0 || p > 1 {
 				t.Fatalf("part %v", p)
 			}
-			if k.Fresh(now, true) {
+			if k.Fresh(now, true, -1) {
 				t.Fatal("kept ones are left though new ones do as badly")
 			}
 		}
