A client for whom there is no room is told so; a request on its way is not evicted

Looked at: the answer was written and the connection closed on the request that was on its way, which resets it; and connections just taken, with a request in the kernel, were closed as the longest unused. Faulty: accept() in internal/platform/clients.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -8,8 +8,9 @@
 )
 
 // Stands tells whether nothing is readable on an unused connection: neither its
-// end nor bytes that nobody asked for. A request written into a closed one would
-// count as one that may have run.
+// end nor bytes. A request written into a closed one would count as one that may
+// have run; bytes that nobody asked for spoil the next answer. It may be called
+// while another goroutine waits in Read.
 func Stands(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
@@ -20,11 +21,10 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // not Read: that waits for whoever reads
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"gannethook/internal/conns"
 	"gannethook/internal/driver"
 	"gannethook/internal/http1"
 	"gannethook/internal/parting"
@@ -31,6 +32,7 @@
 	Head   time.Duration // for a request to come in whole, and for a new connection to begin one
 	Idle   time.Duration // an unused connection closes
 	Write  time.Duration // a client that takes nothing for so long is cut
+	Refuse int           // connections beyond Conns that are told so at once; the others are closed untold
 	Linger time.Duration // how long a client that still sends is heard out after its error
 }
 
@@ -45,13 +47,14 @@
 
 // Server serves clients. Its methods may be called from anywhere.
 type Server struct {
-	cfg     Config
-	start   time.Time
-	classes map[string]int
-	wg      sync.WaitGroup
-	bodies  http1.Budget
-	ends    atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
-	stops   atomic.Bool  // no connection takes another request
+	cfg      Config
+	start    time.Time
+	classes  map[string]int
+	wg       sync.WaitGroup
+	bodies   http1.Budget
+	ends     atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
+	refusing atomic.Int64 // connections beyond the bound that are being told
+	stops    atomic.Bool  // no connection takes another request
 
 	mu    sync.Mutex
 	open  map[*link]struct{}
@@ -100,20 +103,10 @@
 func (s *Server) accept(nc net.Conn) {
 	l := &link{s: s, nc: nc}
 	s.mu.Lock()
-	full := false
-	if len(s.open) >= s.cfg.Limits.Conns {
-		if full = s.idle.Len() == 0; !full {
-			o := s.idle.Remove(s.idle.Front()).(*link)
-			o.place, o.evicted = nil, true
-			delete(s.open, o)
-			o.nc.Close()
-		}
-	}
+	full := len(s.open) >= s.cfg.Limits.Conns && !s.evict()
 	if full || s.shut {
 		s.mu.Unlock()
-		nc.SetWriteDeadline(time.Now().Add(time.Millisecond))
-		io.WriteString(nc, crowded)
-		nc.Close()
+		s.turnAway(l)
 		return
 	}
 	s.open[l] = struct{}{}
@@ -125,7 +118,44 @@
 	})
 }
 
-const crowded = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// evict closes the connection unused for longest on which no request is on its
+// way; it looks at few, and is false where it finds none.
+func (s *Server) evict() bool {
+	e := s.idle.Front()
+	for range mostLooks {
+		if e == nil {
+			return false
+		}
+		if l := e.Value.(*link); conns.Stands(l.nc) {
+			s.rest(l, false)
+			l.evicted = true
+			delete(s.open, l)
+			l.nc.Close()
+			return true
+		}
+		e = e.Next()
+	}
+	return false
+}
+
+const mostLooks = 8
+
+// turnAway tells a client that there is no room, if not as many are being told
+// already. It hears the client out as any refusal does: its request is on its
+// way, and to close on it would reset the connection and lose the answer.
+func (s *Server) turnAway(l *link) {
+	if s.refusing.Add(1) > int64(s.cfg.Limits.Refuse) {
+		s.refusing.Add(-1)
+		l.nc.Close()
+		return
+	}
+	s.wg.Go(func() {
+		defer s.refusing.Add(-1)
+		defer l.nc.Close()
+		l.buffers(512)
+		l.refuse("503 Service Unavailable", "too many connections")
+	})
+}
 
 func (s *Server) close(l *link) {
 	l.nc.Close()
@@ -260,9 +290,13 @@
 	evicted bool          // the same
 }
 
+func (l *link) buffers(size int) {
+	l.br, l.bw = bufio.NewReaderSize(l.nc, size), bufio.NewWriterSize(l.nc, size)
+}
+
 // serve reads requests until the connection ends.
 func (l *link) serve() {
-	l.br, l.bw = bufio.NewReaderSize(l.nc, 2048), bufio.NewWriterSize(l.nc, 2048)
+	l.buffers(2048)
 	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Head))
 	for l.awaits() && l.next() {
 		l.s.resting(l, true)
