--- a/internal/conns/idle.go
+++ b/internal/conns/idle.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// Run sweeps every while until stop closes.
+func (i *Idle) Run(every time.Duration, stop <-chan struct{}) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			i.Sweep(nil)
+		case <-stop:
+			return
+		}
+	}
+}
+
 // Close closes all that is kept, and whatever is put back later.
 func (i *Idle) Close() {
 	i.mu.Lock()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -44,18 +44,7 @@
 func NewClient(lim Limits) *Client {
 	c := &Client{lim: lim, pool: pool{lim: lim}, stop: make(chan struct{})}
 	c.pool.open()
-	c.wg.Go(func() {
-		tick := time.NewTicker(max(lim.Idle/4, time.Second))
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				c.pool.idle.Sweep(nil)
-			case <-c.stop:
-				return
-			}
-		}
-	})
+	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/4, time.Second), c.stop) })
 	return c
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -178,6 +178,15 @@
 	}
 }
 
+// wantMany asks one after the other, each on a connection of its own.
+func (s *site) wantMany(n int) {
+	s.t.Helper()
+	for i := range n {
+		id := fmt.Sprint("many", i)
+		s.wantServed(s.ask(id, "question", 4000), id)
+	}
+}
+
 func two(f *standin.Fleet) {
 	f.Add(standin.Prompt, nil)
 	f.Add(standin.Answer, nil)
@@ -290,10 +299,7 @@
 		silent = append(silent, s.dial())
 	}
 	from := time.Now()
-	for i := range 20 {
-		id := fmt.Sprint("r", i)
-		s.wantServed(s.ask(id, "question", 4000), id)
-	}
+	s.wantMany(20)
 	for _, nc := range silent {
 		nc.SetReadDeadline(from.Add(3 * time.Second))
 		if _, err := io.ReadAll(nc); errors.Is(err, os.ErrDeadlineExceeded) {
@@ -391,24 +397,25 @@
 	s.until("nothing is held", func() bool { return len(s.fleet.Left()) == 0 })
 }
 
-// What outlasts its client's time is answered in time, what was given up on at once.
-func TestDeadline(t *testing.T) {
-	s := open(t, func(f *standin.Fleet) {
-		f.Add(standin.Prompt, nil)
-		f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Wait: 10 * time.Second} })
-	})
-	if a := s.ask(standin.Unsafe+"1", "adjustment", 600); a.status != 500 || a.took < 300*ms || a.took > 650*ms {
-		t.Errorf("%+v", a)
-	}
-}
-
-func TestRefusedAtOnce(t *testing.T) {
-	s := open(t, func(f *standin.Fleet) {
-		f.Add(standin.Prompt, nil)
-		f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Status: 503, NotRun: true} })
-	})
-	if a := s.ask(standin.Unsafe+"1", "adjustment", 8000); a.status != 503 || a.after != "0.250" || a.took > 4*time.Second {
-		t.Errorf("%+v", a)
+// What outlasts its client's time is answered in time, what was given up on at once, with when to come back.
+func TestGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		script      standin.Script
+		timeout     int
+		status      int
+		after       string
+		least, most time.Duration
+	}{
+		{standin.Script{Wait: 10 * time.Second}, 600, 500, "", 300 * ms, 650 * ms},
+		{standin.Script{Status: 503, NotRun: true}, 8000, 503, "0.250", 0, time.Second},
+	} {
+		s := open(t, func(f *standin.Fleet) {
+			f.Add(standin.Prompt, nil)
+			f.Add(standin.Answer, func(int, string) standin.Script { return c.script })
+		})
+		if a := s.ask(standin.Unsafe+"1", "adjustment", c.timeout); a.status != c.status || a.after != c.after || a.took < c.least || a.took > c.most {
+			t.Errorf("%+v: %+v", c, a)
+		}
 	}
 }
 
@@ -496,10 +503,7 @@
 		two(f)
 	})
 	dead.Down()
-	for i := range 20 {
-		id := fmt.Sprint("r", i)
-		s.wantServed(s.ask(id, "question", 4000), id)
-	}
+	s.wantMany(20)
 }
 
 // Many at once are all answered, in bounded memory and descriptors.
@@ -513,12 +517,7 @@
 	got := map[int]int{}
 	for i := range 300 {
 		wg.Go(func() {
-			nc, err := net.Dial("tcp", s.addr)
-			if err != nil {
-				return
-			}
-			defer nc.Close()
-			a := s.on(nc, bufio.NewReader(nc), request(fmt.Sprint("r", i), "question", 4000, body))
+			a := s.ask(fmt.Sprint("r", i), "question", 4000)
 			mu.Lock()
 			defer mu.Unlock()
 			got[a.status]++
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -132,18 +132,7 @@
 // New returns a client; Close ends it.
 func New(lim Limits) *Client {
 	c := &Client{lim: lim, pool: pool{lim: lim, idle: conns.NewIdle(lim.Idle, lim.Spare)}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
-	c.wg.Go(func() {
-		tick := time.NewTicker(max(lim.Idle/8, 100*time.Millisecond))
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				c.pool.idle.Sweep(nil)
-			case <-c.stop:
-				return
-			}
-		}
-	})
+	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/8, 100*time.Millisecond), c.stop) })
 	return c
 }
 
