An attempt that is called off is out until it has left its server's connection

At fault: carryOut's Cancel and timedOut told the module at once that the attempt had ended; its refusal left while the connection was still open. Now its goroutine tells it once it has left the connection.

--- a/cmd/gannethook/platform.go
+++ b/cmd/gannethook/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
@@ -42,6 +43,7 @@
 			return r.Run(context.Background(), signals)
 		},
 	}
-	cmd.Flags().StringVar(&level, "log", "info", "level of the log: debug, info, warn, error or off")
+	cmd.Flags().StringVar(&level, "log", cmp.Or(os.Getenv("GANNETHOOK_LOG"), "info"),
+		"level of the log: debug, info, warn, error or off; GANNETHOOK_LOG sets another default")
 	return cmd
 }
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -46,7 +46,8 @@
 	out    bool
 	cancel context.CancelFunc
 	sent   *attempt.Mark
-	over   chan struct{} // closed once its goroutine has left the server's connection; nil: there is none
+	over   chan struct{}   // closed once its goroutine has left the server's connection; nil: there is none
+	off    *attempt.Result // what its end counts as once it was called off; nil: it was not
 	// Once it has ended; 0 before:
 	outcome gannethook.Outcome
 	detail  string
@@ -176,7 +177,23 @@
 	a.cancel()
 	a.sent.Set(false)
 	close(a.over)
-	c.d.post(func() { c.finish(a.n, r) })
+	c.d.post(func() {
+		if a.off != nil && r.Outcome == gannethook.Cancelled {
+			r = *a.off
+		}
+		c.finish(a.n, r)
+	})
+}
+
+// callOff ends an attempt. The module hears of its end once its goroutine has
+// left the server's connection: until then the attempt is out, and a refusal or
+// another attempt would cross it. One that has just ended otherwise ended so.
+func (c *Call) callOff(n int, r attempt.Result) {
+	if n < 0 || n >= len(c.attempts) || !c.attempts[n].out || c.attempts[n].off != nil {
+		return
+	}
+	c.attempts[n].off = &r
+	c.attempts[n].cancel()
 }
 
 // relay passes a token on, unless the request has ended.
@@ -198,7 +215,7 @@
 }
 
 func (c *Call) stream(a *try) bool {
-	if !a.out || c.answered || c.streaming {
+	if !a.out || a.off != nil || c.answered || c.streaming {
 		return false
 	}
 	c.streaming, c.first, c.writer = true, time.Now(), a.server
@@ -243,10 +260,10 @@
 	return ev
 }
 
-// timedOut ends an attempt whose time has run out before its first token.
+// timedOut calls off an attempt whose time has run out before its first token.
 func (c *Call) timedOut(n int) {
-	if n < len(c.attempts) && c.attempts[n].out && !c.streaming {
-		c.finish(n, attempt.Result{Outcome: gannethook.TimedOut, Detail: "time-out"})
+	if !c.streaming {
+		c.callOff(n, attempt.Result{Outcome: gannethook.TimedOut, Detail: "time-out"})
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -368,7 +368,7 @@
 		}
 	case gannethook.Cancel:
 		if c := d.calls[a.ID]; c != nil {
-			return c.end(a.Attempt, attempt.Result{Outcome: gannethook.Cancelled, Detail: "called off"})
+			c.callOff(a.Attempt, attempt.Result{Outcome: gannethook.Cancelled, Detail: "called off"})
 		}
 	case gannethook.Hold:
 		if c := d.calls[a.ID]; c != nil {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -25,8 +25,10 @@
 	holdOK             bool
 	writeEnds          attempt.Result // in place of a stream, if it has an outcome
 	readEnds           attempt.Result
-	failFirst          bool // the first read fails
-	stall              bool // the stream never goes on after its first token
+	failFirst          bool          // the first read fails
+	stall              bool          // the stream never goes on after its first token
+	leaving            time.Duration // what was called off takes so long to leave its connection,
+	left               time.Time     // and has left it
 	mu                 sync.Mutex
 	writes, reads      int
 	params             []bool // whether each write came with a state
@@ -67,6 +69,10 @@
 	n := f.reads
 	f.mu.Unlock()
 	if !wait(ctx, f.read) {
+		time.Sleep(f.leaving)
+		f.mu.Lock()
+		f.left = time.Now()
+		f.mu.Unlock()
 		return calledOff
 	}
 	if f.failFirst && n == 1 {
@@ -590,6 +596,50 @@
 	})
 }
 
+// An attempt that is called off is out until it has left its server's connection: a refusal that crosses it
+// promises that nothing may run while something is on its way.
+func TestRefusedOnceCalledOffHasLeft(t *testing.T) {
+	for _, timeout := range []gannethook.Millis{0, 10} { // called off by the module, or by its time-out
+		f := newFake()
+		f.read, f.leaving = time.Hour, 30*ms
+		synctest.Test(t, func(t *testing.T) {
+			var ended gannethook.Ended
+			d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+				Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
+					switch ev := ev.(type) {
+					case gannethook.Request:
+						acts = append(acts, gannethook.Send{ID: ev.ID, Server: "s0", Timeout: timeout})
+						if timeout == 0 {
+							acts = append(acts, gannethook.Wake{In: 10})
+						}
+					case gannethook.Wakeup:
+						acts = append(acts, gannethook.Cancel{ID: 1}, gannethook.Cancel{ID: 1})
+					case gannethook.Ended:
+						ended = ev
+						acts = append(acts, gannethook.Refuse{ID: ev.ID}, gannethook.Release{ID: ev.ID})
+					}
+					return acts
+				})})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			wg.Go(func() { d.Run(ctx) })
+			d.Update(gannethook.Membership{Servers: []gannethook.Server{{ID: "s0", State: gannethook.Ready}}})
+			s, a := ask(t, d, 1)
+			if a.Kind != Refused || f.left.IsZero() || s.at.Before(f.left) {
+				t.Errorf("%v at %v, the attempt left at %v", a.Kind, s.at, f.left)
+			}
+			if want := map[bool]gannethook.Outcome{true: gannethook.Cancelled, false: gannethook.TimedOut}[timeout == 0]; ended.Outcome != want {
+				t.Errorf("ended with %v, %v expected", ended.Outcome, want)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
 type decide func(gannethook.Event) []gannethook.Action
 
 func (f decide) Handle(_ gannethook.Millis, ev gannethook.Event) []gannethook.Action { return f(ev) }
