Events pass as soon as they are whole, not chunk by chunk

Ruled out: resets before the head (these go again), the client's leaving, the part of the stop. At fault: workers.stream passed whole chunks; where chunks cut events anywhere, the first chunk can be half an event (a stream begun with no event), and an event waits for the end of its chunk. Now http1.RawEvents passes whole events; what comes before the first event with data begins nothing; a chunk said to be over 64 KiB still ends the stream at once.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -201,6 +201,7 @@
 type Body struct {
 	r       *bufio.Reader
 	left    int64 // of the length or of the chunk
+	most    int64 // of one chunk; 0: any size
 	chunked bool
 	toClose bool
 	begun   bool
@@ -262,6 +263,9 @@
 	return b.left
 }
 
+// Bound has a chunk that is said to be larger end the body with ErrTooLarge.
+func (b *Body) Bound(chunk int64) { b.most = chunk }
+
 // Whole tells whether the body has been read to its end, so that the connection may be used again.
 func (b *Body) Whole() bool { return b.done && !b.toClose }
 
@@ -310,6 +314,9 @@
 	if err != nil {
 		return bodyError(err, "chunk size")
 	}
+	if b.most > 0 && size > b.most {
+		return ErrTooLarge
+	}
 	b.left = size
 	if size > 0 {
 		return nil
@@ -400,38 +407,6 @@
 	mostPart  = 4 << 10
 )
 
-// NextChunk reads one whole chunk with its line end into buf, which grows to
-// most bytes. io.EOF tells that the last chunk and the trailer have come. It is
-// not to be mixed with Read.
-func (b *Body) NextChunk(buf []byte, most int) ([]byte, error) {
-	if b.done {
-		return nil, io.EOF
-	}
-	size, err := readChunkSize(b.r)
-	if err != nil {
-		return nil, bodyError(err, "chunk size")
-	}
-	left := MaxHead
-	if size == 0 {
-		if _, err := readHeader(b.r, &left); err != nil {
-			return nil, bodyError(err, "trailer")
-		}
-		b.done = true
-		return nil, io.EOF
-	}
-	if size > int64(most) {
-		return nil, ErrTooLarge
-	}
-	buf = slices.Grow(buf[:0], int(size))[:size]
-	if _, err := io.ReadFull(b.r, buf); err != nil {
-		return nil, bodyError(err, "chunk")
-	}
-	if line, err := readLine(b.r, &left); err != nil || line != "" {
-		return nil, bodyError(err, "chunk end")
-	}
-	return buf, nil
-}
-
 func bodyError(err error, what string) error {
 	switch {
 	case err == nil:
--- a/internal/http1/sse.go
+++ b/internal/http1/sse.go
@@ -77,3 +77,68 @@
 	}
 	return bytes.TrimSuffix(bytes.TrimSuffix(part, []byte("\n")), []byte("\r")), nil
 }
+
+// RawEvents passes a stream of events on as it came, by whole events: each as
+// soon as its last byte is there, however chunks cut the stream.
+type RawEvents struct {
+	body io.Reader
+	buf  []byte
+	told int // of buf, returned by the last call
+	seen int // of buf, looked at for the end of an event
+	data bool
+}
+
+// rawPart is how much is read at a time, and at first.
+const rawPart = 1 << 10
+
+// NewRawEvents reads a stream. An event of over MaxEvent bytes is ErrTooLarge.
+func NewRawEvents(body io.Reader) *RawEvents { return &RawEvents{body: body} }
+
+// Next is one or more whole events, valid until the next call. What comes before
+// the first event with data comes with it, or not at all: it is no answer yet.
+// With io.EOF, the end, come the bytes that no blank line ended, if any.
+func (e *RawEvents) Next() ([]byte, error) {
+	e.buf = append(e.buf[:0], e.buf[e.told:]...)
+	e.seen -= e.told
+	e.told = 0
+	for {
+		if end := e.lastEnd(); end > 0 && e.hasData(end) {
+			e.told = end
+			return e.buf[:end], nil
+		}
+		if len(e.buf) > MaxEvent {
+			return nil, ErrTooLarge
+		}
+		if cap(e.buf)-len(e.buf) < rawPart/4 {
+			e.buf = append(make([]byte, 0, max(2*cap(e.buf), rawPart)), e.buf...)
+		}
+		n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
+		e.buf = e.buf[:len(e.buf)+n]
+		if err != nil && n == 0 {
+			if !errors.Is(err, io.EOF) || !e.hasData(len(e.buf)) {
+				return nil, err
+			}
+			e.told = len(e.buf)
+			return e.buf, err
+		}
+	}
+}
+
+// lastEnd is where the last blank line ends, 0 where there is none.
+func (e *RawEvents) lastEnd() int {
+	from := max(e.seen-3, 0) // a blank line may be in pieces
+	e.seen = len(e.buf)
+	end := 0
+	for i := len(e.buf) - 1; i > from && end == 0; i-- {
+		if e.buf[i] == '\n' && (e.buf[i-1] == '\n' || i > 1 && e.buf[i-1] == '\r' && e.buf[i-2] == '\n') {
+			end = i + 1
+		}
+	}
+	return end
+}
+
+// hasData tells whether an event with data has come, up to a place.
+func (e *RawEvents) hasData(end int) bool {
+	e.data = e.data || bytes.HasPrefix(e.buf[:end], []byte("data:")) || bytes.Contains(e.buf[:end], []byte("\ndata:"))
+	return e.data
+}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -360,8 +360,8 @@
 	return attempt.Result{Outcome: gannethook.Moot, Detail: "one-stage work is not part of the platform's protocol"}
 }
 
-// Write streams an answer. started is called with the first whole chunk in
-// hand; where it says no, the attempt is over. token gets each whole chunk,
+// Write streams an answer. started is called with the first whole event in
+// hand; where it says no, the attempt is over. token gets whole events,
 // valid during the call, and may say no as well.
 func (c *Client) Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
 	return c.counted(call, func() attempt.Result { return c.write(ctx, call, started, token) })
@@ -382,29 +382,37 @@
 	return r
 }
 
-// stream passes chunks on to the last one, which alone makes the answer whole.
+// stream passes events on, each as it comes; only the last chunk makes the answer whole.
 func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) attempt.Result {
 	if !x.body.Chunked() || !strings.HasPrefix(x.res.Header.Get("Content-Type"), "text/event-stream") {
 		return attempt.Result{Outcome: gannethook.Failed, Detail: "the answer is not a stream in chunks"}
 	}
-	var buf []byte
+	x.body.Bound(mostChunk)
+	events := http1.NewRawEvents(silent{x})
 	for n := 0; ; n++ {
-		x.conn.SetReadDeadline(time.Now().Add(x.c.lim.Silent))
-		chunk, err := x.body.NextChunk(buf, mostChunk)
-		switch {
-		case errors.Is(err, io.EOF) && n > 0:
-			return attempt.Result{Outcome: gannethook.Served, Tokens: n}
-		case errors.Is(err, io.EOF):
-			return attempt.Result{Outcome: gannethook.Failed, Detail: "the stream has no event"}
-		case err != nil:
+		text, err := events.Next()
+		if err != nil && !errors.Is(err, io.EOF) {
 			r := failed(ctx, err)
 			r.Tokens = n
 			return r
-		case n == 0 && !started():
+		}
+		switch {
+		case len(text) == 0 && n == 0:
+			return attempt.Result{Outcome: gannethook.Failed, Detail: "the stream has no event"}
+		case len(text) > 0 && n == 0 && !started():
 			return attempt.Result{Outcome: gannethook.Cancelled, Detail: "ended before its first event"}
-		case !token(chunk):
+		case len(text) > 0 && !token(text):
 			return attempt.Result{Outcome: gannethook.Cancelled, Tokens: n, Detail: "the client is gone"}
+		case err != nil:
+			return attempt.Result{Outcome: gannethook.Served, Tokens: n}
 		}
-		buf = chunk
 	}
 }
+
+// silent reads a stream; one that brings nothing for too long is broken.
+type silent struct{ x *exchange }
+
+func (s silent) Read(p []byte) (int, error) {
+	s.x.conn.SetReadDeadline(time.Now().Add(s.x.c.lim.Silent))
+	return s.x.body.Read(p)
+}
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -220,3 +220,38 @@
 		t.Error("nothing was released")
 	}
 }
+
+// A chunk may hold half an event: it begins no stream. An event passes before its chunk has ended.
+func TestEventsNotChunks(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	passed := make(chan struct{})
+	cl := client(t, 10, script(t, func(nc net.Conn, br *bufio.Reader) {
+		req, ok := take(br)
+		if !ok {
+			return
+		}
+		if req.Header.Get("X-Request-ID") == "r0" {
+			io.WriteString(nc, head+"5\r\ndata:\r\n")
+			return
+		}
+		io.WriteString(nc, head+"c\r\ndata: a\n\n") // three bytes of the chunk are to come
+		<-passed
+		io.WriteString(nc, ": c\r\n0\r\n\r\n")
+	}))
+	var got string
+	write := func(i int) (r attempt.Result, started bool) {
+		r = cl.Write(context.Background(), call(i), func() bool { started = true; return true }, func(text []byte) bool {
+			if got += string(text); got == "data: a\n\n" {
+				close(passed)
+			}
+			return true
+		})
+		return r, started
+	}
+	if r, started := write(0); r.Outcome != gannethook.Broken || started || got != "" {
+		t.Errorf("half an event: %+v, started %v, %q", r, started, got)
+	}
+	if r, started := write(1); r.Outcome != gannethook.Served || !started || got != "data: a\n\n: c" {
+		t.Errorf("%+v, started %v, %q", r, started, got)
+	}
+}
