One clock for the watch: silence is noticed after two seconds, and asked after without a wait

Need: a watch that has fallen silent counts as told 6 s later, and the same after a failed call. The calls waited 5 s and were given 1 s more, whatever they were: a whole list that the agent owes at once, too, so an agent that was silent at one call cost 6 s more after its return. At fault: watch.go, wait and grace, and SetDeadline for all of a call. Now a call waits 1.5 s, 0.5 s for the first byte and between two parts (a list in pieces is heard out, 3 s in all), and after a failed call the next asks without a wait. Tests: silent watch, silent agent at the next call, a list in pieces, one that stops.

--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -18,13 +18,22 @@
 	Told func(*List) // every list and change, in order, from Run's goroutine
 	Log  *zap.Logger
 	Rev  int64 // known at the start; negative: nothing
+	Times
 }
 
-// Times of the watch. A call waits short, so that a silent agent is noticed
-// soon; between two calls the protocol leaves 200 ms.
+// Times are those of the watch. What discovery tells counts as told some seconds
+// after the watch fell silent, so calls wait short: that an agent says nothing is
+// noticed one Wait and one Grace later, whatever the call.
+type Times struct {
+	Wait  time.Duration // a watch's call waits so long for news
+	Grace time.Duration // for the first byte of an answer that is due, and between two parts of one
+	Whole time.Duration // for all of an answer from its first byte on
+}
+
+// Usual are the times of the platform, on whose machines the agent answers at once.
+var Usual = Times{Wait: 1500 * time.Millisecond, Grace: 500 * time.Millisecond, Whole: 3 * time.Second}
+
 const (
-	wait     = 5 * time.Second
-	grace    = time.Second // for an answer beyond the wait
 	dial     = 500 * time.Millisecond
 	again    = 50 * time.Millisecond // after a failed call, doubled
 	againTop = 400 * time.Millisecond
@@ -56,15 +65,19 @@
 
 // follow calls one agent over and over.
 func (w *Watch) follow(ctx context.Context, addr string) {
-	c := &caller{addr: addr}
+	c := &caller{addr: addr, times: w.Times}
 	defer c.close()
 	whole, pause, failed := true, again, false
 	for ctx.Err() == nil {
+		wait := w.Wait
+		if failed { // what was missed is asked for without a wait, so that an agent still silent is noticed sooner
+			wait = time.Millisecond
+		}
 		target := fmt.Sprintf("/v1/endpoints?since=%d&timeout_ms=%d", w.Rev, wait.Milliseconds())
 		if whole || w.Rev < 0 {
-			target = "/v1/endpoints"
+			target, wait = "/v1/endpoints", 0
 		}
-		list, err := c.call(ctx, target)
+		list, err := c.call(ctx, target, wait)
 		if err == nil {
 			if failed {
 				w.Log.Info("discovery answers again", zap.Int64("rev", list.Rev))
@@ -89,9 +102,27 @@
 
 // caller is one kept connection.
 type caller struct {
-	addr string
-	nc   net.Conn
-	br   *bufio.Reader
+	addr  string
+	times Times
+	nc    net.Conn
+	br    *bufio.Reader
+	until time.Time // the answer under way has to be whole by then
+}
+
+// Read reads for br: an answer that goes on coming is heard out in bounded time.
+func (c *caller) Read(p []byte) (int, error) {
+	n, err := c.nc.Read(p)
+	if n > 0 {
+		if c.until.IsZero() {
+			c.until = time.Now().Add(c.times.Whole)
+		}
+		soon := time.Now().Add(c.times.Grace)
+		if soon.After(c.until) {
+			soon = c.until
+		}
+		c.nc.SetReadDeadline(soon)
+	}
+	return n, err
 }
 
 func (c *caller) close() {
@@ -101,19 +132,21 @@
 	}
 }
 
-// call makes one call; a kept connection that was closed meanwhile is made anew by the next.
-func (c *caller) call(ctx context.Context, target string) (*List, error) {
+// call makes one call, which the agent answers within wait; a kept connection
+// that was closed meanwhile is made anew by the next.
+func (c *caller) call(ctx context.Context, target string, wait time.Duration) (*List, error) {
 	if c.nc == nil {
 		d := net.Dialer{Timeout: dial, KeepAlive: -1}
 		nc, err := d.DialContext(ctx, "tcp", c.addr)
 		if err != nil {
 			return nil, err
 		}
-		c.nc, c.br = nc, bufio.NewReaderSize(nc, 4096)
+		c.nc, c.br = nc, bufio.NewReaderSize(c, 4096)
 	}
 	nc := c.nc
-	nc.SetDeadline(time.Now().Add(wait + grace))
-	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
+	c.until = time.Time{}
+	nc.SetDeadline(time.Now().Add(wait + c.times.Grace))
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
 	if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/platform/discovery/watch_test.go
@@ -0,0 +1,136 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const ms = time.Millisecond
+
+// agent answers calls as told, each connection's until it hangs up.
+func agent(t *testing.T, answer func(n int, target string) (parts []string, pause time.Duration)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	calls := 0
+	serve := func(nc net.Conn) {
+		defer nc.Close()
+		br := bufio.NewReader(nc)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			calls++
+			parts, pause := answer(calls, req.RequestURI)
+			mu.Unlock()
+			for i, p := range parts {
+				if i > 0 {
+					time.Sleep(pause)
+				}
+				fmt.Fprint(nc, p)
+			}
+		}
+	}
+	wg.Go(func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serve(nc) })
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+func whole(list string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+}
+
+// follow runs a watch until so many lists were told; it returns their revisions.
+func follow(t *testing.T, times Times, addr string, lists int) []int64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var revs []int64
+	w := &Watch{Log: zap.NewNop(), Rev: -1, Times: times, Told: func(l *List) {
+		if revs = append(revs, l.Rev); len(revs) == lists {
+			cancel()
+		}
+	}}
+	w.Run(ctx, addr, make(chan string))
+	if len(revs) < lists {
+		t.Fatalf("told only %v", revs)
+	}
+	return revs
+}
+
+// A watch that falls silent is broken and opened anew, and what it missed is asked for without a wait, however long
+// the agent stays silent before.
+func TestSilentWatch(t *testing.T) {
+	var targets []string
+	addr := agent(t, func(n int, target string) ([]string, time.Duration) {
+		targets = append(targets, target)
+		switch n {
+		case 1:
+			return []string{whole(`{"rev":1,"all":true,"targets":[]}`)}, 0
+		case 2, 3: // silent
+			return nil, 0
+		}
+		return []string{whole(fmt.Sprintf(`{"rev":%d,"all":false,"targets":[]}`, n))}, 0
+	})
+	times := Times{Wait: 150 * ms, Grace: 100 * ms, Whole: time.Second}
+	from := time.Now()
+	if revs := follow(t, times, addr, 3); revs[0] != 1 || revs[1] != 4 || revs[2] != 5 {
+		t.Errorf("told %v", revs)
+	}
+	if took := time.Since(from); took > 5*time.Second {
+		t.Errorf("took %v", took)
+	}
+	want := []string{"/v1/endpoints", "?since=1&timeout_ms=150", "?since=1&timeout_ms=1", "?since=1&timeout_ms=1", "?since=4&timeout_ms=150"}
+	for i, w := range want {
+		if !strings.HasSuffix(targets[i], w) {
+			t.Errorf("call %d: %s, %s expected", i+1, targets[i], w)
+		}
+	}
+}
+
+// A list that comes in pieces, indented, is heard out as long as it goes on; one that stops is asked for again.
+func TestListInPieces(t *testing.T) {
+	list := whole("{\n  \"rev\": 1,\n  \"all\": true,\n  \"targets\": [\n    {\"uid\": \"a\", \"state\": \"SERVING\"}\n  ]\n}\n")
+	var parts []string
+	for i := range 10 {
+		parts = append(parts, list[i*len(list)/10:(i+1)*len(list)/10])
+	}
+	addr := agent(t, func(n int, _ string) ([]string, time.Duration) {
+		if n == 1 {
+			return parts[:5], 0 // and no more
+		}
+		return parts, 30 * ms // longer in all than any one silence may be
+	})
+	if revs := follow(t, Times{Wait: 100 * ms, Grace: 200 * ms, Whole: 10 * time.Second}, addr, 1); revs[0] != 1 {
+		t.Errorf("told %v", revs)
+	}
+	if Usual.Wait+Usual.Grace > 4*time.Second {
+		t.Errorf("silence is noticed after %v; it counts as told after 6 s", Usual.Wait+Usual.Grace)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -79,7 +79,7 @@
 	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load, Log: log,
 		Limits: clients.Limits{Conns: r.conns(), Refuse: cfg.Sockets / 20, Body: 256 << 10, Bodies: cfg.Memory / 5, Head: 2 * time.Second,
 			Idle: 20 * time.Second, Write: 4 * time.Second, Linger: 500 * time.Millisecond}})
-	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1}
+	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1, Times: discovery.Usual}
 	return r, nil
 }
 
