Client connections end in order, and a client that has left is seen whatever it sent ahead

Looked at: server.close and evict closed at once, over whatever had just come; exchange.wait peeked one byte, so a client that had sent anything behind its request was not seen to leave (TestClientLeaves with a command behind fails without the change); a client that left before its request was read had an attempt begun for it. Now every connection is shut for writing, heard out for a while and then closed; a stopping router's streams too.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,24 +7,37 @@
 	"syscall"
 )
 
+// Ended tells whether the peer has closed a connection on which nothing is left
+// to read. It may be called while another goroutine waits in Read.
+func Ended(nc net.Conn) bool {
+	n, err := peek(nc)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Stands tells whether nothing is readable on an unused connection: neither its
 // end nor bytes. A request written into a closed one would count as one that may
 // have run; bytes that nobody asked for spoil the next answer. It may be called
 // while another goroutine waits in Read.
 func Stands(nc net.Conn) bool {
+	_, err := peek(nc)
+	return err == errNoSocket || errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+}
+
+var errNoSocket = errors.New("not a socket")
+
+// peek looks at one byte without a wait; 0 without an error is the end.
+func peek(nc net.Conn) (n int, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 1, errNoSocket
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) { // not Read: that waits for whoever reads
+	failed := raw.Control(func(fd uintptr) { // not Read: that waits for whoever reads
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return n, errors.Join(err, failed)
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -370,7 +370,16 @@
 // Budget counts the bytes of the bodies that are held together. Its zero value is ready for use.
 type Budget struct{ used atomic.Int64 }
 
-// Give takes bytes back that ReadWhole counted.
+// Take counts bytes, unless all would be passed.
+func (b *Budget) Take(n, all int64) bool {
+	if b.used.Add(n) <= all {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
+
+// Give takes bytes back that ReadWhole or Take counted.
 func (b *Budget) Give(n int64) { b.used.Add(-n) }
 
 // ReadWhole reads a body of most bytes at the most; memory grows as they come,
--- a/internal/platform/clients/clients_test.go
+++ b/internal/platform/clients/clients_test.go
@@ -2,9 +2,18 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"go.uber.org/zap"
+
+	"gannethook/internal/driver"
 	"gannethook/internal/http1"
 )
 
@@ -65,3 +74,145 @@
 		}
 	})
 }
+
+// served starts a server whose requests are all turned away by the driver; it counts them. before runs ahead of the
+// first connection's being taken.
+func served(t *testing.T, conns int, before func(addr string)) (addr string, asked *atomic.Int32, s *Server) {
+	t.Helper()
+	asked = &atomic.Int32{}
+	s = New(Config{Classes: []string{"chat"}, Ready: func() bool { return true }, Log: zap.NewNop(),
+		Submit: func(driver.Job, driver.Sink) (*driver.Call, error) {
+			asked.Add(1)
+			return nil, driver.ErrBusy
+		},
+		Limits: Limits{Conns: conns, Refuse: 4, Body: 1 << 10, Bodies: 1 << 20, Head: 5 * time.Second, Idle: 5 * time.Second,
+			Write: time.Second, Linger: 2 * time.Second}})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if before != nil {
+		before(ln.Addr().String())
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ln.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		s.Cut()
+	})
+	return ln.Addr().String(), asked, s
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return nc.(*net.TCPConn)
+}
+
+var whole = strings.Replace(head, "X-Attrs", "Content-Length: 2\r\nX-Attrs", 1) + "{}"
+
+// A client that has left before its request was read has nothing begun for it.
+func TestLeftBeforeItWasRead(t *testing.T) {
+	addr, asked, _ := served(t, 10, func(addr string) {
+		nc := dial(t, addr)
+		io.WriteString(nc, whole)
+		nc.Close()
+	})
+	// One that is there is served behind it: connections are taken in order, and each is ended by its answer.
+	nc := dial(t, addr)
+	io.WriteString(nc, strings.Replace(whole, "Host", "Connection: close\r\nHost", 1))
+	if text, err := io.ReadAll(nc); err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 503 ") {
+		t.Errorf("%q, %v", text, err)
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("%d requests were begun", n)
+	}
+}
+
+// A connection that is closed for want of room ends in order: what its client writes at that very moment is heard and
+// not taken, and does not reset it.
+func TestEvictedInOrder(t *testing.T) {
+	addr, asked, s := served(t, 2, nil)
+	first := dial(t, addr)
+	io.WriteString(first, whole)
+	br := bufio.NewReader(first)
+	if res, err := http1.ReadResponse(br); err != nil || res.Status != 503 {
+		t.Fatalf("%+v, %v", res, err)
+	}
+	br.Discard(br.Buffered())
+	dial(t, addr)
+	dial(t, addr) // one too many
+	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("the connection unused for longest: %v", err)
+	}
+	for range 3 { // the first write to a connection that was closed would be reset, the next would fail
+		if _, err := io.WriteString(first, whole); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first.CloseWrite()
+	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("it was reset: %v", err)
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("%d requests were begun", n)
+	}
+	// At the stop, what rests ends in the same way.
+	last := dial(t, addr)
+	io.WriteString(last, whole)
+	lr := bufio.NewReader(last)
+	if res, err := http1.ReadResponse(lr); err != nil || res.Status != 503 {
+		t.Fatalf("%+v, %v", res, err)
+	}
+	lr.Discard(lr.Buffered())
+	s.Turn()
+	if _, err := lr.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("at the stop: %v", err)
+	}
+	io.WriteString(last, whole)
+	last.CloseWrite()
+	if _, err := lr.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("it was reset: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if s.Wait(ctx); asked.Load() != 2 || ctx.Err() != nil {
+		t.Errorf("%d requests were begun, %v", asked.Load(), ctx.Err())
+	}
+}
+
+// What a client sends behind an open request is kept in bounds, in order, and given back.
+func TestAheadInBounds(t *testing.T) {
+	in, out := net.Pipe()
+	defer in.Close()
+	var budget http1.Budget
+	a := &ahead{nc: out, budget: &budget, all: 600}
+	go func() {
+		io.WriteString(in, strings.Repeat("a", 256))
+		io.WriteString(in, strings.Repeat("b", 256))
+		io.WriteString(in, strings.Repeat("c", 256)) // no room
+		in.Close()
+	}()
+	var err error
+	for err == nil {
+		err = a.fill()
+	}
+	if !errors.Is(err, io.EOF) || a.lost != 256 || a.held != 512 {
+		t.Errorf("%v, %d lost, %d held", err, a.lost, a.held)
+	}
+	text, err := io.ReadAll(a)
+	if string(text) != strings.Repeat("a", 256)+strings.Repeat("b", 256) || err != nil {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+	if !budget.Take(600, 600) {
+		t.Error("the budget is not given back")
+	}
+}
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"gannethook"
+	"gannethook/internal/conns"
 	"gannethook/internal/driver"
 	"gannethook/internal/http1"
 )
@@ -35,6 +36,8 @@
 	keep bool
 	held int64 // bytes of the body
 
+	abandon func() // takes the request back
+
 	stream uint64        // its number among the streams, once begun
 	since  time.Duration // of the server's life, when it began
 
@@ -71,13 +74,18 @@
 			zap.Duration("give-up", job.GiveUp), zap.String("retried", x.req.Header.Get("X-Retried")),
 			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.from)))
 	}
+	if conns.Ended(x.l.nc) { // it left while its request was read: no answer is owed, and nothing may begin
+		x.l.gone = true
+		return false
+	}
 	job.GiveUp, job.Waited = s.left(job.GiveUp), time.Since(x.from)
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // the platform's bounds: nothing has run
 		x.l.plain("503 Service Unavailable", err.Error()+"\n", x.keep)
 		return x.keep
 	}
-	a := x.wait(call.Abandon)
+	x.abandon = call.Abandon
+	a := x.wait()
 	s.ended(x)
 	x.answer(a)
 	return x.keep && !s.stops.Load()
@@ -120,17 +128,24 @@
 }
 
 // wait waits for the final answer. A client that leaves meanwhile takes its
-// request back. What it sends ahead waits for its turn.
-func (x *exchange) wait(abandon func()) driver.Answer {
+// request back. What it sends ahead is kept for its turn.
+func (x *exchange) wait() driver.Answer {
 	x.mu.Lock()
 	if x.final == nil {
 		x.l.nc.SetReadDeadline(time.Time{})
 	}
 	x.mu.Unlock()
-	if _, err := x.l.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		x.keep = false
-		abandon()
+	for {
+		err := x.l.ahead.fill()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errFlood) {
+			x.keep = false
+			x.abandon()
+		}
+		if err != nil {
+			break
+		}
 	}
+	x.keep = x.keep && x.l.ahead.lost == 0
 	<-x.done
 	return *x.final
 }
@@ -153,6 +168,15 @@
 	return http1.WriteChunk(l.bw, text) == nil
 }
 
+// part ends a stream before its end: its client is told at once, so that it may
+// go on elsewhere.
+func (x *exchange) part() {
+	if out, ok := x.l.nc.(interface{ CloseWrite() error }); ok {
+		out.CloseWrite()
+	}
+	go x.abandon() // not here: it waits for the driver, which may be about to tell of a stream
+}
+
 // Final takes the final answer and wakes the connection's goroutine.
 func (x *exchange) Final(a driver.Answer) {
 	x.mu.Lock()
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -55,6 +55,7 @@
 	ends     atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
 	refusing atomic.Int64 // connections beyond the bound that are being told
 	stops    atomic.Bool  // no connection takes another request
+	cut      atomic.Bool  // no connection is let out any more
 
 	mu    sync.Mutex
 	open  map[*link]struct{}
@@ -130,7 +131,7 @@
 			s.rest(l, false)
 			l.evicted = true
 			delete(s.open, l)
-			l.nc.Close()
+			s.letOut(l)
 			return true
 		}
 		e = e.Next()
@@ -140,6 +141,23 @@
 
 const mostLooks = 8
 
+// letOut ends a resting connection for want of room. A request that comes at
+// this very moment is heard and not taken, so that its client sends it anew; the
+// connection's goroutine does so, unless too many are let out already.
+func (s *Server) letOut(l *link) {
+	out, ok := l.nc.(interface{ CloseWrite() error })
+	if !ok || s.refusing.Add(1) > int64(s.cfg.Limits.Refuse) {
+		if ok {
+			s.refusing.Add(-1)
+		}
+		l.nc.Close()
+		return
+	}
+	l.leaves = true
+	out.CloseWrite()
+	l.nc.SetReadDeadline(past)
+}
+
 // turnAway tells a client that there is no room, if not as many are being told
 // already. It hears the client out as any refusal does: its request is on its
 // way, and to close on it would reset the connection and lose the answer.
@@ -157,12 +175,18 @@
 	})
 }
 
+// close lets a connection out and forgets it.
 func (s *Server) close(l *link) {
+	l.linger()
 	l.nc.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rest(l, false)
 	delete(s.open, l)
+	if l.leaves {
+		s.refusing.Add(-1)
+	}
+	s.bodies.Give(l.ahead.held)
 }
 
 // resting notes that a connection waits for a request, or no more. It is false
@@ -250,7 +274,7 @@
 	}
 	cut := plan.Part(passed, open)
 	for _, c := range cut {
-		s.streams[c.ID].l.nc.Close()
+		s.streams[c.ID].part()
 		delete(s.streams, c.ID)
 	}
 	return len(cut)
@@ -273,6 +297,7 @@
 func (s *Server) Cut() {
 	s.mu.Lock()
 	s.shut = true
+	s.cut.Store(true)
 	for l := range s.open {
 		l.nc.Close()
 	}
@@ -282,16 +307,36 @@
 
 // link is a client's connection. One goroutine has it.
 type link struct {
-	s       *Server
-	nc      net.Conn
-	br      *bufio.Reader
-	bw      *bufio.Writer
-	place   *list.Element // among the idle; the server's lock guards it
-	evicted bool          // the same
+	s        *Server
+	nc       net.Conn
+	br       *bufio.Reader
+	bw       *bufio.Writer
+	ahead    *ahead
+	gone     bool // its client has left
+	lingered bool
+	place    *list.Element // among the idle; the server's lock guards it
+	evicted  bool          // the same
+	leaves   bool          // evicted, and counted among those that are refused
 }
 
 func (l *link) buffers(size int) {
-	l.br, l.bw = bufio.NewReaderSize(l.nc, size), bufio.NewWriterSize(l.nc, size)
+	l.ahead = &ahead{nc: l.nc, budget: &l.s.bodies, all: l.s.cfg.Limits.Bodies}
+	l.br, l.bw = bufio.NewReaderSize(l.ahead, size), bufio.NewWriterSize(l.nc, size)
+}
+
+// linger lets a connection out: its end is told, and what still comes is heard
+// for a while and not taken. A request that was written at that very moment has
+// then met a connection that had ended, and its client sends it anew; and to
+// close on unread bytes would reset the connection, and lose what the client has
+// not read yet.
+func (l *link) linger() {
+	out, ok := l.nc.(interface{ CloseWrite() error })
+	if !ok || l.gone || l.lingered || l.s.cut.Load() || out.CloseWrite() != nil {
+		return
+	}
+	l.lingered = true
+	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Linger))
+	io.CopyN(io.Discard, l.nc, mostLinger)
 }
 
 // serve reads requests until the connection ends.
@@ -377,16 +422,10 @@
 	l.bw.Flush()
 }
 
-// refuse writes an error, the connection's last answer, and lets it out: to
-// close on unread bytes would reset the connection, and the error might be lost.
+// refuse writes an error, the connection's last answer, and lets it out.
 func (l *link) refuse(status, why string) {
 	l.plain(status, why+"\n", false)
-	c, ok := l.nc.(interface{ CloseWrite() error })
-	if !ok || c.CloseWrite() != nil {
-		return
-	}
-	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Linger))
-	io.CopyN(io.Discard, l.br, mostLinger)
+	l.linger()
 }
 
-const mostLinger = 512 << 10 // bytes heard after an error
+const mostLinger = 512 << 10 // bytes heard after the last answer
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -390,11 +390,13 @@
 		f.Add(standin.Prompt, nil)
 		writer = f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Wait: 10 * time.Second} })
 	})
-	nc := s.dial()
-	io.WriteString(nc, request("x", "question", 4000, body))
-	s.until("the writer has it", func() bool { n, _, _ := writer.Count(); return n == 1 })
-	nc.Close()
-	s.until("nothing is held", func() bool { return len(s.fleet.Left()) == 0 })
+	for i, behind := range []string{"", "\r\n", strings.Repeat(request("y", "question", 4000, body), 20)} { // also if it had sent ahead
+		nc := s.dial()
+		io.WriteString(nc, request(fmt.Sprint("x", i), "question", 4000, body)+behind)
+		s.until("the writer has it", func() bool { n, _, _ := writer.Count(); return n == i+1 })
+		nc.Close()
+		s.until("nothing is held", func() bool { return len(s.fleet.Left()) == 0 })
+	}
 }
 
 // What outlasts its client's time is answered in time, what was given up on at once, with when to come back.
