Attempts tell the time left as they go; connections rest 50 ms; what is called off connecting ends

The time was taken when the module decided, before the dial and before a release that goes first; a connection was used again at once, when a late second answer would be taken for the next request's; a call that was called off while it connected still wrote. A dial that its request outlived no longer counts as a failed one. Test: TestRestsCalledOffToldTime.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -26,7 +26,7 @@
 	Path        string                  // of a request that goes as it came, and of one-stage work
 	Body        []byte                  // its body, as the server takes it,
 	Check       func(body []byte) error // and whether an answer is one
-	Timeout     time.Duration           // how long the router will wait; 0: not known
+	Until       time.Time               // how long the router will wait; zero: not known
 	Unsafe      bool                    // it may not be made again once it may have run
 	Left        int                     // attempts that its request may make after it; negative: any number
 	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
--- a/internal/conns/idle.go
+++ b/internal/conns/idle.go
@@ -39,18 +39,19 @@
 // use. What it does not keep it closes.
 type Idle struct {
 	life   time.Duration // after which an unused connection is retired
+	rest   time.Duration // for which it is not taken: what comes out of turn a little late spoils it
 	most   int           // of one name
 	mu     sync.Mutex
 	byName map[string][]*Conn
 	shut   bool
 }
 
-// NewIdle keeps so many of one name, each unused for so long at the most.
-func NewIdle(life time.Duration, most int) *Idle {
-	return &Idle{life: life, most: most, byName: map[string][]*Conn{}}
+// NewIdle keeps so many of one name, each unused for life at the most and for rest at the least.
+func NewIdle(life, rest time.Duration, most int) *Idle {
+	return &Idle{life: life, rest: rest, most: most, byName: map[string][]*Conn{}}
 }
 
-// Take gives the newest that still stands, or nil. Those that do not are closed.
+// Take gives the newest that has rested and still stands, or nil. Those that do not stand are closed.
 func (i *Idle) Take(name string) *Conn {
 	for {
 		c := i.pop(name)
@@ -69,13 +70,13 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.byName[name]
-	if len(list) == 0 {
-		return nil
+	for at := len(list) - 1; at >= 0; at-- { // newest last
+		if c := list[at]; time.Since(c.since) >= i.rest {
+			i.set(name, slices.Delete(list, at, at+1))
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	i.set(name, list[:len(list)-1])
-	clear(list[len(list)-1:])
-	return c
+	return nil
 }
 
 func (i *Idle) set(name string, list []*Conn) {
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -119,7 +119,8 @@
 	}
 	a.sent, a.over = attempt.NewMark(), make(chan struct{})
 	call := &attempt.Call{Sent: a.sent, Left: c.left(a.n),
-		Unsafe: !a.reads && c.d.cfg.Settings.Classes[c.job.Class].Effect == gannethook.Unsafe, Timeout: c.allowed(s.Timeout), Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
+		Unsafe: !a.reads && c.d.cfg.Settings.Classes[c.job.Class].Effect == gannethook.Unsafe, Until: c.until(s.Timeout),
+		Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
 		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body, Check: c.job.Check,
 		Sampling: c.job.Sampling}
@@ -143,13 +144,13 @@
 	return nil
 }
 
-// allowed is how long an attempt is waited for, until the client gives up at most.
-func (c *Call) allowed(timeout gannethook.Millis) time.Duration {
-	left := c.job.GiveUp - time.Since(c.came)
-	if timeout > 0 {
-		left = min(left, time.Duration(float64(timeout)*1e6))
+// until is how long an attempt is waited for, until the client gives up at most.
+func (c *Call) until(timeout gannethook.Millis) time.Time {
+	end := c.came.Add(c.job.GiveUp)
+	if own := time.Now().Add(time.Duration(float64(timeout) * 1e6)); timeout > 0 && own.Before(end) {
+		return own
 	}
-	return max(left, time.Millisecond)
+	return end
 }
 
 // left is how many attempts the request may make after the nth.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -53,7 +53,7 @@
 }
 
 func (p *pool) open() {
-	p.idle, p.filling = conns.NewIdle(p.lim.Idle, p.lim.IdleConns), map[string]bool{}
+	p.idle, p.filling = conns.NewIdle(p.lim.Idle, 0, p.lim.IdleConns), map[string]bool{}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -69,7 +69,7 @@
 	r := &Router{cfg: cfg, env: env, log: log, next: make(chan string, 1), listed: make(chan struct{})}
 	r.workers = workers.New(workers.Limits{Conns: r.conns(), Spare: cfg.Sockets / 8,
 		Dial: time.Duration(max(float64(cfg.Profile.Dial), 50) * 1e6), Idle: retire(float64(cfg.Profile.Settings.ConnIdle)),
-		Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond})
+		Rest: 50 * time.Millisecond, Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond})
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Name: cfg.Name, Seed: cfg.Seed, Inbox: 4096,
 		MaxOpen: r.conns(), Engines: r.workers, Done: r.done})
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -17,6 +17,7 @@
 	Spare  int           // unused ones kept for each worker
 	Dial   time.Duration // a connection not made by then has failed to connect
 	Idle   time.Duration // an unused connection is retired; under the workers' own time
+	Rest   time.Duration // a connection is not used again so soon: a second answer may still come on it
 	Silent time.Duration // a stream that brings nothing for so long is broken
 	Hold   time.Duration // a place not answered by then is not known
 	Let    time.Duration // one worker's time to answer a release
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -131,7 +131,7 @@
 
 // New returns a client; Close ends it.
 func New(lim Limits) *Client {
-	c := &Client{lim: lim, pool: pool{lim: lim, idle: conns.NewIdle(lim.Idle, lim.Spare)}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
+	c := &Client{lim: lim, pool: pool{lim: lim, idle: conns.NewIdle(lim.Idle, lim.Rest, lim.Spare)}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
 	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/8, 100*time.Millisecond), c.stop) })
 	return c
 }
@@ -228,6 +228,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil { // called off while it connected: nothing begins any more
+		cn.Close()
+		return nil, attempt.NotSent{Err: err}
+	}
 	x := &exchange{c: c, addr: addr, conn: cn}
 	x.stop = context.AfterFunc(ctx, func() { cn.Close() }) // closing calls the work off
 	bufs := net.Buffers{requestHead(method, path, call), call.Body}
@@ -323,9 +327,9 @@
 	b = append(b, path...)
 	b = append(b, " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: "...)
 	b = append(b, call.Key...)
-	if call.Timeout > 0 {
+	if !call.Until.IsZero() { // as of now: a connection may have taken its time, or a release that went first
 		b = append(b, "\r\nX-Timeout-Ms: "...)
-		b = strconv.AppendInt(b, max(call.Timeout.Milliseconds(), 1), 10)
+		b = strconv.AppendInt(b, max(time.Until(call.Until).Milliseconds(), 1), 10)
 	}
 	if method == "POST" {
 		b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -255,3 +256,44 @@
 		t.Errorf("%+v, started %v, %q", r, started, got)
 	}
 }
+
+// A connection rests before it is used again: a second answer that comes some milliseconds late would be taken for the
+// next request's. What was called off before it went begins nothing. The time told is what is left at the writing.
+func TestRestsCalledOffToldTime(t *testing.T) {
+	var conns, requests atomic.Int32
+	told := make(chan string, 10)
+	addr := script(t, func(nc net.Conn, br *bufio.Reader) {
+		conns.Add(1)
+		for {
+			req, ok := take(br)
+			if !ok {
+				return
+			}
+			requests.Add(1)
+			told <- req.Header.Get("X-Timeout-Ms")
+			io.WriteString(nc, done+done) // and one more
+		}
+	})
+	cl := New(Limits{Conns: 10, Spare: 10, Dial: time.Second, Idle: 2 * time.Hour, Rest: time.Hour, Silent: time.Second,
+		Hold: time.Second, Let: time.Second})
+	defer cl.Close()
+	cl.Update(true, []Worker{{ID: "w", Addr: addr}})
+	for i, until := range []time.Duration{300 * time.Millisecond, -time.Second} {
+		c := call(i)
+		c.Until = time.Now().Add(until)
+		if r := cl.Read(context.Background(), c); r.Outcome != gannethook.ReadDone {
+			t.Errorf("%+v", r)
+		}
+		if ms, err := strconv.Atoi(<-told); err != nil || ms < 1 || ms > max(int(until.Milliseconds()), 1) {
+			t.Errorf("told %d ms, %v; %v are left", ms, err, until)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if r := cl.Read(ctx, call(2)); r.Outcome != gannethook.ConnectFailed || requests.Load() != 2 {
+		t.Errorf("%+v after %d requests", r, requests.Load())
+	}
+}
--- a/router.go
+++ b/router.go
@@ -550,7 +550,7 @@
 	case Failed, TimedOut, ConnectFailed, Broken:
 		// A failing server's books empty at once, a silent one's when its attempts run out: either would
 		// look free. The charge stands for the work that did not come back.
-		if ev.Outcome == ConnectFailed {
+		if ev.Outcome == ConnectFailed && !q.ended { // what ended meanwhile was called off as it connected
 			r.dialled(1)
 		}
 		// An answer spoilt on its way was begun well, as the next may be. Guards against streams spoilt from
