The state's time runs on while writers are not reached; then it is let go and read anew

While connections fail to come up nobody is reached, and the time keeps running. Ruled out: time-outs at silent writers (14.698, let go 1 ms after), lost releases, late grants. At fault: attemptEnded began the state's time anew at each failed dial. The log's 'ends' say where, when and how long; 'let-go' when what was held was let go.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -37,6 +38,7 @@
 	held     []attempt.Held // what may be held, and where, until it is let go
 	letting  chan struct{}  // closed once the last release of a named request has gone out; nil: none has
 	releases int            // how often all was let go: tells late grants
+	lets     []time.Time    // when something was, for the log
 }
 
 type try struct {
@@ -48,9 +50,11 @@
 	sent   *attempt.Mark
 	over   chan struct{}   // closed once its goroutine has left the server's connection; nil: there is none
 	off    *attempt.Result // what its end counts as once it was called off; nil: it was not
+	began  time.Time
 	// Once it has ended; 0 before:
 	outcome gannethook.Outcome
 	detail  string
+	took    time.Duration
 }
 
 // Abandon tells that the client took the request back or left. The final answer
@@ -93,7 +97,7 @@
 // send starts an attempt. One for a request that is answered, or whose stream
 // has begun, is moot.
 func (c *Call) send(s gannethook.Send) gannethook.Event {
-	a := &try{n: len(c.attempts), server: s.Server, reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
+	a := &try{n: len(c.attempts), server: s.Server, began: time.Now(), reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
 		out: true}
 	c.attempts = append(c.attempts, a)
 	c.out++
@@ -239,7 +243,7 @@
 		return nil
 	}
 	a := c.attempts[n]
-	a.out, a.outcome, a.detail = false, r.Outcome, r.Detail
+	a.out, a.outcome, a.detail, a.took = false, r.Outcome, r.Detail, time.Since(a.began)
 	c.out--
 	c.d.loose = append(c.d.loose, c)
 	a.cancel()
@@ -343,6 +347,7 @@
 	if c.job.Name != "" {
 		c.letting = gone
 	}
+	c.lets = append(c.lets, time.Now())
 	c.d.work.Go(func() {
 		defer close(gone)
 		for _, over := range ended {
@@ -360,7 +365,11 @@
 		s.FirstToken = c.first.Sub(c.came)
 	}
 	for _, a := range c.attempts {
-		s.Ends = append(s.Ends, a.detail)
+		s.Ends = append(s.Ends, fmt.Sprintf("%s after %v, took %v: %s", a.server, a.began.Sub(c.came).Round(time.Millisecond),
+			a.took.Round(time.Millisecond), cmp.Or(a.detail, "well")))
+	}
+	for _, at := range c.lets {
+		s.Lets = append(s.Lets, at.Sub(c.came).Round(time.Millisecond))
 	}
 	return s
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -108,7 +108,8 @@
 	Outcome           Kind
 	Reason            string
 	FirstToken, Whole time.Duration
-	Ends              []string // of the attempts, in order
+	Ends              []string        // of the attempts, in order: where, when, how long and how
+	Lets              []time.Duration // after it came, when what may have been held was let go
 	RetryAfter        time.Duration
 	PromptSize        float64
 }
--- a/router.go
+++ b/router.go
@@ -496,7 +496,9 @@
 	}
 	a := q.out[q.find(ev.Attempt)]
 	q.out = slices.DeleteFunc(q.out, func(o attempt) bool { return o.n == a.n })
-	q.idle = r.now
+	if a.reads || ev.Outcome != ConnectFailed {
+		q.idle = r.now
+	}
 	r.settle(q, a, ev)
 	switch {
 	case ev.Done || q.stream || q.ended:
@@ -576,7 +578,10 @@
 	// A writer that failed or fell silent may have fetched the state. Guards against giving up with the last
 	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
 	taken := !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed && !r.attemptsLeft(q, 3)
-	if a.reads || ev.NoState || taken {
+	// Rule 5, where whole zones fall silent: writers that are not reached leave the state where it is, and its time
+	// goes on. Harms where a third writer would have been reached: the prompt is read anew, or refused.
+	pinned := ev.Outcome == ConnectFailed && r.now-q.idle > r.set.PinLimit
+	if a.reads || ev.NoState || taken || pinned {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
 		q.state = nil
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -174,6 +174,30 @@
 
 // TestErrorAfterTheFetch: a writer that gives an error may have fetched the state. With attempts for one read
 // and one write left, the prompt is read anew; a turn at the next writer could be the last, and find no state.
+// Writers that are not reached leave the state at its reader, and the time for which it may wait goes on: past it the
+// state is let go and the prompt read anew; where no attempts are left for that, the request is refused at once.
+func TestStateOutlivesDials(t *testing.T) {
+	for _, most := range []int{8, 4} {
+		set := fleet(func(set *Settings) { set.MaxAttempts, set.Holds = most, false })
+		s := newScript(t, set, at("r1", 0, 0, 0), at("r2", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 0), at("w3", 1, 0, 0), at("w4", 1, 0, 0))
+		s.on(1, ask(1, 1))
+		s.on(100, Ended{ID: 1, Server: s.sent(), Outcome: ReadDone})
+		first := s.sent()
+		s.on(251, Ended{ID: 1, Attempt: 1, Server: first, Outcome: ConnectFailed})
+		second := s.sent()
+		s.on(251, Ended{ID: 1, Attempt: 2, Server: second, Outcome: ConnectFailed})
+		if most == 4 {
+			s.want("release 1", "refuse 1", "release 1")
+			continue
+		}
+		s.want("release 1", "send 1 r")
+		// The next state has a time of its own, and a failed dial that is quick does not end it.
+		s.on(100, Ended{ID: 1, Attempt: 3, Server: s.sent(), Outcome: ReadDone})
+		s.on(1, Ended{ID: 1, Attempt: 4, Server: s.sent(), Outcome: ConnectFailed})
+		s.want("send 1 w")
+	}
+}
+
 func TestErrorAfterTheFetch(t *testing.T) {
 	for _, c := range []struct {
 		most int
