What a reader tells of kept tokens gets through driver and adapter to the module

Need: a read's price is the tokens left to read, and nobody knew them: cached_tokens of a 202 and info of a 102 were thrown away. Ended.Kept carries them; the module does not use them yet. The log's 'read' and 'kept' tell them by request.

--- a/api.go
+++ b/api.go
@@ -180,6 +180,7 @@
 		Outcome  Outcome
 		Done     bool    // the request has had its final answer
 		NoState  bool    // Full because there was no state to fetch
+		Kept     float64 // with ReadDone: tokens of the prompt that the server had kept; 0 when not told
 		Reported bool    // a load report came along
 		Memory   float64 // and tells this share of memory held
 	}
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -39,6 +39,7 @@
 	Reported bool
 	Memory   float64
 	Params   json.RawMessage // of a read that is done
+	Kept     float64         // the same: tokens of the prompt that the server had kept; 0: none, or it did not tell
 	Tokens   int
 	Body     json.RawMessage // of one-stage work that is done
 	Detail   string          // why, for the log
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -39,6 +39,8 @@
 	letting  chan struct{}  // closed once the last release of a named request has gone out; nil: none has
 	releases int            // how often all was let go: tells late grants
 	lets     []time.Time    // when something was, for the log
+	reads    int            // prompts read for it, and tokens of these that were found kept
+	kept     float64
 }
 
 type try struct {
@@ -247,11 +249,11 @@
 	c.out--
 	c.d.loose = append(c.d.loose, c)
 	a.cancel()
-	ev := gannethook.Ended{ID: c.id, Attempt: n, Server: a.server, Outcome: r.Outcome, NoState: r.NoState,
+	ev := gannethook.Ended{ID: c.id, Attempt: n, Server: a.server, Outcome: r.Outcome, NoState: r.NoState, Kept: r.Kept,
 		Reported: r.Reported, Memory: r.Memory}
 	switch {
 	case r.Outcome == gannethook.ReadDone:
-		c.params = r.Params
+		c.params, c.reads, c.kept = r.Params, c.reads+1, c.kept+r.Kept
 	case !a.reads && r.Outcome == gannethook.Served:
 		if c.first.IsZero() { // the whole comes at once
 			c.first = time.Now()
@@ -360,7 +362,8 @@
 func (c *Call) summary() Summary {
 	s := Summary{ID: uint64(c.id), Name: c.job.Name, Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
 		Writer: string(c.writer), Attempts: len(c.attempts), Tokens: c.final.Tokens, Outcome: c.final.Kind,
-		Reason: c.final.Reason, Whole: c.ended.Sub(c.came), RetryAfter: c.final.RetryAfter, PromptSize: c.job.PromptSize}
+		Reason: c.final.Reason, Whole: c.ended.Sub(c.came), RetryAfter: c.final.RetryAfter, PromptSize: c.job.PromptSize,
+		Read: float64(c.reads) * c.job.PromptSize, Kept: c.kept}
 	if !c.first.IsZero() {
 		s.FirstToken = c.first.Sub(c.came)
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -112,6 +112,7 @@
 	Lets              []time.Duration // after it came, when what may have been held was let go
 	RetryAfter        time.Duration
 	PromptSize        float64
+	Read, Kept        float64 // tokens of prompts read for it, and of these found kept
 }
 
 // Config sets a driver up.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -117,7 +117,7 @@
 func (r *Router) done(s driver.Summary) {
 	if e := r.log.Check(zap.DebugLevel, "request"); e != nil {
 		e.Write(zap.String("id", s.Name), zap.String("class", s.Class), zap.String("session", s.Session), zap.Stringer("outcome", s.Outcome),
-			zap.String("reason", s.Reason), zap.Strings("ends", s.Ends), zap.Durations("let-go", s.Lets), zap.String("reader", s.Reader),
+			zap.String("reason", s.Reason), zap.Strings("ends", s.Ends), zap.Durations("let-go", s.Lets), zap.Float64("read", s.Read), zap.Float64("kept", s.Kept), zap.String("reader", s.Reader),
 			zap.String("writer", s.Writer), zap.Duration("first", s.FirstToken), zap.Duration("whole", s.Whole))
 	}
 }
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -21,6 +21,7 @@
 	"gannethook/internal/attempt"
 	"gannethook/internal/conns"
 	"gannethook/internal/http1"
+	"gannethook/internal/jsonscan"
 	"gannethook/internal/trust"
 )
 
@@ -288,13 +289,19 @@
 	x.conn.Close()
 }
 
-// finish reads what is left of an answer that is no stream.
-func (x *exchange) finish() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(x.body, mostAnswer+1))
-	if err == nil && n > mostAnswer {
+// text reads an answer that is no stream.
+func (x *exchange) text() ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(x.body, mostAnswer+1))
+	if err == nil && len(text) > mostAnswer {
 		err = http1.ErrTooLarge
 	}
 	x.close(err == nil)
+	return text, err
+}
+
+// finish is text for an answer of which nothing is needed.
+func (x *exchange) finish() error {
+	_, err := x.text()
 	return err
 }
 
@@ -352,13 +359,29 @@
 	if x.res.Status != 202 {
 		return x.turned()
 	}
-	if err := x.finish(); err != nil {
+	text, err := x.text()
+	if err != nil {
 		return failed(ctx, err)
 	}
 	c.took(call.Addr, time.Since(from))
-	return attempt.Result{Outcome: gannethook.ReadDone}
+	return attempt.Result{Outcome: gannethook.ReadDone, Kept: kept(text)}
 }
 
+// kept reads how many tokens of a prompt a reader had kept. What is no such number counts as none.
+func kept(text []byte) float64 {
+	raw, found, err := jsonscan.Find(text, "cached_tokens")
+	if err != nil || !found {
+		return 0
+	}
+	n, err := strconv.ParseFloat(string(raw), 64)
+	if err != nil || !(n >= 0 && n <= mostKept) {
+		return 0
+	}
+	return n
+}
+
+const mostKept = 1 << 40 // tokens; the module bounds them by the prompt
+
 // Do is not part of the platform's protocol.
 func (c *Client) Do(context.Context, *attempt.Call) attempt.Result {
 	return attempt.Result{Outcome: gannethook.Moot, Detail: "one-stage work is not part of the platform's protocol"}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -248,6 +248,9 @@
 		ID: request(r), Attempt: int(r.whole("leg")), Server: server(r), Outcome: outcome,
 		Done: r.flag("doneFlag"), NoState: r.numberOr("info", 0) == 1 && outcome == gannethook.Full,
 	}
+	if outcome == gannethook.ReadDone {
+		ev.Kept = max(r.numberOr("info", 0), 0)
+	}
 	ev.Memory, ev.Reported = inst.report(r)
 	return ev
 }
