--- a/scenario_test.go
+++ b/scenario_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"reflect"
 	"slices"
 	"strings"
@@ -547,3 +549,80 @@
 		t.Errorf("%d reads at the cold reader within its window, %.1f at most", cold, most)
 	}
 }
+
+// Slow start holds for the sum of all routers, however many there are and however unevenly they are used: what they
+// send a cold server within the time in which it falls stays within N + 2 sqrt(N) + 2 reads, N being what the
+// settings allow it.
+func TestColdServerBySumOfRouters(t *testing.T) {
+	const span = 2000 // ms; the settings' window
+	for _, routers := range []int{20, 30, 300} {
+		for seed := range uint64(3) {
+			rnd := rand.New(rand.NewPCG(seed, uint64(routers)))
+			var fleetOf []*script
+			var part []float64 // of the traffic; one in ten sees four times the mean
+			total := 0.0
+			warm := []Server{at("w1", 1, 0, 0)}
+			for i := range 8 {
+				warm = append(warm, at(fmt.Sprint("r", i), 0, 0, 0))
+			}
+			for i := range routers {
+				s := &script{t: t, now: 1e6}
+				s.r, _ = New(fleet(func(set *Settings) { set.Routers = routers }), rnd.Uint64())
+				s.on(0, Membership{Whole: true, Servers: warm})
+				fleetOf = append(fleetOf, s)
+				share := 0.2 + rnd.Float64()
+				if i%10 == 0 {
+					share *= 4
+				}
+				part, total = append(part, share), total+share
+			}
+			id, reads, cold := RequestID(0), 0, 0
+			play := func(length Millis) { // 64 reads a second, eight for each warm reader
+				for end := fleetOf[0].now + length; fleetOf[0].now < end; {
+					gap := Millis(rnd.ExpFloat64() * 1000 / 64)
+					for _, s := range fleetOf {
+						s.now += gap
+					}
+					at, i := rnd.Float64()*total, 0
+					for ; i < routers-1 && at > part[i]; i++ {
+						at -= part[i]
+					}
+					s := fleetOf[i]
+					id++
+					q := ask(id, 0)
+					q.Prefix, q.PrefixLen = Key(1+id%7), 500
+					s.on(0, q)
+					for _, a := range s.acts {
+						if send, ok := a.(Send); ok {
+							if reads++; send.Server == "cold" {
+								cold++
+							}
+							s.on(0, Ended{ID: id, Server: send.Server, Outcome: ReadDone})
+							s.on(0, ClientGone{ID: id})
+							s.on(0, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Cancelled})
+						}
+					}
+				}
+			}
+			play(20000)
+			each := float64(reads) / 8 / 20000 * span // what a warm reader takes in the span
+			fresh := at("cold", 0, 0, 0)
+			fresh.Since = fleetOf[0].now
+			for _, s := range fleetOf {
+				s.on(0, Membership{Servers: []Server{fresh}})
+			}
+			set := fleetOf[0].r.set
+			for window := range 3 {
+				cold = 0
+				play(span)
+				warmth := set.ColdFrom + (1-set.ColdFrom)*(float64(window)+0.5)*span/float64(set.WarmAfter)
+				n := set.OverloadFactor * warmth * each * 2 // its capacity is twice what it is used for
+				if most := n + 2*math.Sqrt(n) + 2; float64(cold) > most {
+					t.Errorf("%d routers, seed %d, window %d: %d reads at the cold reader, %.1f at most", routers, seed, window, cold, most)
+				} else {
+					t.Logf("%d routers, seed %d, window %d: %d reads, %.1f at most", routers, seed, window, cold, most)
+				}
+			}
+		}
+	}
+}
