--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -506,6 +506,34 @@
 	}
 }
 
+// Once a client has left, nothing begins for its request: between two attempts, while a release goes first, or while an
+// attempt connects.
+func TestNothingBeginsOnceLeft(t *testing.T) {
+	for at := time.Duration(0); at < 200*ms; at += 7 * ms {
+		f := newFake()
+		f.failFirst, f.slowRelease, f.hold = true, 60*ms, 30*ms
+		run(t, f, func(d *Driver) {
+			s, j := newSink(t), job(1)
+			j.Name = "a"
+			c, _ := d.Submit(j, s)
+			time.Sleep(at)
+			c.Abandon()
+			synctest.Wait()
+			f.mu.Lock()
+			reads, writes := f.reads, f.writes
+			f.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			if f.reads != reads || f.writes != writes {
+				t.Errorf("left after %v: %d reads and %d writes begun since", at, f.reads-reads, f.writes-writes)
+			}
+		})
+		if left := f.leftOver(); len(left) > 0 && f.writes == 0 {
+			t.Errorf("left after %v: still held: %v", at, left)
+		}
+	}
+}
+
 // Too many open requests are turned away before the module, with nothing run.
 func TestBusy(t *testing.T) {
 	f := newFake()
--- a/internal/platform/discovery/watch_test.go
+++ b/internal/platform/discovery/watch_test.go
@@ -38,6 +38,10 @@
 			calls++
 			parts, pause := answer(calls, req.RequestURI)
 			mu.Unlock()
+			if len(parts) == 1 && parts[0] == reset {
+				nc.(*net.TCPConn).SetLinger(0)
+				return
+			}
 			for i, p := range parts {
 				if i > 0 {
 					time.Sleep(pause)
@@ -62,6 +66,8 @@
 	return ln.Addr().String()
 }
 
+const reset = "reset" // in place of an answer
+
 func whole(list string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
 }
@@ -84,7 +90,7 @@
 	return revs
 }
 
-// A watch that falls silent is broken and opened anew, and what it missed is asked for without a wait, however long
+// A watch that falls silent, or is reset, is broken and opened anew, and what it missed is asked for without a wait, however long
 // the agent stays silent before.
 func TestSilentWatch(t *testing.T) {
 	var targets []string
@@ -96,17 +102,21 @@
 		case 2, 3: // silent
 			return nil, 0
 		}
+		if n == 5 { // a watch that is reset
+			return []string{reset}, 0
+		}
 		return []string{whole(fmt.Sprintf(`{"rev":%d,"all":false,"targets":[]}`, n))}, 0
 	})
 	times := Times{Wait: 150 * ms, Grace: 100 * ms, Whole: time.Second}
 	from := time.Now()
-	if revs := follow(t, times, addr, 3); revs[0] != 1 || revs[1] != 4 || revs[2] != 5 {
+	if revs := follow(t, times, addr, 3); revs[0] != 1 || revs[1] != 4 || revs[2] != 6 {
 		t.Errorf("told %v", revs)
 	}
 	if took := time.Since(from); took > 5*time.Second {
 		t.Errorf("took %v", took)
 	}
-	want := []string{"/v1/endpoints", "?since=1&timeout_ms=150", "?since=1&timeout_ms=1", "?since=1&timeout_ms=1", "?since=4&timeout_ms=150"}
+	want := []string{"/v1/endpoints", "?since=1&timeout_ms=150", "?since=1&timeout_ms=1", "?since=1&timeout_ms=1", "?since=4&timeout_ms=150",
+		"?since=4&timeout_ms=1"}
 	for i, w := range want {
 		if !strings.HasSuffix(targets[i], w) {
 			t.Errorf("call %d: %s, %s expected", i+1, targets[i], w)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -565,3 +565,79 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// A router is ready at once by what it knew, and soon where it knew nothing, though discovery says nothing; idle clients
+// that take every connection that clients may have cost neither its work nor the news once discovery is back.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	var old, next *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		f.Add(standin.Prompt, nil)
+		old = f.Add(standin.Answer, nil)
+		f.Mute(true)
+	})
+	for i := range 256 {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		defer nc.Close()
+	}
+	for i := range 20 {
+		id := fmt.Sprint("c", i)
+		s.wantServed(s.ask(id, "question", 4000), id)
+	}
+	s.until("nothing is held", func() bool { return len(s.fleet.Left()) == 0 })
+	next = s.fleet.Add(standin.Answer, nil)
+	s.fleet.Set(old, "DRAINING")
+	s.fleet.Mute(false)
+	served := 0
+	s.until("the news is followed", func() bool {
+		served++
+		s.ask(fmt.Sprint("n", served), "question", 4000)
+		n, _, _ := next.Count()
+		return n > 0
+	})
+}
+
+// A router that knows no worker, and whose discovery says nothing, is ready all the same.
+func TestReadyKnowingNothing(t *testing.T) {
+	s := open(t, func(f *standin.Fleet) { f.Mute(true) })
+	s.fleet.Add(standin.Prompt, nil)
+	s.fleet.Add(standin.Answer, nil)
+	s.fleet.Mute(false)
+	s.until("it serves once discovery speaks", func() bool { return s.ask("x", "question", 4000).status == 200 })
+}
+
+// A client that takes a long stream late gets it whole, and others are served meanwhile.
+func TestSlowReader(t *testing.T) {
+	const long = 2000
+	s := open(t, func(f *standin.Fleet) {
+		f.Add(standin.Prompt, nil)
+		f.Add(standin.Answer, func(_ int, id string) standin.Script {
+			if id == "slow" {
+				return standin.Script{Chunks: long}
+			}
+			return standin.Script{Gap: 20 * ms}
+		})
+	})
+	nc := s.dial()
+	nc.(*net.TCPConn).SetReadBuffer(4096)
+	io.WriteString(nc, request("slow", "question", 4000, body))
+	for i := range 5 {
+		id := fmt.Sprint("s", i)
+		a := s.ask(id, "question", 4000)
+		s.wantServed(a, id)
+		if a.took > time.Second {
+			t.Errorf("%s took %v", id, a.took)
+		}
+	}
+	br := bufio.NewReader(nc)
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(res.Body)
+	if err != nil || string(text) != stream("slow", long) {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+}
