--- a/router.go
+++ b/router.go
@@ -887,12 +887,12 @@
 	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*math.Max(float64(age/r.set.WarmAfter), 0))
 }
 
-// hasCredit tells whether a server may get a request's send. Guards rule 4: a cold server gets, times its warmth,
-// the most that this router saw a warm one get done; to count sends would count a storm of retries. A router
-// that sends a warm server too few in the warm-up to go by that count draws lots by the warmth instead, once for
-// each request, and is ahead by one send at most. Guards against cold capacity unused: credits of many routers,
-// each under one send for most of the warm-up, do not meet their few requests. Harms where only cold servers are
-// left: all draw for them.
+// hasCredit tells whether a server may get a request's send. Guards rule 4: a cold server gets, times its
+// warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries. A
+// router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth instead,
+// once for each request, and is ahead by one send at most. Guards against cold capacity unused: credits of many
+// routers, each under one send for most of the warm-up, do not meet their few requests. Harms where only cold
+// servers are left: all draw for them.
 func (r *Router) hasCredit(s *server, q *request) bool {
 	w := r.warmth(s)
 	if w >= 1 {
