--- a/router.go
+++ b/router.go
@@ -552,7 +552,7 @@
 	case Failed, TimedOut, ConnectFailed, Broken:
 		// A failing server's books empty at once, a silent one's when its attempts run out: either would
 		// look free. The charge stands for the work that did not come back.
-		if ev.Outcome == ConnectFailed && !q.ended { // what ended meanwhile was called off as it connected
+		if ev.Outcome == ConnectFailed && !q.ended { // else it was called off as it connected
 			r.dialled(1)
 		}
 		// An answer spoilt on its way was begun well, as the next may be. Guards against streams spoilt from
@@ -888,11 +888,11 @@
 }
 
 // hasCredit tells whether a server may get a request's send. Guards rule 4: a cold server gets, times its
-// warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries. A
-// router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth instead,
-// once for each request, and is ahead by one send at most. Guards against cold capacity unused: credits of many
-// routers, each under one send for most of the warm-up, do not meet their few requests. Harms where only cold
-// servers are left: all draw for them.
+// warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries.
+// A router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth
+// instead, once for each request, and is ahead by one send at most. Guards against cold capacity unused:
+// credits of many routers, each under one send for most of the warm-up, do not meet their few requests. Harms
+// where only cold servers are left: all draw for them.
 func (r *Router) hasCredit(s *server, q *request) bool {
 	w := r.warmth(s)
 	if w >= 1 {
