--- a/router.go
+++ b/router.go
@@ -578,8 +578,8 @@
 	// A writer that failed or fell silent may have fetched the state. Guards against giving up with the last
 	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
 	taken := !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed && !r.attemptsLeft(q, 3)
-	// Rule 5, where whole zones fall silent: writers that are not reached leave the state where it is, and its
-	// time goes on. Harms where a third writer would have been reached: the prompt is read anew, or refused.
+	// Rule 5, where whole zones fall silent: writers that are not reached leave the state where it is, and
+	// its time goes on. Harms where a third writer would have been reached: it is read anew, or refused.
 	pinned := ev.Outcome == ConnectFailed && r.now-q.idle > r.set.PinLimit
 	if a.reads || ev.NoState || taken || pinned {
 		// Rule 5: a held place may have the state although its reader has not.
