A stopping router's stream is parted with under the exchange's lock

Reread: part could meet an exchange whose first event came before its connection's goroutine had noted how to take the request back; the call would have been on nil. Race detector over the stop's and leaving's tests: passes.

--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -36,8 +36,6 @@
 	keep bool
 	held int64 // bytes of the body
 
-	abandon func() // takes the request back
-
 	stream uint64        // its number among the streams, once begun
 	since  time.Duration // of the server's life, when it began
 
@@ -45,6 +43,8 @@
 	begun bool       // events are passed on; false for good once the final answer came before the first
 	final *driver.Answer
 	done  chan struct{}
+
+	abandon func() // takes the request back; guarded by mu
 }
 
 func path(target string) string {
@@ -84,8 +84,7 @@
 		x.l.plain("503 Service Unavailable", err.Error()+"\n", x.keep)
 		return x.keep
 	}
-	x.abandon = call.Abandon
-	a := x.wait()
+	a := x.wait(call.Abandon)
 	s.ended(x)
 	x.answer(a)
 	return x.keep && !s.stops.Load()
@@ -129,8 +128,9 @@
 
 // wait waits for the final answer. A client that leaves meanwhile takes its
 // request back. What it sends ahead is kept for its turn.
-func (x *exchange) wait() driver.Answer {
+func (x *exchange) wait(abandon func()) driver.Answer {
 	x.mu.Lock()
+	x.abandon = abandon
 	if x.final == nil {
 		x.l.nc.SetReadDeadline(time.Time{})
 	}
@@ -139,7 +139,7 @@
 		err := x.l.ahead.fill()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errFlood) {
 			x.keep = false
-			x.abandon()
+			abandon()
 		}
 		if err != nil {
 			break
@@ -174,7 +174,11 @@
 	if out, ok := x.l.nc.(interface{ CloseWrite() error }); ok {
 		out.CloseWrite()
 	}
-	go x.abandon() // not here: it waits for the driver, which may be about to tell of a stream
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.abandon != nil { // else the next event finds nobody
+		go x.abandon() // not here: it waits for the driver, which may be about to tell of a stream
+	}
 }
 
 // Final takes the final answer and wakes the connection's goroutine.
