A called-off attempt is over once its connection is closed, not when its read ends

Ruled out by reading: time-outs of writers (safe classes alone), failed dials (nothing was written), resets at readers (not counted before). At fault, shown by a test that fails without the change: the goroutine that closes on a cancel may have woken the pending read and not yet closed the descriptor; the read's goroutine closes a second time, which returns at once, and the refusal goes out while the connection is open. Now the exchange waits for the close. Whether this was the one break seen is likely and not proven.

--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -216,6 +216,7 @@
 	res  *http1.Response
 	body *http1.Body
 	stop func() bool
+	cut  chan struct{} // closed once the connection was closed because the work was called off
 }
 
 // open sends a request and reads the answer's head.
@@ -234,7 +235,11 @@
 		return nil, attempt.NotSent{Err: err}
 	}
 	x := &exchange{c: c, addr: addr, conn: cn}
-	x.stop = context.AfterFunc(ctx, func() { cn.Close() }) // closing calls the work off
+	x.cut = make(chan struct{})
+	x.stop = context.AfterFunc(ctx, func() { // closing calls the work off
+		cn.Close()
+		close(x.cut)
+	})
 	bufs := net.Buffers{requestHead(method, path, call), call.Body}
 	if len(call.Body) == 0 {
 		bufs = bufs[:1]
@@ -280,9 +285,16 @@
 	return fmt.Errorf("%w: more than %d interim answers", http1.ErrTooLarge, mostInterim)
 }
 
-// close gives the connection back if the exchange is whole, else cuts it.
+// close gives the connection back if the exchange is whole, else cuts it. It
+// returns once the connection is closed: where another goroutine has begun to
+// close it, the pending read ends before the descriptor does, and the attempt
+// would be told as over while it is still out.
 func (x *exchange) close(whole bool) {
-	if x.stop() && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
+	stopped := x.stop()
+	if !stopped {
+		<-x.cut
+	}
+	if stopped && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
 		x.c.pool.idle.Put(x.addr, x.conn)
 		return
 	}
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -257,6 +257,40 @@
 	}
 }
 
+// slowClose is a connection whose pending reads end a while before it is closed, as a descriptor's may.
+type slowClose struct {
+	net.Conn
+	begun, closed atomic.Bool
+}
+
+func (s *slowClose) Close() error {
+	if !s.begun.CompareAndSwap(false, true) {
+		return net.ErrClosed // without a wait for the first
+	}
+	err := s.Conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	s.closed.Store(true)
+	return err
+}
+
+// An attempt that is called off is over once its connection is closed, not when its read ends.
+func TestCalledOffIsClosed(t *testing.T) {
+	cl := client(t, 10, "127.0.0.1:1")
+	in, out := net.Pipe()
+	defer in.Close()
+	slow := &slowClose{Conn: out}
+	cl.pool.idle.Put("127.0.0.1:1", conns.New(slow, 2048, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		take(bufio.NewReader(in))
+		cancel()
+	}()
+	if r := cl.Read(ctx, call(0)); r.Outcome != gannethook.Cancelled || !slow.closed.Load() {
+		t.Errorf("%+v, closed %v", r, slow.closed.Load())
+	}
+}
+
 // A connection rests before it is used again: a second answer that comes some milliseconds late would be taken for the
 // next request's. What was called off before it went begins nothing. The time told is what is left at the writing.
 func TestRestsCalledOffToldTime(t *testing.T) {
