--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -331,3 +331,22 @@
 		t.Errorf("%+v after %d requests", r, requests.Load())
 	}
 }
+
+// What a reader tells of kept tokens is taken where it is a number from 0 on, and counts as none otherwise.
+func TestKeptTokens(t *testing.T) {
+	for text, want := range map[string]float64{
+		`{"cached_tokens":4096}`: 4096, "{\n \"cached_tokens\" : 0 }": 0, `{"cached_tokens":1e3}`: 1000, `{}`: 0, ``: 0,
+		`{"cached_tokens":-5}`: 0, `{"cached_tokens":1e300}`: 0, `{"cached_tokens":"7"}`: 0, `{"cached_tokens":null}`: 0,
+		`{"cached_tokens":{"a":1}}`: 0, `cached_tokens 7`: 0, `{"cached_tokens":7`: 0, `{"cached_tokens":NaN}`: 0,
+	} {
+		body := text
+		cl := client(t, 10, script(t, func(nc net.Conn, br *bufio.Reader) {
+			if _, ok := take(br); ok {
+				fmt.Fprintf(nc, "HTTP/1.1 202 Accepted\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+		}))
+		if r := cl.Read(context.Background(), call(0)); r.Outcome != gannethook.ReadDone || r.Kept != want {
+			t.Errorf("%q: %+v, %v kept expected", text, r, want)
+		}
+	}
+}
