--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -392,7 +392,7 @@
 	return n
 }
 
-const mostKept = 1 << 40 // tokens; the module bounds them by the prompt
+const mostKept = 1 << 40 // tokens; whoever decides by them bounds them by the prompt
 
 // Do is not part of the platform's protocol.
 func (c *Client) Do(context.Context, *attempt.Call) attempt.Result {
