A connection whose first byte was just read is not let out for want of room

At fault: link.awaits took the first byte into its buffer before the connection counted as used, so that evict, which looks for unread bytes (conns.Stands), saw neither. Ruled out: the order of the idle list, Linger, the answer lost to a reset (the connection had ended in order). Now a connection waits by conns.Await, which takes nothing; the byte is read once the connection counts as used, and one with bytes ahead never counts as unused.

TestWriterDies told both writers to hang and killed them one after another, so a repeat could meet the second before its death and spend its last attempt there. It now kills the writer of each request and waits for the answer in between; the engine reads its faults before it tells of an arrival.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -20,7 +20,29 @@
 // while another goroutine waits in Read.
 func Stands(nc net.Conn) bool {
 	_, err := peek(nc)
-	return err == errNoSocket || errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+	return err == errNoSocket || nothingYet(err)
+}
+
+func nothingYet(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+}
+
+// Await waits until something is readable, bytes or the peer's end, and takes
+// nothing: until it is taken, Stands tells of it. It ends with an error when the
+// read deadline has passed or the connection is closed.
+func Await(nc net.Conn) error {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, err := peekAt(fd)
+		return !nothingYet(err)
+	})
 }
 
 var errNoSocket = errors.New("not a socket")
@@ -36,8 +58,13 @@
 		return 0, err
 	}
 	failed := raw.Control(func(fd uintptr) { // not Read: that waits for whoever reads
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err = peekAt(fd)
 	})
 	return n, errors.Join(err, failed)
 }
+
+func peekAt(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -460,18 +460,31 @@
 		s.Say("hello")
 		s.Request(meta(class, class), 5)
 	}
+	at := map[string]string{}
 	for _, class := range []string{"question", "adjustment"} {
-		w.seen(class+" at a writer", func(e record.Event) bool { return e.Kind == record.Arrive && e.Note == "write" && e.Class == class })
+		at[class] = w.seen(class+" at a writer", func(e record.Event) bool {
+			return e.Kind == record.Arrive && e.Note == "write" && e.Class == class
+		}).Who
 	}
-	for _, e := range w.writers {
-		e.Kill()
-		if err := e.Start(false); err != nil {
-			t.Fatal(err)
+	w.writersSet(func(f *standin.Faults) { f.Hang = false }) // for what comes from now on: one death for each request
+	kill := func(who string) {
+		for _, e := range w.writers {
+			if e.Addr() != who {
+				continue
+			}
+			e.Kill()
+			if err := e.Start(false); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
+	kill(at["question"])
 	if a, err := safe.Wait(nil); err != nil || a.Kind() != "served" {
 		t.Errorf("safe: %+v, %v", a, err)
 	}
+	if at["adjustment"] != at["question"] {
+		kill(at["adjustment"])
+	}
 	if a, err := unsafe.Wait(nil); err != nil || a.Kind() != "failed" || w.applied("adjustment") != 0 {
 		t.Errorf("unsafe: %+v, %v", a, err)
 	}
--- a/internal/platform/clients/clients_test.go
+++ b/internal/platform/clients/clients_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,6 +190,50 @@
 	}
 }
 
+// heldUp is a connection whose first read has taken its bytes, and tells so, before it returns.
+type heldUp struct {
+	*net.TCPConn
+	read, goOn chan struct{}
+	once       sync.Once
+}
+
+func (h *heldUp) Read(p []byte) (int, error) {
+	n, err := h.TCPConn.Read(p)
+	h.once.Do(func() {
+		close(h.read)
+		<-h.goOn
+	})
+	return n, err
+}
+
+// A connection whose first byte was just read is not let out for want of room, however late its goroutine runs on.
+func TestFirstByteJustRead(t *testing.T) {
+	addr, asked, s := served(t, 1, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	nc := dial(t, ln.Addr().String())
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heldUp{TCPConn: in.(*net.TCPConn), read: make(chan struct{}), goOn: make(chan struct{})}
+	s.accept(h)
+	io.WriteString(nc, whole[:1])
+	<-h.read
+	other, err := io.ReadAll(dial(t, addr)) // told that there is no room
+	close(h.goOn)
+	if err != nil || !strings.HasPrefix(string(other), "HTTP/1.1 503 ") {
+		t.Errorf("the next client: %q, %v", other, err)
+	}
+	io.WriteString(nc, whole[1:])
+	if res, err := http1.ReadResponse(bufio.NewReader(nc)); err != nil || res.Status != 503 || asked.Load() != 1 {
+		t.Errorf("the request on its way: %+v, %v, %d begun", res, err, asked.Load())
+	}
+}
+
 // What a client sends behind an open request is kept in bounds, in order, and given back.
 func TestAheadInBounds(t *testing.T) {
 	in, out := net.Pipe()
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -64,6 +64,10 @@
 		x.l.refuse(bad.status, bad.why)
 		return false
 	}
+	if conns.Ended(x.l.nc) { // it left while its request was read: no answer is owed, and nothing may begin, nor keep its id from another
+		x.l.gone = true
+		return false
+	}
 	if !s.begin(job.Name) {
 		x.l.refuse("409 Conflict", "a request with this id is open")
 		return false
@@ -74,10 +78,6 @@
 			zap.Duration("give-up", job.GiveUp), zap.String("retried", x.req.Header.Get("X-Retried")),
 			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.from)))
 	}
-	if conns.Ended(x.l.nc) { // it left while its request was read: no answer is owed, and nothing may begin
-		x.l.gone = true
-		return false
-	}
 	job.GiveUp, job.Waited = s.left(job.GiveUp), time.Since(x.from)
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // the platform's bounds: nothing has run
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -344,7 +344,7 @@
 	l.buffers(2048)
 	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Head))
 	for l.awaits() && l.next() {
-		l.s.resting(l, true)
+		l.s.resting(l, !l.has())
 		l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Idle))
 		if l.s.stops.Load() {
 			l.nc.SetReadDeadline(past)
@@ -355,14 +355,30 @@
 // onItsWay is how long an unused connection is still heard once the router stops.
 const onItsWay = 50 * time.Millisecond
 
-// awaits waits for the first byte of a request.
+// awaits waits for the first byte of a request. The byte is taken only once the
+// connection counts as used: taken before, it would be seen by nobody who looks
+// for a connection to let out, and its request would be let out with it.
 func (l *link) awaits() bool {
-	_, err := l.br.Peek(1)
+	err := l.readable()
 	if err != nil && l.s.stops.Load() {
 		l.nc.SetReadDeadline(time.Now().Add(onItsWay))
-		_, err = l.br.Peek(1)
+		err = l.readable()
 	}
-	return l.s.resting(l, false) && err == nil
+	if !l.s.resting(l, false) || err != nil {
+		return false
+	}
+	_, err = l.br.Peek(1)
+	return err == nil
+}
+
+// has tells whether something that came ahead waits for its turn.
+func (l *link) has() bool { return l.br.Buffered() > 0 || len(l.ahead.kept) > 0 }
+
+func (l *link) readable() error {
+	if l.has() {
+		return nil
+	}
+	return conns.Await(l.nc)
 }
 
 // next serves one request; it tells whether another may follow.
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -119,8 +119,9 @@
 
 // serve does a request and records when it came and how it ended.
 func (j *job) serve(kind string) {
+	f := j.l.fault() // before its arrival is known: what is set later is for later requests
 	j.note(record.Arrive, kind)
-	how := j.run()
+	how := j.run(f)
 	if !j.ended {
 		j.note(record.End, how)
 	}
@@ -156,9 +157,9 @@
 	return value, ok
 }
 
-// run does the request and tells how it ended.
-func (j *job) run() string {
-	l, f := j.l, j.l.fault()
+// run does the request under the faults that it met and tells how it ended.
+func (j *job) run(f Faults) string {
+	l := j.l
 	if l.e.cfg.Deaf {
 		j.ctx = context.WithoutCancel(j.ctx)
 	}
