Cold servers' lots are fewer by what is gone, failing or full of their role

At fault: hasCredit, where each of 84 routers draws a chance of the whole warmth for each request, whatever part of the fleet the cold server is. Ruled out: the credits (by own counts they are not used there), places asked for twice.

Now the chance is the warmth times the part of the role's servers, of the most that this router knew, that are ready, warm and not charged or full for this flow. TestColdServersLeftAlone (84 routers, the rest charged, full or gone) fails without it: 41 to 49 reads where 38 are allowed.

--- a/router.go
+++ b/router.go
@@ -160,6 +160,7 @@
 	tenants          []fading
 	done             [Mixed + 1]fading  // reads ended or streams begun, by role
 	peak             [Mixed + 1]float64 // most of these a second for each warm server
+	most             [Mixed + 1]float64 // most servers that were ready at once
 	reads            tally              // all readers' reads
 	dials            fading             // part of the dials that failed of late
 	turned           []fading           // by flow, part of the sends to writers that were turned away of late
@@ -670,12 +671,31 @@
 
 // candidates are the servers, but those of one role, that the rules and a request's past let it go to.
 func (r *Router) candidates(q *request, not Role) []*server {
+	var left [Mixed + 1]float64 // by role, sought where a cold server asks for it
 	return slices.DeleteFunc(slices.Clone(r.list), func(s *server) bool {
-		return s.role == not || s.State != Ready || slices.Contains(q.tried, s) ||
-			!r.inGroup(s, q) || !r.hasCredit(s, q) || !r.mayRepeat(s, q)
+		if s.role == not || s.State != Ready || slices.Contains(q.tried, s) ||
+			!r.inGroup(s, q) || !r.mayRepeat(s, q) {
+			return true
+		}
+		if left[s.role] == 0 && r.warmth(s) < 1 {
+			left[s.role] = r.partLeft(q, s.role)
+		}
+		return !r.hasCredit(s, q, left[s.role])
 	})
 }
 
+// partLeft is the part of a role's servers, of the most that this router knew, that can take a request, each
+// by its warmth and what is taken off it.
+func (r *Router) partLeft(q *request, role Role) float64 {
+	well := 0.0
+	for _, s := range r.list {
+		if s.role == role && s.State == Ready {
+			well += r.warmth(s) * math.Max(1-r.takenOff(s, q), 0)
+		}
+	}
+	return math.Min(well/math.Max(r.most[role], 1), 1)
+}
+
 // pickReader chooses the reader of highest freeness; among those near it the session's last, else a home.
 func (r *Router) pickReader(q *request) *server {
 	list := r.candidates(q, Writer)
@@ -891,9 +911,10 @@
 // warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries.
 // A router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth
 // instead, once for each request, and is ahead by one send at most. Guards against cold capacity unused:
-// credits of many routers, each under one send for most of the warm-up, do not meet their few requests. Harms
-// where only cold servers are left: all draw for them.
-func (r *Router) hasCredit(s *server, q *request) bool {
+// credits of many routers, each under one send for most of the warm-up, do not meet their few requests. Where
+// most servers are gone, failing or full the lots are fewer by as many: else the rest, if cold, got it all.
+// Harms where a fleet was made smaller: its cold servers are spared more than they need.
+func (r *Router) hasCredit(s *server, q *request, left float64) bool {
 	w := r.warmth(s)
 	if w >= 1 {
 		return true
@@ -901,7 +922,7 @@
 	perMs := math.Min(coldPart, r.set.OverloadFactor/2) * w * r.peak[s.role] / 1000
 	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
 	few := r.peak[s.role]*float64(r.set.WarmAfter) < enough*1000
-	return s.credit >= 1 || few && s.credit >= 0 && unit(uint64(q.ID)^r.seed, s.hash) < w
+	return s.credit >= 1 || few && s.credit >= 0 && unit(uint64(q.ID)^r.seed, s.hash) < w*left
 }
 
 // mayRepeat tells whether a request that was sent before may go to a server. Guards against storms of repeats
@@ -976,12 +997,19 @@
 	for _, e := range ev.Servers {
 		r.update(e)
 	}
+	var ready [Mixed + 1]float64
 	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
 		if s.State == Gone && r.servers[s.ID] == s {
 			delete(r.servers, s.ID)
 		}
+		if s.State == Ready {
+			ready[s.role]++
+		}
 		return s.State == Gone
 	})
+	for role := range ready {
+		r.most[role] = math.Max(r.most[role], ready[role])
+	}
 }
 
 // update takes one entry; a server that started again is a new one, of which nothing is known.
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -628,3 +628,69 @@
 		}
 	}
 }
+
+// Slow start holds for the sum of all routers also where the cold servers are all that is left, whose share of the
+// requests would be far more than a warm one's: the rest failed and is charged, turns this flow away, or has left the list.
+func TestColdServersLeftAlone(t *testing.T) {
+	const routers, span = 84, 2000
+	for how, lose := range map[string]func(*script, ServerID){
+		"charged": func(s *script, id ServerID) { s.r.blame(s.r.servers[id], true); s.r.blame(s.r.servers[id], true) },
+		"full":    func(s *script, id ServerID) { s.r.servers[id].full[0] = fading{1, s.now} },
+		"gone": func(s *script, id ServerID) {
+			gone := at(string(id), 0, 0, 0)
+			gone.State = Gone
+			s.on(0, Membership{Servers: []Server{gone}})
+		},
+	} {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		var fleetOf []*script
+		warm := []Server{at("w1", 1, 0, 0)}
+		for i := range 12 {
+			warm = append(warm, at(fmt.Sprint("r", i), 0, 0, 0))
+		}
+		for range routers {
+			s := &script{t: t, now: 1e6}
+			s.r, _ = New(fleet(func(set *Settings) { set.Routers = routers }), rnd.Uint64())
+			s.on(0, Membership{Whole: true, Servers: warm})
+			fleetOf = append(fleetOf, s)
+		}
+		id, reads := RequestID(0), map[ServerID]int{}
+		play := func(length Millis) { // 96 requests a second, eight for each warm reader
+			clear(reads)
+			for end := fleetOf[0].now + length; fleetOf[0].now < end; {
+				gap := Millis(rnd.ExpFloat64() * 1000 / 96)
+				for _, s := range fleetOf {
+					s.now += gap
+				}
+				s := fleetOf[rnd.IntN(routers)]
+				id++
+				s.on(0, ask(id, 0))
+				for _, a := range s.acts {
+					if send, ok := a.(Send); ok {
+						reads[send.Server]++
+						s.on(0, Ended{ID: id, Server: send.Server, Outcome: ReadDone})
+						s.on(0, ClientGone{ID: id})
+						s.on(0, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Cancelled})
+					}
+				}
+			}
+		}
+		play(20000)
+		for _, s := range fleetOf {
+			for i := range 12 {
+				lose(s, ServerID(fmt.Sprint("r", i)))
+			}
+			for i := range 2 {
+				fresh := at(fmt.Sprint("cold", i), 0, 0, 0)
+				fresh.Since = fleetOf[0].now
+				s.on(0, Membership{Servers: []Server{fresh}})
+			}
+		}
+		play(span)
+		set := fleetOf[0].r.set
+		n := set.OverloadFactor * (set.ColdFrom + 0.075) * 8 * span / 1000 * 2 // its capacity is twice what it is used for
+		if most := int(n + 2*math.Sqrt(n) + 2); reads["cold0"] > most || reads["cold1"] > most || reads["cold0"] == 0 {
+			t.Errorf("%s: %d and %d reads at the cold readers, %d at most", how, reads["cold0"], reads["cold1"], most)
+		}
+	}
+}
