Admission leaves out what reads would take alone, by the tokens that were not kept

A read of 7,000 tokens takes 0.3 of its aim with nothing before it, so half of that in waiting crossed the floor of 0.6; the same floor at sites with short reads leaves 0.4 of the aim to waiting. Kept tokens (Ended.Kept) give it: time alone is the tokens left to read at the least time a token that was seen, which each read raises by a thousandth, so that a jam does not become the measure.

Tests: reads alone are no load, waiting and reads of kept text are, a reader that lies does no harm.

--- a/router.go
+++ b/router.go
@@ -31,16 +31,17 @@
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
 
-	partGain   = 0.25 // ours: weight of one dial, or one send to a writer, in the part of them that fails
-	turnedBad  = 0.2  // ours: part of a flow's sends to writers turned away above which no place is held
-	dialsBad   = 0.4  // ours: part of the dials that fail above which open connections are preferred
-	dialCost   = 0.5  // ours: freeness taken off a server without one then
-	chargeMax  = 4.0  // ours: most that failures take off a server's freeness
-	chargeFade = 6000 // ours: ms in which a charge fades to 1/e
-	heldBack   = 0.3  // ours: freeness taken off a writer that refused a place
-	fullFade   = 3    // ours: windows in which being turned away fades to 1/e
-	lateGain   = 0.5  // ours: charge for a success that is a whole aim late
-	chargeKeep = 0.7  // ours: what a success leaves of a charge
+	paceLoss   = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
+	partGain   = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
+	turnedBad  = 0.2   // ours: part of a flow's sends to writers turned away above which no place is held
+	dialsBad   = 0.4   // ours: part of the dials that fail above which open connections are preferred
+	dialCost   = 0.5   // ours: freeness taken off a server without one then
+	chargeMax  = 4.0   // ours: most that failures take off a server's freeness
+	chargeFade = 6000  // ours: ms in which a charge fades to 1/e
+	heldBack   = 0.3   // ours: freeness taken off a writer that refused a place
+	fullFade   = 3     // ours: windows in which being turned away fades to 1/e
+	lateGain   = 0.5   // ours: charge for a success that is a whole aim late
+	chargeKeep = 0.7   // ours: what a success leaves of a charge
 
 	admitFloor = 0.6   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
@@ -165,6 +166,8 @@
 	dials            fading             // part of the dials that failed of late
 	turned           []fading           // by flow, part of the sends to writers that were turned away of late
 	share            float64            // mean memory share of the writers that reported
+	pace             float64            // least ms for a token that was left to read; 0: none was read yet
+	alone            fading             // ms that reads of late take at this pace, with nothing before them
 	reading, opening fading             // ms of late to read, and from a writer's send to the first token
 	acts             []Action
 }
@@ -250,6 +253,9 @@
 // admits tells whether a request is taken on. Its freeness is the best reader's or, as other routers' load is
 // unseen, that of the times to read and to the first token seen of late, or that of the best writer's memory,
 // whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner.
+// What reads of late would have taken alone is no load: it is left out of their time and of the aim. Guards
+// against refusing where the aim is not much longer than a read. Harms where all readers are slow from the
+// first read on: that is taken for well.
 // Charges for what failed at once are left out: where all servers fail a part, they refused what had room.
 // Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
@@ -263,7 +269,8 @@
 	if !r.oneStage(q) {
 		usual += r.opening.left(r.now, span)
 	}
-	free := 1 - usual/math.Max(float64(min(q.aim, q.Budget)), 1)
+	alone := math.Min(r.alone.left(r.now, span), usual)
+	free := 1 - (usual-alone)/math.Max(float64(min(q.aim, q.Budget))-alone, 1)
 	if s := r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.quickOf(s))
 		if w := r.pickWriter(q, s); w != nil && !r.oneStage(q) {
@@ -540,6 +547,7 @@
 			r.praise(a.on, (took-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
 			a.on.speed.add(speedKeep, a.queue, float64(took))
 			r.reads.add(meanKeep, a.queue, float64(took))
+			r.learnPace(q.Prompt-math.Min(math.Max(ev.Kept, 0), q.Prompt), took)
 		}
 	case Full:
 		// No headroom, whatever own books say: its queue is full of others' or dead work, or it turns away
@@ -850,6 +858,18 @@
 	}
 }
 
+// learnPace takes a read of so many tokens that were not kept.
+func (r *Router) learnPace(left float64, took Millis) {
+	if left < 1 {
+		return
+	}
+	if pace := math.Max(float64(took), 1) / left; r.pace == 0 || pace < r.pace {
+		r.pace = pace
+	}
+	r.pace *= paceLoss
+	r.alone.learn(r.now, Millis(left*r.pace))
+}
+
 // learnReport takes a load report.
 func (r *Router) learnReport(s *server, ev Ended) {
 	if !ev.Reported || s.role == Reader {
--- a/scale_test.go
+++ b/scale_test.go
@@ -366,6 +366,59 @@
 	}
 }
 
+// TestReadsAloneAreNoLoad: where a prompt's tokens that are not kept take half of the aim to read with nothing before
+// them, nobody is refused for it; where the same time is spent waiting, or on a prompt that was mostly kept, some are.
+func TestReadsAloneAreNoLoad(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept    float64
+		took    Millis
+		refuses bool
+	}{"nothing kept": {0, 520, false}, "waits": {0, 1000, true}, "mostly kept": {900, 700, true},
+		"more kept than there is": {5000, 700, true}, "less than nothing": {-5000, 520, false}} {
+		s := newScript(t, fleet(), readers(8)...)
+		play := func(id RequestID, took Millis, kept float64) bool {
+			s.on(800, ask(id, 0))
+			if len(shorts(s.acts)) < 2 {
+				return false
+			}
+			on := s.sent()
+			s.on(took, Ended{ID: id, Attempt: 0, Server: on, Outcome: ReadDone, Kept: kept})
+			on = s.sent()
+			s.on(10, Streaming{ID: id, Attempt: 1, Server: on})
+			s.on(1, Ended{ID: id, Attempt: 1, Server: on, Outcome: Served, Done: true})
+			return true
+		}
+		refused := 0
+		for id := RequestID(1); id < 100; id++ {
+			took, kept := Millis(520), 0.0
+			if id > 50 {
+				took, kept = c.took, c.kept
+			}
+			if !play(id, took, kept) {
+				refused++
+			}
+		}
+		if (refused > 5) != c.refuses {
+			t.Errorf("%s: %d of 100 refused", name, refused)
+		}
+	}
+	// A pace seen once makes waiting visible for long after, though not for ever.
+	s := newScript(t, fleet(), readers(8)...)
+	s.r.learnPace(1000, 100)
+	for range 300 {
+		s.r.learnPace(1000, 600)
+	}
+	if s.r.pace > 0.2 {
+		t.Errorf("a jam of 300 reads has become the best pace: %v", s.r.pace)
+	}
+	for range 3000 {
+		s.r.learnPace(1000, 600)
+	}
+	if s.r.pace < 0.5 {
+		t.Errorf("an old pace is never forgotten: %v", s.r.pace)
+	}
+}
+
 // TestJamPasses: a router that refused all in a jam takes requests again, by itself, once reads are quick.
 func TestJamPasses(t *testing.T) {
 	s := newScript(t, fleet(func(set *Settings) { set.Routers = 250 }), readers(3)...)
