Reads are priced by the tokens likely left to read, and speeds learned by those that were

Books had each read at its whole prompt, so a reader with four reads of kept text looked as full as one with four whole ones, and a reader's speed was that of its luck with kept text. The module booked by `price(q.Prompt)` in read and settle, and threw Ended.Kept away.

Now a read is booked by what is likely left: the session's last prompt, or the beginning that this reader was sent, unless it has since kept nothing of what it should; speeds count what the reader told was left. The band for kept text was three reads wide because theirs were booked in full; it is one wide now, and its constant is gone.

--- a/router.go
+++ b/router.go
@@ -18,7 +18,6 @@
 	far         = 100     // design page: cell and zone go before freeness among near writers
 	near        = 0.1     // design page: freeness within which preferences decide
 
-	keepWorth  = 3    // ours: reads whose kept text a reader may be behind by; theirs is booked in full too
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
 	meanKeep   = 0.98 // ours: the same for the mean speed of all readers
@@ -94,6 +93,7 @@
 	quick   fading         // of this, for failures that took no time
 	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
+	lost    Millis // what was sent before is not counted on as kept
 }
 
 // tally sums up timed reads, older ones fading: their prices, and the ms that they took.
@@ -108,6 +108,7 @@
 	n           int
 	on          *server
 	reads       bool    // it reads only: it has no effect, however it ends
+	price       float64 // of what was likely left to read, as booked
 	queue       float64 // own price out at the reader when it was sent, itself included
 	sent        Millis
 	seen, check Millis // when the reader was last looked at for progress, and when it is next
@@ -117,7 +118,6 @@
 // request is one request until its last attempt has ended.
 type request struct {
 	Request
-	price         float64
 	deadline, aim Millis // the aim is a span
 	sent          int    // attempts made
 	out           []attempt
@@ -136,6 +136,13 @@
 type visit struct {
 	on     *server
 	prompt float64
+	at     Millis
+}
+
+// text is a shared beginning at a reader.
+type text struct {
+	prefix Key
+	on     *server
 }
 
 // fading is a value that fades while nothing comes in: a mean of times, or a count of own events.
@@ -155,8 +162,9 @@
 	list             []*server // in order of id
 	requests         map[RequestID]*request
 	waiting          []*request
-	visits           map[Key]visit  // last read of a session
-	begins           map[Key]fading // requests of a shared beginning, and of all
+	visits           map[Key]visit   // last read of a session
+	begins           map[Key]fading  // requests of a shared beginning, and of all
+	texts            map[text]Millis // when a shared beginning was last sent to a reader
 	all              fading
 	tenants          []fading
 	done             [Mixed + 1]fading  // reads ended or streams begun, by role
@@ -179,8 +187,9 @@
 	}
 	return &Router{
 		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		visits: map[Key]visit{}, begins: map[Key]fading{}, tenants: make([]fading, len(set.Tenants)),
-		turned: make([]fading, len(set.Classes)*(len(set.Tenants)+1)),
+		visits: map[Key]visit{}, begins: map[Key]fading{}, texts: map[text]Millis{},
+		tenants: make([]fading, len(set.Tenants)),
+		turned:  make([]fading, len(set.Classes)*(len(set.Tenants)+1)),
 	}, nil
 }
 
@@ -239,7 +248,7 @@
 	}
 	r.arrived++
 	class := &r.set.Classes[ev.Class]
-	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now, price: price(ev.Prompt),
+	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now,
 		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
 	r.requests[ev.ID] = q
 	r.do(Wake{In: max(ev.Budget-lastCall*r.set.Quantum-1, 0), Ref: uint64(ev.ID)*refStep + refDeadline})
@@ -323,8 +332,9 @@
 // read sends a prompt to a reader and holds a place for its answer; a mixed server gets the whole at once.
 // One-stage work is read, timed and watched as any prompt, at a mixed server too, but holds nothing.
 func (r *Router) read(q *request, s *server) {
-	a := attempt{on: s, reads: s.role == Reader || r.oneStage(q), queue: s.out + q.price}
-	s.out += q.price
+	a := attempt{on: s, reads: s.role == Reader || r.oneStage(q), price: price(q.Prompt - r.kept(q, s))}
+	s.out += a.price
+	a.queue = s.out
 	r.spend(s)
 	r.remember(q, s)
 	if !a.reads {
@@ -524,7 +534,7 @@
 
 // settle takes an attempt out of the books and learns from its outcome.
 func (r *Router) settle(q *request, a attempt, ev Ended) {
-	a.on.out = max(0, a.on.out-q.price)
+	a.on.out = max(0, a.on.out-a.price)
 	if !a.reads {
 		q.unbook(a.on)
 	}
@@ -545,9 +555,17 @@
 			a.on.moved, a.on.passed = r.now, max(a.on.passed, a.sent)
 			r.prove(a.on.role)
 			r.praise(a.on, (took-Millis(a.queue/r.speed(a.on)))/max(q.aim, 1))
-			a.on.speed.add(speedKeep, a.queue, float64(took))
-			r.reads.add(meanKeep, a.queue, float64(took))
-			r.learnPace(q.Prompt-math.Min(math.Max(ev.Kept, 0), q.Prompt), took)
+			left := q.Prompt
+			if ev.Kept > 0 { // what a reader tells may be no number, or over the prompt
+				left = math.Max(left-ev.Kept, 0)
+			}
+			work := a.queue - a.price + price(left)
+			a.on.speed.add(speedKeep, work, float64(took))
+			r.reads.add(meanKeep, work, float64(took))
+			r.learnPace(left, took)
+			if left == q.Prompt && a.price < price(left) { // it lost its text, or never tells
+				a.on.lost = a.sent
+			}
 		}
 	case Full:
 		// No headroom, whatever own books say: its queue is full of others' or dead work, or it turns away
@@ -723,11 +741,25 @@
 // saved is the freeness that kept text is worth; it widens the band of the preferences. Guards against a loop
 // under load: prompts left the readers that keep their text, were read in full, and slowed all.
 func (r *Router) saved(s *server, q *request, kept float64) float64 {
-	return keepWorth * (q.price - price(math.Max(q.Prompt-kept, 0))) / r.budget(s, q)
+	return (price(q.Prompt) - price(q.Prompt-kept)) / r.budget(s, q)
+}
+
+// kept is how many of a prompt's tokens a reader likely has: a session's last prompt, or a shared beginning
+// that it was sent, unless it was found to have kept nothing of a later one.
+func (r *Router) kept(q *request, s *server) float64 {
+	if last := r.visits[q.Session]; last.on == s && last.at >= s.lost {
+		return last.prompt
+	} else if at, ok := r.texts[text{q.Prefix, s}]; ok && at >= s.lost {
+		return q.PrefixLen
+	}
+	return 0
 }
 
 // price is what reading so many prompt tokens costs.
-func price(tokens float64) float64 { return alpha*tokens*tokens + beta*modelFactor*tokens }
+func price(tokens float64) float64 {
+	tokens = math.Max(tokens, 0)
+	return alpha*tokens*tokens + beta*modelFactor*tokens
+}
 
 // home chooses among near readers by two hashes, the same at every router: the shared beginning's first few
 // are its homes (more, the more own reads have it), and of these the session's first. Departs from the design
@@ -988,12 +1020,16 @@
 
 // remember notes a session's reader and counts its beginning; past keyCap all start anew: memory is bounded.
 func (r *Router) remember(q *request, s *server) {
-	if max(len(r.visits), len(r.begins)) >= keyCap {
+	if max(len(r.visits), len(r.begins), len(r.texts)) >= keyCap {
 		clear(r.visits)
 		clear(r.begins)
+		clear(r.texts)
 	}
 	if q.Session != 0 {
-		r.visits[q.Session] = visit{s, q.Prompt}
+		r.visits[q.Session] = visit{s, q.Prompt, r.now}
+	}
+	if q.Prefix != 0 {
+		r.texts[text{q.Prefix, s}] = r.now
 	}
 	b := r.begins[q.Prefix]
 	b.count(r.now, longest)
--- a/scale_test.go
+++ b/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -419,6 +420,93 @@
 	}
 }
 
+// readAs sends a prompt of 7,000 tokens, of which 5,000 are beginning's, and ends its read; it returns its reader and the
+// price that was booked there.
+func (s *script) readAs(id RequestID, session, beginning Key, kept float64) (ServerID, float64) {
+	s.t.Helper()
+	q := ask(id, 0)
+	q.Session, q.Prefix, q.Prompt, q.PrefixLen = session, beginning, 7000, 5000
+	s.on(1, q)
+	on := s.sent()
+	booked := s.r.servers[on].out
+	s.on(400, Ended{ID: id, Attempt: 0, Server: on, Outcome: ReadDone, Kept: kept})
+	s.on(1, ClientGone{ID: id})
+	s.on(1, Ended{ID: id, Attempt: 1, Server: "w1", Outcome: Cancelled})
+	return on, booked
+}
+
+// TestKeptTextLowersPrice: what a reader was sent before is left out of the price that is booked, exactly, and what it
+// tells of kept tokens out of the work that its speed is learned from.
+func TestKeptTextLowersPrice(t *testing.T) {
+	s := newScript(t, fleet(), oneEach...)
+	want := func(what string, got, tokens float64) {
+		t.Helper()
+		if got != price(tokens) {
+			t.Errorf("%s: booked %v, want the price of %v tokens, %v", what, got, tokens, price(tokens))
+		}
+	}
+	_, booked := s.readAs(1, 1, 9, 0)
+	want("a first read", booked, 7000)
+	was := s.r.servers["r1"].speed.work
+	_, booked = s.readAs(2, 2, 9, 4800)
+	want("a beginning it was sent", booked, 2000)
+	if got := s.r.servers["r1"].speed.work - was*speedKeep; math.Abs(got-price(2200)) > 1e-9 {
+		t.Errorf("work %v was learned, want that of the tokens that were not kept, %v", got, price(2200))
+	}
+	_, booked = s.readAs(3, 2, 9, 7000)
+	want("a session's own last prompt", booked, 0)
+	_, booked = s.readAs(4, 4, 8, 0)
+	want("another beginning", booked, 7000)
+	if out := s.r.servers["r1"].out; out != 0 {
+		t.Errorf("%v stays booked", out)
+	}
+}
+
+// TestLostTextIsBelieved: a reader that kept nothing of what it was sent, or that started again, is counted on for nothing
+// that it was sent before; one that merely meets a new beginning is.
+func TestLostTextIsBelieved(t *testing.T) {
+	for name, lose := range map[string]func(*script){
+		"kept nothing": func(s *script) { s.readAs(50, 50, 8, 0) },
+		"started again": func(s *script) {
+			again := at("r1", 0, 0, 0)
+			again.Since = s.now - 20000
+			s.on(1, Membership{Servers: []Server{again}})
+		},
+	} {
+		s := newScript(t, fleet(), oneEach...)
+		s.readAs(1, 1, 9, 0)
+		s.readAs(2, 2, 8, 0)
+		if _, booked := s.readAs(3, 3, 9, 5000); booked != price(2000) {
+			t.Fatalf("%s: a new beginning cost the old one: %v", name, booked)
+		}
+		lose(s)
+		if _, booked := s.readAs(4, 4, 9, 0); booked != price(7000) {
+			t.Errorf("%s: booked %v at a reader that lost its text", name, booked)
+		}
+		if _, booked := s.readAs(5, 5, 9, 5000); booked != price(2000) {
+			t.Errorf("%s: booked %v at a reader that has read it anew", name, booked)
+		}
+	}
+}
+
+// TestReaderThatLies: whatever a reader tells of kept tokens, books and speeds stay numbers, and prices are not below 0.
+func TestReaderThatLies(t *testing.T) {
+	for _, kept := range []float64{-1, -1e300, 7001, 1e300, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		s := newScript(t, fleet(), twoEach...)
+		for id := RequestID(1); id < 20; id++ {
+			_, booked := s.readAs(id, Key(id%3+1), 9, kept)
+			if !(booked >= 0 && booked <= 2*price(7000)) {
+				t.Fatalf("kept %v: booked %v", kept, booked)
+			}
+		}
+		for _, r := range []string{"r1", "r2"} {
+			if v := s.r.speed(s.r.servers[ServerID(r)]); !(v > 0 && v < 1e6) || !(s.r.pace >= 0 && s.r.pace < 1e6) {
+				t.Errorf("kept %v: speed %v, pace %v", kept, v, s.r.pace)
+			}
+		}
+	}
+}
+
 // TestJamPasses: a router that refused all in a jam takes requests again, by itself, once reads are quick.
 func TestJamPasses(t *testing.T) {
 	s := newScript(t, fleet(func(set *Settings) { set.Routers = 250 }), readers(3)...)
@@ -542,9 +630,9 @@
 	s.on(50, Wakeup{Ref: refSweep})
 	r := s.r
 	if len(r.requests) > 0 || len(r.waiting) > 0 || len(r.servers) != 2 || len(r.list) != 2 ||
-		len(r.visits) > keyCap || len(r.begins) > keyCap {
-		t.Errorf("kept: %d requests, %d waiting, %d servers, %d listed, %d sessions, %d beginnings",
-			len(r.requests), len(r.waiting), len(r.servers), len(r.list), len(r.visits), len(r.begins))
+		len(r.visits) > keyCap || len(r.begins) > keyCap || len(r.texts) > keyCap {
+		t.Errorf("kept: %d requests, %d waiting, %d servers, %d listed, %d sessions, %d beginnings, %d at readers",
+			len(r.requests), len(r.waiting), len(r.servers), len(r.list), len(r.visits), len(r.begins), len(r.texts))
 	}
 	for i := range 100 {
 		q := ask(1, i%4)
