--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"strings"
 	"testing"
+
+	"gannethook"
+	"gannethook/internal/profile"
 )
 
 // profileText is a start-up object of two readers' and writers' worth of keys, with changes.
@@ -62,6 +65,23 @@
 	}
 }
 
+// TestKeptTokens: what a reader tells of kept tokens gets to the module with the end of a read, and with no other end.
+func TestKeptTokens(t *testing.T) {
+	for _, c := range []struct {
+		outcome, info string
+		kept          float64
+		bad           bool
+	}{{"102", "4096", 4096, false}, {"102", "", 0, false}, {"102", "-3", 0, false}, {"302", "1", 0, false}, {"100", "512", 0, false},
+		{"102", "many", 0, true}, {"102", "NaN", 0, true}} {
+		r := &reader{message: message{fields: map[string]string{"requestId": "7", "leg": "0", "worker": "a", "outcome": c.outcome,
+			"doneFlag": "0", "info": c.info}}}
+		ev := closed(nil, &instance{Profile: &profile.Profile{Memory: -1}}, r).(gannethook.Ended)
+		if (r.err != nil) != c.bad || !c.bad && ev.Kept != c.kept {
+			t.Errorf("%+v: kept %v, %v", c, ev.Kept, r.err)
+		}
+	}
+}
+
 func TestNewerWireIsSkipped(t *testing.T) {
 	out, err := serve(opening(t) + "BATCH momentMs=1004 serial=2 shade=blue\nNEW_EVENT routerId=3 nodesList=1\n" +
 		"WORKER whatever=1\nWHISPER routerId=3 sender=1 octets=aGk=\n" + strings.TrimSuffix(ordering, "\n") +
--- a/scale_test.go
+++ b/scale_test.go
@@ -721,3 +721,37 @@
 		}
 	}
 }
+
+// BenchmarkChoice is a request's way to its reader and writer at a hundred servers, sessions and beginnings known.
+func BenchmarkChoice(b *testing.B) {
+	r, err := New(fleet(func(set *Settings) { set.Routers = 300 }), 7)
+	if err != nil {
+		b.Fatal(err)
+	}
+	list := readers(60)
+	for i := range 40 {
+		list = append(list, at(fmt.Sprint("v", i), 1, 0, i/6))
+	}
+	now := Millis(1e6)
+	r.Handle(now, Membership{Whole: true, Servers: list})
+	b.ReportAllocs()
+	for i := 1; b.Loop(); i++ {
+		now += 5
+		id := RequestID(i)
+		q := ask(id, 0)
+		q.Session, q.Prefix, q.PrefixLen = Key(i%500+1), Key(i%50+1), 500
+		on := ServerID("")
+		for _, a := range r.Handle(now, q) {
+			if s, ok := a.(Send); ok {
+				on = s.Server
+			}
+		}
+		for _, a := range r.Handle(now+1, Ended{ID: id, Server: on, Outcome: ReadDone}) {
+			if s, ok := a.(Send); ok {
+				on = s.Server
+			}
+		}
+		r.Handle(now+2, Streaming{ID: id, Attempt: 1, Server: on})
+		r.Handle(now+3, Ended{ID: id, Attempt: 1, Server: on, Outcome: Served, Done: true})
+	}
+}
