A client's end-to-end fields pass on to workers as they came

Cause: requestHead (internal/platform/workers) wrote five fields of its own and dropped every other, the idempotency key of keyed classes among them, and wrote one deployment's host into each head. Now fields that go end to end (RFC 9110, 7.6.1) pass on in order, Host and Content-Type included; what they hold counts in the bound on all bodies. TestFieldsPassOn fails without the change.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gannethook"
+	"gannethook/internal/http1"
 )
 
 // Call is one attempt at a server.
@@ -24,6 +25,7 @@
 	Params      json.RawMessage
 	Sampling    json.RawMessage         // an object of fields that the server takes as they are
 	Path        string                  // of a request that goes as it came, and of one-stage work
+	Header      http1.Header            // of a request that goes as it came: the fields that are passed on
 	Body        []byte                  // its body, as the server takes it,
 	Check       func(body []byte) error // and whether an answer is one
 	Until       time.Time               // how long the router will wait; zero: not known
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -128,7 +128,7 @@
 		Unsafe: !a.reads && c.d.cfg.Settings.Classes[c.job.Class].Effect == gannethook.Unsafe, Until: c.until(s.Timeout),
 		Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
-		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Body: c.job.Body, Check: c.job.Check,
+		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Header: c.job.Header, Body: c.job.Body, Check: c.job.Check,
 		Sampling: c.job.Sampling}
 	if !a.reads {
 		call.Params = c.params
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,6 +17,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/http1"
 	"gannethook/internal/limits"
 )
 
@@ -57,6 +58,7 @@
 	Name                  string                  // the request's own id, where servers know it and all held for it by that; else ""
 	Sampling              json.RawMessage         // an object of fields that the engine takes as they are
 	Path                  string                  // of a named or one-stage request: the servers' path,
+	Header                http1.Header            // the fields that are passed on with it,
 	Body                  []byte                  // the request as they take it,
 	Check                 func(body []byte) error // and whether an answer is one
 	Waited                time.Duration           // of GiveUp, before it came to the driver
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -57,6 +57,9 @@
 	s := x.l.s
 	defer func() { s.bodies.Give(x.held) }()
 	job, bad := readJob(x.req, s.classes)
+	if bad == nil {
+		bad = x.count(job.Header.Size())
+	}
 	if bad == nil {
 		job.Body, bad = x.body()
 	}
@@ -93,6 +96,15 @@
 // refusal tells why a request can't be taken.
 type refusal struct{ status, why string }
 
+// count counts what is kept of the request's head in the bound on all bodies.
+func (x *exchange) count(size int64) *refusal {
+	if !x.l.s.bodies.Take(size, x.l.s.cfg.Limits.Bodies) {
+		return &refusal{"503 Service Unavailable", http1.ErrCrowded.Error()}
+	}
+	x.held += size
+	return nil
+}
+
 // body reads the request's body.
 func (x *exchange) body() ([]byte, *refusal) {
 	lim := &x.l.s.cfg.Limits
@@ -110,7 +122,7 @@
 		io.WriteString(x.l.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	text, held, err := b.ReadWhole(lim.Body, lim.Bodies, &x.l.s.bodies)
-	x.held = held
+	x.held += held
 	switch {
 	case err == nil && !validJSON(text):
 		return nil, &refusal{"400 Bad Request", "the body is not a JSON object"}
@@ -259,13 +271,18 @@
 		return bad("X-Timeout-Ms: milliseconds expected")
 	}
 	job := &driver.Job{Name: name, Class: at, ClassName: class, Path: req.Target, Session: keyOf(key),
-		SessionID: key, GiveUp: time.Duration(ms) * time.Millisecond}
+		SessionID: key, GiveUp: time.Duration(ms) * time.Millisecond, Header: req.Header.EndToEnd(ownFields...)}
 	if why := readAttrs(attrs, job); why != "" {
 		return bad(why)
 	}
 	return job, nil
 }
 
+// ownFields are the fields that each attempt writes for itself. All others that
+// go end to end are passed on as they came: workers may know a repeat by any of
+// them, as by an idempotency key.
+var ownFields = []string{"X-Request-ID", "X-Timeout-Ms"}
+
 var headers = [...]string{"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms", "X-Attrs"}
 
 // only is a field's one value.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -205,6 +206,34 @@
 }
 
 // One connection may bring requests ahead; they are served in turn.
+// What goes end to end passes on as it came, to reader and writer alike: a worker knows a keyed request's repeat by
+// a field that this router has no name for. What concerns the client's connection alone stays behind.
+func TestFieldsPassOn(t *testing.T) {
+	var workers []*standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		workers = append(workers, f.Add(standin.Prompt, nil), f.Add(standin.Answer, nil))
+	})
+	nc := s.dial()
+	s.wantServed(s.on(nc, bufio.NewReader(nc), request("k1", "question", 4000, body, "Idempotency-Key: 7d-1\r\n", "X-Note: a, b\r\n",
+		"X-Note: c\r\n", "Connection: X-Private\r\n", "X-Private: 1\r\n", "Keep-Alive: 5\r\n", "TE: trailers\r\n")), "k1")
+	for _, w := range workers {
+		for _, h := range w.Headers() {
+			if h.Get("Idempotency-Key") != "7d-1" || !slices.Equal(h.Values("X-Note"), []string{"a, b", "c"}) ||
+				h.Get("Content-Type") != "application/json" || h.Get("Host") != "service.internal" || len(h.Values("X-Request-ID")) != 1 {
+				t.Errorf("%s: not as the client sent it: %v", w.Kind, h)
+			}
+			for _, own := range []string{"X-Private", "Keep-Alive", "Te", "Connection"} {
+				if h.Get(own) != "" {
+					t.Errorf("%s: %s concerns the client's connection alone", w.Kind, own)
+				}
+			}
+			if len(h.Values("X-Timeout-Ms")) != 1 || h.Get("X-Timeout-Ms") == "4000" {
+				t.Errorf("%s: told time %v", w.Kind, h.Values("X-Timeout-Ms"))
+			}
+		}
+	}
+}
+
 func TestAhead(t *testing.T) {
 	s := open(t, two)
 	nc := s.dial()
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -81,7 +81,8 @@
 	Requests  int // guarded by the fleet's lock, as what follows
 	Holds     int
 	Releases  int
-	Timeouts  []string // X-Timeout-Ms as they came
+	Timeouts  []string      // X-Timeout-Ms as they came
+	Fields    []http.Header // of the requests as they came, Host among them
 }
 
 // New starts a platform without workers.
@@ -160,6 +161,13 @@
 	return w.Requests, w.Holds, w.Releases
 }
 
+// Headers is the fields of the requests that a worker got.
+func (w *Worker) Headers() []http.Header {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	return slices.Clone(w.Fields)
+}
+
 // Left is what is still held, and Breaks what was seen that no rule allows.
 func (f *Fleet) Left() (list []string) {
 	f.mu.Lock()
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -27,6 +27,9 @@
 	s := w.plan(w.Requests, id)
 	w.Requests++
 	w.Timeouts = append(w.Timeouts, req.Header.Get("X-Timeout-Ms"))
+	fields := req.Header.Clone()
+	fields.Set("Host", req.Host)
+	w.Fields = append(w.Fields, fields)
 	f.mu.Unlock()
 	if !w.wait(req, s.Wait) {
 		return
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -240,7 +240,7 @@
 		cn.Close()
 		close(x.cut)
 	})
-	bufs := net.Buffers{requestHead(method, path, call), call.Body}
+	bufs := net.Buffers{requestHead(method, path, addr, call), call.Body}
 	if len(call.Body) == 0 {
 		bufs = bufs[:1]
 	}
@@ -339,24 +339,38 @@
 }
 
 // requestHead is a request's head; a method without a body has no length.
-func requestHead(method, path string, call *attempt.Call) []byte {
-	b := make([]byte, 0, headersRoom+len(path))
+func requestHead(method, path, addr string, call *attempt.Call) []byte {
+	b := make([]byte, 0, headersRoom+len(path)+int(call.Header.Size()))
 	b = append(b, method...)
 	b = append(b, ' ')
 	b = append(b, path...)
-	b = append(b, " HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: "...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	if call.Header.Get("Host") == "" { // a place or a release: no client's
+		b = appendField(b, "Host", addr)
+	}
+	for _, f := range call.Header {
+		b = appendField(b, f.Name, f.Value)
+	}
+	b = append(b, "X-Request-ID: "...)
 	b = append(b, call.Key...)
 	if !call.Until.IsZero() { // as of now: a connection may have taken its time, or a release that went first
 		b = append(b, "\r\nX-Timeout-Ms: "...)
 		b = strconv.AppendInt(b, max(time.Until(call.Until).Milliseconds(), 1), 10)
 	}
 	if method == "POST" {
-		b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(call.Body)), 10)
 	}
 	return append(b, "\r\n\r\n"...)
 }
 
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
 // Read has a prompt read by a reader, whose state then waits there.
 func (c *Client) Read(ctx context.Context, call *attempt.Call) attempt.Result {
 	return c.counted(call, func() attempt.Result { return c.read(ctx, call) })
