Slow start holds for the sum of all routers under repeats; a place is a call of its own

Cause: hasCredit's lot is one for each request and stays the same through its repeats, so that with the other servers tried a request that has it goes to the cold one, whose part by belief (partLeft) knows only what this router saw fail; and toWriter did not count the state that follows a place. Ruled out: the credits' start (phases are spread over two sends already) and the peak (1, 3 and 30 routers stay under 0.85 by it alone).

--- a/router.go
+++ b/router.go
@@ -438,9 +438,7 @@
 		r.finish(q)
 		return
 	}
-	if q.place != w {
-		r.spend(w)
-	}
+	r.spend(w)
 	q.unplace()
 	q.book(w, r.now)
 	timeout := Millis(0)
@@ -962,9 +960,11 @@
 // hasCredit tells whether a server may get a request's send. Guards rule 4: a cold server gets, times its
 // warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries.
 // A router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth
-// instead, once for each request, and is ahead by one send at most. Guards against cold capacity unused:
+// instead, one for each request, and is ahead by one send at most. Guards against cold capacity unused:
 // credits of many routers, each under one send for most of the warm-up, do not meet their few requests. Where
 // most servers are gone, failing or full the lots are fewer by as many: else the rest, if cold, got it all.
+// They are fewer by the sends that the request had, too: its lot stays the same as the others that it could
+// go to fail, which most routers have not seen yet, and the sum over all routers was too much by a quarter.
 // Harms where a fleet was made smaller: its cold servers are spared more than they need.
 func (r *Router) hasCredit(s *server, q *request, left float64) bool {
 	w := r.warmth(s)
@@ -974,7 +974,8 @@
 	perMs := math.Min(coldPart, r.set.OverloadFactor/2) * w * r.peak[s.role] / 1000
 	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
 	few := r.peak[s.role]*float64(r.set.WarmAfter) < enough*1000
-	return s.credit >= 1 || few && s.credit >= 0 && unit(uint64(q.ID)^r.seed, s.hash) < w*left
+	lot := unit(uint64(q.ID)^r.seed, s.hash) * float64(1+q.sent)
+	return s.credit >= 1 || few && s.credit >= 0 && lot < w*left
 }
 
 // mayRepeat tells whether a request that was sent before may go to a server. Guards against storms of repeats
@@ -986,7 +987,7 @@
 		s.repeats.left(r.now, window) < 1+r.set.RepeatPart*s.firsts.left(r.now, window)
 }
 
-// spend books a send to a server.
+// spend books a call to a server. A place and the state that follows are two calls.
 func (r *Router) spend(s *server) { s.credit = math.Max(-1, s.credit-1) }
 
 // prove counts work that a server got done: a read ended or a stream begun.
