--- a/api.go
+++ b/api.go
@@ -188,7 +188,9 @@
 	ClientGone struct{ ID RequestID }
 	// Wakeup is a Wake come due.
 	Wakeup struct{ Ref uint64 }
-	// Reconfigure swaps the settings between two events. What Compatible does not allow is not swapped.
+	// Reconfigure gives settings for what comes from now on; requests under way keep those that they came
+	// under, and settings that make no sense change nothing. Where kinds change, a Membership with the whole
+	// list has to follow.
 	Reconfigure struct{ Settings Settings }
 )
 
@@ -202,6 +204,7 @@
 		ID      RequestID
 		Server  ServerID
 		Timeout Millis // 0: until the client gives up
+		Within  Millis // it has to be written by then, or counts as not connected; 0: whenever
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -29,6 +29,8 @@
 	Body        []byte                  // its body, as the server takes it,
 	Check       func(body []byte) error // and whether an answer is one
 	Until       time.Time               // how long the router will wait; zero: not known
+	Before      time.Time               // it has to be written by then, or not at all; zero: whenever
+	Gone        func() bool             // whether its client has left; nil: not known. Nothing begins for one that has
 	Unsafe      bool                    // it may not be made again once it may have run
 	Left        int                     // attempts that its request may make after it; negative: any number
 	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,11 +7,33 @@
 	"syscall"
 )
 
+// State is what can be read on a connection.
+type State int
+
+// The states of a connection.
+const (
+	Quiet    State = iota // nothing yet
+	Readable              // bytes, or what only a read can tell
+	Ends                  // the peer's end, with nothing left before it
+)
+
+// Look tells what can be read without a wait. It may be called while another
+// goroutine waits in Read.
+func Look(nc net.Conn) State {
+	n, err := peek(nc)
+	switch {
+	case err == errNoSocket || nothingYet(err):
+		return Quiet
+	case n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET):
+		return Ends
+	}
+	return Readable
+}
+
 // Ended tells whether the peer has closed a connection on which nothing is left
 // to read. It may be called while another goroutine waits in Read.
 func Ended(nc net.Conn) bool {
-	n, err := peek(nc)
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	return Look(nc) == Ends
 }
 
 // Stands tells whether nothing is readable on an unused connection: neither its
@@ -19,8 +41,7 @@
 // have run; bytes that nobody asked for spoil the next answer. It may be called
 // while another goroutine waits in Read.
 func Stands(nc net.Conn) bool {
-	_, err := peek(nc)
-	return err == errNoSocket || nothingYet(err)
+	return Look(nc) == Quiet
 }
 
 func nothingYet(err error) bool {
--- a/internal/conns/idle.go
+++ b/internal/conns/idle.go
@@ -51,32 +51,39 @@
 	return &Idle{life: life, rest: rest, most: most, byName: map[string][]*Conn{}}
 }
 
+// Bound sets other bounds for what is kept from now on.
+func (i *Idle) Bound(life, rest time.Duration, most int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.life, i.rest, i.most = life, rest, most
+}
+
 // Take gives the newest that has rested and still stands, or nil. Those that do not stand are closed.
 func (i *Idle) Take(name string) *Conn {
 	for {
-		c := i.pop(name)
+		c, life := i.pop(name)
 		if c == nil {
 			return nil
 		}
 		c.Unused = time.Since(c.since)
-		if c.Unused < i.life && Stands(c.Conn) {
+		if c.Unused < life && Stands(c.Conn) {
 			return c
 		}
 		c.Close()
 	}
 }
 
-func (i *Idle) pop(name string) *Conn {
+func (i *Idle) pop(name string) (c *Conn, life time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.byName[name]
 	for at := len(list) - 1; at >= 0; at-- { // newest last
 		if c := list[at]; time.Since(c.since) >= i.rest {
 			i.set(name, slices.Delete(list, at, at+1))
-			return c
+			return c, i.life
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 func (i *Idle) set(name string, list []*Conn) {
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -16,6 +16,7 @@
 // driver's goroutine's.
 type Call struct {
 	d    *Driver
+	set  *gannethook.Settings // under which it was taken
 	id   gannethook.RequestID
 	job  Job
 	sink Sink
@@ -125,11 +126,14 @@
 	}
 	a.sent, a.over = attempt.NewMark(), make(chan struct{})
 	call := &attempt.Call{Sent: a.sent, Left: c.left(a.n),
-		Unsafe: !a.reads && c.d.cfg.Settings.Classes[c.job.Class].Effect == gannethook.Unsafe, Until: c.until(s.Timeout),
+		Unsafe: !a.reads && c.set.Classes[c.job.Class].Effect == gannethook.Unsafe, Until: c.until(s.Timeout),
 		Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
 		PromptSize: c.job.PromptSize, KeptKey: c.job.PrefixName, Path: c.job.Path, Header: c.job.Header, Body: c.job.Body, Check: c.job.Check,
-		Sampling: c.job.Sampling}
+		Sampling: c.job.Sampling, Gone: c.job.Gone}
+	if s.Within > 0 {
+		call.Before = time.Now().Add(time.Duration(float64(s.Within) * 1e6))
+	}
 	if !a.reads {
 		call.Params = c.params
 	}
@@ -161,14 +165,14 @@
 
 // left is how many attempts the request may make after the nth.
 func (c *Call) left(n int) int {
-	if most := c.d.cfg.Settings.MaxAttempts; most > 0 {
+	if most := c.set.MaxAttempts; most > 0 {
 		return max(most-1-n, 0)
 	}
 	return -1
 }
 
 // oneStage tells whether the work ends where it is read.
-func (c *Call) oneStage() bool { return c.d.cfg.Settings.Classes[c.job.Class].OneStage }
+func (c *Call) oneStage() bool { return c.set.Classes[c.job.Class].OneStage }
 
 // attempt runs on its own goroutine.
 func (c *Call) attempt(ctx context.Context, a *try, call *attempt.Call) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 	Body                  []byte                  // the request as they take it,
 	Check                 func(body []byte) error // and whether an answer is one
 	Waited                time.Duration           // of GiveUp, before it came to the driver
+	Gone                  func() bool             // whether its client has left, seen at once; nil: Abandon tells
 }
 
 // Kind tells how a request ended.
@@ -121,6 +123,7 @@
 type Config struct {
 	Settings gannethook.Settings
 	Decider  Decider // nil: the module
+	Names    Names   // of what the settings number; jobs carry the names then, and their numbers are looked up
 	Name     string  // of this router, in the engines' logs
 	Seed     uint64
 	Inbox    int // events that may wait
@@ -130,6 +133,10 @@
 	Took     func(time.Duration)
 }
 
+// Names are the names of classes and tenants, in the settings' order. Jobs that
+// carry names outlive a change of the settings, which numbers them anew.
+type Names struct{ Classes, Tenants []string }
+
 // Driver runs one router.
 type Driver struct {
 	cfg     Config
@@ -145,6 +152,8 @@
 
 	// Of the goroutine alone:
 	ctx    context.Context
+	set    *gannethook.Settings // of requests that come now
+	names  Names
 	lastID uint64
 	loose  []*Call // answered, or an attempt ended: perhaps to be forgotten
 	calls  map[gannethook.RequestID]*Call
@@ -167,7 +176,7 @@
 	now := time.Now()
 	d := &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
-		boot:  cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36),
+		boot: cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
 		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
@@ -307,30 +316,45 @@
 }
 
 // Swap has new settings take the place of the old ones, between two events.
-// They are compatible with the old; maxOpen bounds the open requests from now on.
+// They number classes, tenants and kinds as the old ones do; maxOpen bounds the
+// open requests from now on.
 func (d *Driver) Swap(set gannethook.Settings, maxOpen int) {
 	d.maxOpen.Store(int64(maxOpen))
 	d.post(func() {
-		d.cfg.Settings = set
+		d.set = &set
 		d.tell(gannethook.Reconfigure{Settings: set})
 	})
 }
 
+// Reconfigure has requests that come from now on go by other settings; those
+// under way keep theirs. list is the whole list of servers in the terms of the
+// new settings.
+func (d *Driver) Reconfigure(set gannethook.Settings, names Names, list gannethook.Membership, maxOpen int) {
+	d.maxOpen.Store(int64(maxOpen))
+	d.post(func() {
+		d.set, d.names = &set, names
+		d.tell(gannethook.Reconfigure{Settings: set})
+		d.update(list)
+	})
+}
+
 // Update brings news of the list of servers.
 func (d *Driver) Update(m gannethook.Membership) {
-	d.post(func() {
-		if m.Whole {
-			clear(d.roles)
-		}
-		for _, s := range m.Servers {
-			if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.cfg.Settings.Kinds) {
-				delete(d.roles, s.ID) // the module sends nothing there
-			} else {
-				d.roles[s.ID] = d.cfg.Settings.Kinds[s.Kind].Role
-			}
+	d.post(func() { d.update(m) })
+}
+
+func (d *Driver) update(m gannethook.Membership) {
+	if m.Whole {
+		clear(d.roles)
+	}
+	for _, s := range m.Servers {
+		if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.set.Kinds) {
+			delete(d.roles, s.ID) // the module sends nothing there
+		} else {
+			d.roles[s.ID] = d.set.Kinds[s.Kind].Role
 		}
-		d.tell(m)
-	})
+	}
+	d.tell(m)
 }
 
 func (d *Driver) take(c *Call) {
@@ -339,6 +363,12 @@
 		d.settle()
 		return
 	}
+	if !d.number(&c.job) {
+		c.answer(Answer{Kind: Refused, Reason: "the settings have no such class any more"})
+		d.settle()
+		return
+	}
+	c.set = d.set
 	d.lastID++
 	c.id = gannethook.RequestID(d.lastID)
 	d.calls[c.id] = c
@@ -348,6 +378,16 @@
 		Prompt: c.job.PromptSize, PrefixLen: c.job.Kept, MaxOut: float64(c.job.MaxTokens)})
 }
 
+// number looks up the numbers of a job's class and tenant; it is false where the
+// class is not known. A tenant that is not known is none.
+func (d *Driver) number(job *Job) bool {
+	if d.names.Classes == nil {
+		return true
+	}
+	job.Class, job.Tenant = slices.Index(d.names.Classes, job.ClassName), slices.Index(d.names.Tenants, job.TenantName)
+	return job.Class >= 0
+}
+
 // tell hands the module one event and carries out what it wants. An action may
 // cause an event of its own (a cancelled attempt ends); it follows in its turn.
 func (d *Driver) tell(ev gannethook.Event) {
--- /dev/null
+++ b/internal/driver/reconfigure_test.go
@@ -0,0 +1,104 @@
+package driver
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/attempt"
+)
+
+// told are engines that keep what they were told of each write.
+type told struct {
+	*fake
+	calls []*attempt.Call
+}
+
+func (e *told) Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result {
+	e.mu.Lock()
+	e.calls = append(e.calls, call)
+	e.mu.Unlock()
+	return e.fake.Write(ctx, call, started, token)
+}
+
+// Settings that number classes, tenants and kinds otherwise: a job that carries their names gets the numbers of the
+// moment in which it is taken, one whose class is gone is refused, and one under way stays what it was.
+func TestReconfigure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &told{fake: newFake()}
+		e.read = time.Second
+		var taken []gannethook.Request
+		module, err := gannethook.New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, err := New(Config{Settings: testSettings(), Names: Names{Classes: []string{"safe", "unsafe"}}, Inbox: 10, MaxOpen: 10,
+			Engines: e, Decider: decide(func(ev gannethook.Event) []gannethook.Action {
+				if q, ok := ev.(gannethook.Request); ok {
+					taken = append(taken, q)
+				}
+				return module.Handle(gannethook.Millis(time.Now().UnixMilli()), ev)
+			})})
+		stop := drive(t, d, err)
+		list := gannethook.Membership{Whole: true, Servers: []gannethook.Server{{ID: "r", State: gannethook.Ready},
+			{ID: "w", Kind: 1, State: gannethook.Ready}}}
+		d.Update(list)
+		named := func(class, tenant string) *sink {
+			s := newSink(t)
+			j := job(0)
+			j.ClassName, j.TenantName = class, tenant
+			if _, err := d.Submit(j, s); err != nil {
+				t.Fatal(err)
+			}
+			return s
+		}
+		old := named("unsafe", "")
+		synctest.Wait() // it is being read
+		next := testSettings()
+		slices.Reverse(next.Classes)
+		slices.Reverse(next.Kinds)
+		next.Tenants = []gannethook.Tenant{{QuotaPerS: 1}, {QuotaPerS: 2}}
+		list.Servers = slices.Clone(list.Servers)
+		for i := range list.Servers {
+			list.Servers[i].Kind = 1 - list.Servers[i].Kind
+		}
+		d.Reconfigure(next, Names{Classes: []string{"sicher", "safe"}, Tenants: []string{"a", "b"}}, list, 10)
+		fresh, gone := named("safe", "b"), named("unsafe", "")
+		<-old.done
+		<-fresh.done
+		<-gone.done
+		if old.finals[0].Kind != Served || fresh.finals[0].Kind != Served || gone.finals[0].Kind != Refused {
+			t.Errorf("%+v, %+v, %+v", old.finals, fresh.finals, gone.finals)
+		}
+		if len(taken) != 2 || taken[0].Class != 1 || taken[1].Class != 1 || taken[1].Tenant != 1 {
+			t.Errorf("taken: %+v", taken)
+		}
+		if len(e.calls) != 2 || e.calls[0].Unsafe == e.calls[1].Unsafe {
+			t.Errorf("unsafe by the old settings, safe by the new: %+v", e.calls)
+		}
+		stop()
+	})
+}
+
+// How long a send may take to be written goes to who writes it.
+func TestWithin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &told{fake: newFake()}
+		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: e,
+			Decider: decide(func(ev gannethook.Event) []gannethook.Action {
+				if q, ok := ev.(gannethook.Request); ok {
+					return []gannethook.Action{gannethook.Send{ID: q.ID, Server: "w", Within: 300}}
+				}
+				return nil
+			})})
+		stop := drive(t, d, err)
+		from := time.Now()
+		if _, a := ask(t, d, 0); a.Kind != Served || len(e.calls) != 1 || e.calls[0].Before.Sub(from) != 300*ms {
+			t.Errorf("%+v, %+v", a, e.calls)
+		}
+		stop()
+	})
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -379,6 +379,9 @@
 	return false
 }
 
+// Add counts bytes that are held already.
+func (b *Budget) Add(n int64) { b.used.Add(n) }
+
 // Give takes bytes back that ReadWhole or Take counted.
 func (b *Budget) Give(n int64) { b.used.Add(-n) }
 
@@ -440,6 +443,14 @@
 	return err
 }
 
+// AppendChunk appends one chunk; an empty one ends the body.
+func AppendChunk(b, p []byte) []byte {
+	b = strconv.AppendInt(b, int64(len(p)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, p...)
+	return append(b, "\r\n"...)
+}
+
 // WriteChunk writes one chunk and flushes; an empty one ends the body.
 func WriteChunk(w *bufio.Writer, p []byte) error {
 	var size [16]byte
--- a/internal/platform/clients/clients_test.go
+++ b/internal/platform/clients/clients_test.go
@@ -248,7 +248,7 @@
 	}()
 	var err error
 	for err == nil {
-		err = a.fill()
+		err = a.fill(a.part[:])
 	}
 	if !errors.Is(err, io.EOF) || a.lost != 256 || a.held != 512 {
 		t.Errorf("%v, %d lost, %d held", err, a.lost, a.held)
--- /dev/null
+++ b/internal/platform/clients/crossing_test.go
@@ -0,0 +1,155 @@
+package clients
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gannethook/internal/http1"
+)
+
+// A client that has left has nothing begun for it, however much it sent behind its request before it went.
+func TestLeftBehindWhatItSent(t *testing.T) {
+	for name, behind := range map[string]string{"a line": "\r\n", "requests": strings.Repeat(whole, 200),
+		"more than is kept": strings.Repeat(whole, 2000)} {
+		addr, asked, _ := served(t, 10, func(addr string) {
+			nc := dial(t, addr)
+			io.WriteString(nc, whole+behind)
+			nc.Close()
+		})
+		nc := dial(t, addr) // behind it, and the one that is served
+		io.WriteString(nc, strings.Replace(whole, "Host", "Connection: close\r\nHost", 1))
+		io.ReadAll(nc)
+		if n := asked.Load(); n != 1 {
+			t.Errorf("%s: %d requests were begun", name, n)
+		}
+	}
+}
+
+// A connection that is taken in the very moment in which the router turns away does not stay open for a request that
+// would come too late to be answered.
+func TestTakenAsTheRouterTurns(t *testing.T) {
+	addr, asked, s := served(t, 10, nil)
+	s.Turn()
+	nc := dial(t, addr)
+	from := time.Now()
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	if took, n := time.Since(from), asked.Load(); took > 2*time.Second || n != 0 { // the bound on a silent one is 5 s
+		t.Errorf("it closed after %v, %d requests begun", took, n)
+	}
+}
+
+// pair is two ends of a connection over loopback.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far = dial(t, ln.Addr().String())
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return nc.(*net.TCPConn), far
+}
+
+// fillUp writes until the system takes no more.
+func fillUp(t *testing.T, nc *net.TCPConn) int {
+	t.Helper()
+	nc.SetWriteBuffer(4096)
+	total, block := 0, bytes.Repeat([]byte("f"), 64<<10)
+	for {
+		nc.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		n, err := nc.Write(block)
+		if total += n; err != nil {
+			return total
+		}
+	}
+}
+
+func testSender(nc net.Conn, write time.Duration) (*sender, *http1.Budget, *sync.WaitGroup) {
+	var wg sync.WaitGroup
+	budget, limits := &http1.Budget{}, &Limits{Bodies: 1 << 20, Write: write}
+	return newSender(nc, func() *Limits { return limits }, budget, wg.Go), budget, &wg
+}
+
+// What a slow client does not take yet waits in bounded memory, so that the end of a worker's stream is read; it gets
+// all of it, in order, and the memory is given back.
+func TestSlowClientWaitsAlone(t *testing.T) {
+	near, far := pair(t)
+	before := fillUp(t, near)
+	s, budget, wg := testSender(near, 5*time.Second)
+	var want []byte
+	for i := range 100 {
+		event := bytes.Repeat([]byte{byte('a' + i%26)}, 300)
+		want = append(want, event...)
+		if err := s.chunk(event); err != nil { // would wait for the client without the memory
+			t.Fatal(err)
+		}
+	}
+	if err := s.chunk(nil); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	if n := len(s.unsent); n > maxUnsent {
+		t.Errorf("%d bytes wait", n)
+	}
+	s.mu.Unlock()
+	got := make(chan []byte)
+	go func() {
+		br := bufio.NewReader(far)
+		io.CopyN(io.Discard, br, int64(before))
+		body, _ := http1.RequestBody(br, http1.Header{{Name: "Transfer-Encoding", Value: "chunked"}})
+		text, _ := io.ReadAll(body)
+		got <- text
+	}()
+	if err := s.wait(time.Time{}); err != nil {
+		t.Error(err)
+	}
+	if text := <-got; !bytes.Equal(text, want) {
+		t.Errorf("%d bytes came, %d were sent", len(text), len(want))
+	}
+	wg.Wait()
+	if !budget.Take(1<<20, 1<<20) {
+		t.Error("memory is not given back")
+	}
+}
+
+// Beyond the bound the worker's stream waits for its client; a client that takes nothing ends it in time.
+func TestClientThatTakesNothing(t *testing.T) {
+	near, _ := pair(t)
+	fillUp(t, near)
+	s, budget, wg := testSender(near, 200*time.Millisecond)
+	var err error
+	for range 2000 {
+		if err = s.chunk(bytes.Repeat([]byte("x"), 1000)); err != nil {
+			break
+		}
+		s.mu.Lock()
+		if n := len(s.unsent); n > maxUnsent+2000 {
+			t.Errorf("%d bytes wait", n)
+		}
+		s.mu.Unlock()
+	}
+	if err == nil {
+		t.Error("two megabytes were taken for a client that takes nothing")
+	}
+	if s.wait(time.Now()) == nil {
+		t.Error("no error at the end")
+	}
+	wg.Wait()
+	if !budget.Take(1<<20, 1<<20) {
+		t.Error("memory is not given back")
+	}
+}
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -40,6 +40,7 @@
 	since  time.Duration // of the server's life, when it began
 
 	mu    sync.Mutex // never held while writing
+	out   *sender    // of the stream, once begun
 	begun bool       // events are passed on; false for good once the final answer came before the first
 	final *driver.Answer
 	done  chan struct{}
@@ -56,7 +57,7 @@
 func (x *exchange) serve() bool {
 	s := x.l.s
 	defer func() { s.bodies.Give(x.held) }()
-	job, bad := readJob(x.req, s.classes)
+	job, bad := readJob(x.req, *s.classes.Load())
 	if bad == nil {
 		bad = x.count(job.Header.Size())
 	}
@@ -67,7 +68,7 @@
 		x.l.refuse(bad.status, bad.why)
 		return false
 	}
-	if conns.Ended(x.l.nc) { // it left while its request was read: no answer is owed, and nothing may begin, nor keep its id from another
+	if x.l.ahead.left() { // while its request was read: no answer is owed, and nothing may begin, nor keep its id from another
 		x.l.gone = true
 		return false
 	}
@@ -77,11 +78,11 @@
 	}
 	defer s.end(job.Name)
 	if e := s.cfg.Log.Check(zap.DebugLevel, "came"); e != nil {
-		e.Write(zap.String("id", job.Name), zap.String("session", job.SessionID), zap.String("class", job.ClassName),
+		e.Write(zap.String("id", job.Name), zap.String("session", job.SessionID), zap.String("class", job.ClassName), zap.String("tenant", job.TenantName),
 			zap.Duration("give-up", job.GiveUp), zap.String("retried", x.req.Header.Get("X-Retried")),
 			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.from)))
 	}
-	job.GiveUp, job.Waited = s.left(job.GiveUp), time.Since(x.from)
+	job.GiveUp, job.Waited, job.Gone = s.left(job.GiveUp), time.Since(x.from), x.left
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // the platform's bounds: nothing has run
 		x.l.plain("503 Service Unavailable", err.Error()+"\n", x.keep)
@@ -98,7 +99,7 @@
 
 // count counts what is kept of the request's head in the bound on all bodies.
 func (x *exchange) count(size int64) *refusal {
-	if !x.l.s.bodies.Take(size, x.l.s.cfg.Limits.Bodies) {
+	if !x.l.s.bodies.Take(size, x.l.s.limits.Load().Bodies) {
 		return &refusal{"503 Service Unavailable", http1.ErrCrowded.Error()}
 	}
 	x.held += size
@@ -107,7 +108,7 @@
 
 // body reads the request's body.
 func (x *exchange) body() ([]byte, *refusal) {
-	lim := &x.l.s.cfg.Limits
+	lim := x.l.s.limits.Load()
 	b, err := http1.RequestBody(x.l.br, x.req.Header)
 	if err != nil {
 		return nil, &refusal{"400 Bad Request", err.Error()}
@@ -147,21 +148,30 @@
 		x.l.nc.SetReadDeadline(time.Time{})
 	}
 	x.mu.Unlock()
-	for {
-		err := x.l.ahead.fill()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errFlood) {
-			x.keep = false
-			abandon()
-		}
-		if err != nil {
-			break
-		}
+	if err := x.l.ahead.listen(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		x.keep = false
+		abandon()
 	}
 	x.keep = x.keep && x.l.ahead.lost == 0
 	<-x.done
 	return *x.final
 }
 
+// left tells whether the client has left, at the instant at which an attempt is
+// about to begin: the connection's goroutine may not have run since.
+func (x *exchange) left() bool {
+	if !conns.Ended(x.l.nc) {
+		return false
+	}
+	x.mu.Lock()
+	abandon := x.abandon
+	x.mu.Unlock()
+	if abandon != nil { // else the connection's goroutine is about to see it
+		abandon()
+	}
+	return true
+}
+
 // Token passes a chunk of events on.
 func (x *exchange) Token(text []byte) bool {
 	x.mu.Lock()
@@ -171,15 +181,23 @@
 	if late {
 		return false
 	}
-	l := x.l
-	l.nc.SetWriteDeadline(time.Now().Add(l.s.cfg.Limits.Write))
 	if first {
-		l.s.streaming(x)
-		l.bw.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		s := x.l.s
+		s.streaming(x)
+		x.out = newSender(x.l.nc, s.limits.Load, &s.bodies, s.wg.Go)
+		x.out.frame = append(x.out.frame, streamHead...)
+		x.out.frame = http1.AppendChunk(x.out.frame, text)
+		return x.out.write(x.out.frame) == nil
 	}
-	return http1.WriteChunk(l.bw, text) == nil
+	return x.out.chunk(text) == nil
 }
 
+// brokenWait is how long a client may take what was passed on of a stream that
+// broke, before its connection ends.
+const brokenWait = 2 * time.Second
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // part ends a stream before its end: its client is told at once, so that it may
 // go on elsewhere.
 func (x *exchange) part() {
@@ -208,10 +226,12 @@
 	stops := x.l.s.stops.Load()
 	switch {
 	case a.Kind == driver.Served && x.begun:
-		x.l.nc.SetWriteDeadline(time.Now().Add(x.l.s.cfg.Limits.Write))
-		if http1.WriteChunk(x.l.bw, nil) != nil {
+		if x.out.chunk(nil) != nil || x.out.wait(time.Time{}) != nil {
 			x.keep = false
 		}
+	case x.begun && a.Kind == driver.Failed: // what came before it broke is still its client's
+		x.keep = false
+		x.out.wait(time.Now().Add(brokenWait))
 	case x.begun || a.Kind == driver.Cancelled:
 		x.keep = false
 	case a.Kind == driver.Refused:
@@ -258,7 +278,7 @@
 		}
 		values[i] = v
 	}
-	name, class, key, timeout, attrs := values[0], values[1], values[2], values[3], values[4]
+	name, class, key, timeout, attrs, tenant := values[0], values[1], values[2], values[3], values[4], values[5]
 	if !isName(name) {
 		return bad("X-Request-ID: up to 128 letters, digits, '-', '_' or '.' expected")
 	}
@@ -270,7 +290,7 @@
 	if err != nil || ms <= 0 || ms > mostTimeout {
 		return bad("X-Timeout-Ms: milliseconds expected")
 	}
-	job := &driver.Job{Name: name, Class: at, ClassName: class, Path: req.Target, Session: keyOf(key),
+	job := &driver.Job{Name: name, Class: at, ClassName: class, TenantName: tenant, Path: req.Target, Session: keyOf(key),
 		SessionID: key, GiveUp: time.Duration(ms) * time.Millisecond, Header: req.Header.EndToEnd(ownFields...)}
 	if why := readAttrs(attrs, job); why != "" {
 		return bad(why)
@@ -283,7 +303,7 @@
 // them, as by an idempotency key.
 var ownFields = []string{"X-Request-ID", "X-Timeout-Ms"}
 
-var headers = [...]string{"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms", "X-Attrs"}
+var headers = [...]string{"X-Request-ID", "X-Priority-Class", "X-Route-Key", "X-Timeout-Ms", "X-Attrs", "X-Tenant-Id"}
 
 // only is a field's one value.
 func only(h http1.Header, name string) (value string, ok bool) {
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -49,7 +49,8 @@
 type Server struct {
 	cfg      Config
 	start    time.Time
-	classes  map[string]int
+	limits   atomic.Pointer[Limits]
+	classes  atomic.Pointer[map[string]int] // by name
 	wg       sync.WaitGroup
 	bodies   http1.Budget
 	ends     atomic.Int64 // ns of the server's life by which all must be answered; 0: it goes on
@@ -69,14 +70,22 @@
 
 // New returns a server; Serve takes connections.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, classes: map[string]int{}, open: map[*link]struct{}{}, idle: list.New(), names: map[string]struct{}{},
+	s := &Server{cfg: cfg, open: map[*link]struct{}{}, idle: list.New(), names: map[string]struct{}{},
 		streams: map[uint64]*exchange{}, start: time.Now()}
-	for i, name := range cfg.Classes {
-		s.classes[name] = i
-	}
+	s.Reconfigure(cfg.Classes, cfg.Limits)
 	return s
 }
 
+// Reconfigure has requests that come from now on go by other classes and limits.
+func (s *Server) Reconfigure(names []string, limits Limits) {
+	classes := make(map[string]int, len(names))
+	for i, name := range names {
+		classes[name] = i
+	}
+	s.classes.Store(&classes)
+	s.limits.Store(&limits)
+}
+
 var past = time.Unix(1, 0)
 
 // Serve takes connections until the listener closes or breaks.
@@ -104,7 +113,7 @@
 func (s *Server) accept(nc net.Conn) {
 	l := &link{s: s, nc: nc}
 	s.mu.Lock()
-	full := len(s.open) >= s.cfg.Limits.Conns && !s.evict()
+	full := len(s.open) >= s.limits.Load().Conns && !s.evict()
 	if full || s.shut {
 		s.mu.Unlock()
 		s.turnAway(l)
@@ -146,7 +155,7 @@
 // connection's goroutine does so, unless too many are let out already.
 func (s *Server) letOut(l *link) {
 	out, ok := l.nc.(interface{ CloseWrite() error })
-	if !ok || s.refusing.Add(1) > int64(s.cfg.Limits.Refuse) {
+	if !ok || s.refusing.Add(1) > int64(s.limits.Load().Refuse) {
 		if ok {
 			s.refusing.Add(-1)
 		}
@@ -162,7 +171,7 @@
 // already. It hears the client out as any refusal does: its request is on its
 // way, and to close on it would reset the connection and lose the answer.
 func (s *Server) turnAway(l *link) {
-	if s.refusing.Add(1) > int64(s.cfg.Limits.Refuse) {
+	if s.refusing.Add(1) > int64(s.limits.Load().Refuse) {
 		s.refusing.Add(-1)
 		l.nc.Close()
 		return
@@ -320,7 +329,7 @@
 }
 
 func (l *link) buffers(size int) {
-	l.ahead = &ahead{nc: l.nc, budget: &l.s.bodies, all: l.s.cfg.Limits.Bodies}
+	l.ahead = &ahead{nc: l.nc, budget: &l.s.bodies, all: l.s.limits.Load().Bodies}
 	l.br, l.bw = bufio.NewReaderSize(l.ahead, size), bufio.NewWriterSize(l.nc, size)
 }
 
@@ -335,17 +344,20 @@
 		return
 	}
 	l.lingered = true
-	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Linger))
+	l.nc.SetReadDeadline(time.Now().Add(l.s.limits.Load().Linger))
 	io.CopyN(io.Discard, l.nc, mostLinger)
 }
 
 // serve reads requests until the connection ends.
 func (l *link) serve() {
 	l.buffers(2048)
-	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Head))
+	l.nc.SetReadDeadline(time.Now().Add(l.s.limits.Load().Head))
+	if l.s.stops.Load() { // taken as the router turned away: Turn may have come before the deadline above
+		l.nc.SetReadDeadline(past)
+	}
 	for l.awaits() && l.next() {
 		l.s.resting(l, !l.has())
-		l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Limits.Idle))
+		l.nc.SetReadDeadline(time.Now().Add(l.s.limits.Load().Idle))
 		if l.s.stops.Load() {
 			l.nc.SetReadDeadline(past)
 		}
@@ -384,7 +396,7 @@
 // next serves one request; it tells whether another may follow.
 func (l *link) next() bool {
 	from := time.Now()
-	l.nc.SetReadDeadline(from.Add(l.s.cfg.Limits.Head))
+	l.nc.SetReadDeadline(from.Add(l.s.limits.Load().Head))
 	req, err := http1.ReadRequest(l.br)
 	if err != nil {
 		l.badHead(err)
@@ -428,7 +440,7 @@
 
 // plain writes an answer without a stream.
 func (l *link) plain(status, text string, keep bool, more ...http1.Field) {
-	l.nc.SetWriteDeadline(time.Now().Add(l.s.cfg.Limits.Write))
+	l.nc.SetWriteDeadline(time.Now().Add(l.s.limits.Load().Write))
 	h := append(http1.Header{{Name: "Content-Length", Value: strconv.Itoa(len(text))}}, more...)
 	if !keep {
 		h = append(h, http1.Field{Name: "Connection", Value: "close"})
--- a/internal/platform/discovery/list.go
+++ b/internal/platform/discovery/list.go
@@ -64,6 +64,24 @@
 var states = map[string]gannethook.ServerState{"SERVING": gannethook.Ready, "DRAINING": gannethook.Draining,
 	"DELETED": gannethook.Gone}
 
+// Merge takes news into a whole list; targets that are gone leave it.
+func (l *List) Merge(news *List) {
+	if news.All {
+		l.Targets = nil
+	}
+	l.All, l.Rev = true, news.Rev
+	changed := make(map[string]bool, len(news.Targets))
+	for _, t := range news.Targets {
+		changed[t.UID] = true
+	}
+	l.Targets = slices.DeleteFunc(l.Targets, func(t Target) bool { return changed[t.UID] })
+	for _, t := range news.Targets {
+		if t.State != "DELETED" {
+			l.Targets = append(l.Targets, t)
+		}
+	}
+}
+
 // Membership is the list in the module's terms. A kind or zone that the profile
 // does not have becomes -1, which the module takes no server of.
 func (l *List) Membership(p *profile.Profile) gannethook.Membership {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -24,6 +25,7 @@
 	"gannethook/internal/platform/config"
 	"gannethook/internal/platform/discovery"
 	"gannethook/internal/platform/workers"
+	"gannethook/internal/profile"
 )
 
 // Times of the platform's protocol.
@@ -44,7 +46,9 @@
 
 // Router is one router.
 type Router struct {
+	mu      sync.Mutex // guards cfg and list, and the order in which others are told of them
 	cfg     *config.Config
+	list    discovery.List // all that discovery told
 	env     func(string) string
 	log     *zap.Logger
 	driver  *driver.Driver
@@ -67,24 +71,36 @@
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
 func New(cfg *config.Config, env func(string) string, log *zap.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, env: env, log: log, next: make(chan string, 1), listed: make(chan struct{})}
-	r.workers = workers.New(workers.Limits{Conns: r.conns(), Spare: cfg.Sockets / 8,
-		Dial: time.Duration(max(float64(cfg.Profile.Dial), 50) * 1e6), Idle: retire(float64(cfg.Profile.Settings.ConnIdle)),
-		Rest: 50 * time.Millisecond, Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond})
+	r.workers = workers.New(workerLimits(cfg))
 	var err error
-	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Name: cfg.Name, Seed: cfg.Seed, Inbox: 4096,
-		MaxOpen: r.conns(), Engines: r.workers, Done: r.done})
+	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
+		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Done: r.done})
 	if err != nil {
 		return nil, err
 	}
 	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load, Log: log,
-		Limits: clients.Limits{Conns: r.conns(), Refuse: cfg.Sockets / 20, Body: 256 << 10, Bodies: cfg.Memory / 5, Head: 2 * time.Second,
-			Idle: 20 * time.Second, Write: 4 * time.Second, Linger: 500 * time.Millisecond}})
+		Limits: clientLimits(cfg)})
 	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1, Times: discovery.Usual}
 	return r, nil
 }
 
-// conns is how many connections clients may have, and as many workers; what is left is discovery's and the port's.
-func (r *Router) conns() int { return r.cfg.Sockets * 45 / 100 }
+// maxConns is how many connections clients may have, and as many workers; what is left is discovery's and the port's.
+func maxConns(cfg *config.Config) int { return cfg.Sockets * 45 / 100 }
+
+func workerLimits(cfg *config.Config) workers.Limits {
+	return workers.Limits{Conns: maxConns(cfg), Spare: cfg.Sockets / 8,
+		Dial: time.Duration(max(float64(cfg.Profile.Dial), 50) * 1e6), Idle: retire(float64(cfg.Profile.Settings.ConnIdle)),
+		Rest: 50 * time.Millisecond, Silent: 4500 * time.Millisecond, Hold: time.Second, Let: 120 * time.Millisecond}
+}
+
+func clientLimits(cfg *config.Config) clients.Limits {
+	return clients.Limits{Conns: maxConns(cfg), Refuse: cfg.Sockets / 20, Body: 256 << 10, Bodies: cfg.Memory / 5,
+		Head: 2 * time.Second, Idle: 20 * time.Second, Write: 4 * time.Second, Linger: 500 * time.Millisecond}
+}
+
+func names(cfg *config.Config) driver.Names {
+	return driver.Names{Classes: cfg.Profile.Classes, Tenants: cfg.Profile.Tenants}
+}
 
 // retire is when an unused connection goes: well before its worker closes it.
 func retire(idleMS float64) time.Duration {
@@ -96,15 +112,19 @@
 
 // told takes news of the list, first to where the workers are, then to the module.
 func (r *Router) told(l *discovery.List) {
-	r.list(l)
+	r.take(l)
 	r.once.Do(func() { close(r.listed) })
 }
 
-func (r *Router) list(l *discovery.List) {
+func (r *Router) take(l *discovery.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list.Merge(l)
 	list := make([]workers.Worker, 0, len(l.Targets))
 	m := l.Membership(r.cfg.Profile)
 	for i, t := range l.Targets {
-		list = append(list, workers.Worker{ID: t.UID, Addr: t.Endpoint, Boot: t.Boot, Gone: t.State == "DELETED"})
+		list = append(list, workers.Worker{ID: t.UID, Addr: t.Endpoint, Boot: t.Boot,
+			Draining: t.State == "DRAINING", Gone: t.State == "DELETED"})
 		if m.Servers[i].Kind < 0 {
 			r.log.Warn("a worker's model is not known", zap.String("worker", t.UID), zap.String("model", t.Model))
 		}
@@ -134,18 +154,19 @@
 // Serve is Run on a listener.
 func (r *Router) Serve(ctx context.Context, ln net.Listener, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
+	cfg := r.cfg // as it was at the start
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer cancel()
 	parts.Go(func() { r.driver.Run(ctx) })
-	if r.cfg.Known != nil {
-		known := *r.cfg.Known
+	if cfg.Known != nil {
+		known := *cfg.Known
 		known.All = true
-		r.list(&known)
+		r.take(&known)
 	}
-	parts.Go(func() { r.watch.Run(ctx, r.cfg.Discovery, r.next) })
+	parts.Go(func() { r.watch.Run(ctx, cfg.Discovery, r.next) })
 	parts.Go(func() {
-		if r.cfg.Known == nil || len(r.cfg.Known.Targets) == 0 { // without any list it could only refuse
+		if cfg.Known == nil || len(cfg.Known.Targets) == 0 { // without any list it could only refuse
 			select {
 			case <-r.listed:
 			case <-time.After(firstList):
@@ -219,12 +240,7 @@
 		r.log.Error("the new configuration is not taken up", zap.Error(err))
 		return
 	}
-	set := &next.Profile.Settings
-	if err := r.cfg.Profile.Settings.Compatible(set); err != nil {
-		r.log.Error("the new settings are not taken up", zap.Error(err))
-	} else {
-		r.driver.Swap(*set, r.conns())
-	}
+	r.reconfigure(next)
 	r.log.Info("new configuration", zap.String("discovery", next.Discovery))
 	select {
 	case <-r.next: // one that was not taken up yet
@@ -233,11 +249,34 @@
 	r.next <- next.Discovery
 }
 
+// reconfigure has requests that come from now on go by another configuration;
+// those under way keep what they came under. Name, address and seed stay.
+func (r *Router) reconfigure(next *config.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next.Name, next.Listen, next.Seed = r.cfg.Name, r.cfg.Listen, r.cfg.Seed
+	same := reflect.DeepEqual(r.cfg.Profile, next.Profile) && r.cfg.Sockets == next.Sockets
+	r.cfg = next
+	Bound(next)
+	r.workers.Reconfigure(workerLimits(next))
+	r.clients.Reconfigure(next.Profile.Classes, clientLimits(next))
+	if !same { // else what was learned of classes and workers would go for nothing
+		r.driver.Reconfigure(next.Profile.Settings, names(next), r.list.Membership(next.Profile), maxConns(next))
+	}
+}
+
+// profile is the settings for requests that come now.
+func (r *Router) profile() *profile.Profile {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Profile
+}
+
 // stop answers all that was taken. New connections keep coming for a while, and
 // are taken; what comes late is answered before the kill. A second signal changes
 // nothing, since work is still owed.
 func (r *Router) stop(ctx context.Context, ln net.Listener, signals <-chan os.Signal) {
-	from, p := time.Now(), r.cfg.Profile
+	from, p := time.Now(), r.profile()
 	kill := min(time.Duration(p.GiveUp*1e6), longestGrace) + killAfter
 	plan := parting.NewPlan(kill, p.Resume)
 	r.clients.Drain(kill - lastAnswers)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -42,6 +43,11 @@
 // open starts a router on a platform that setUp makes. At the test's end the
 // router is stopped, and the rules are checked from the platform's side.
 func open(t *testing.T, setUp func(*standin.Fleet)) *site {
+	return openOn(t, func(ln net.Listener) net.Listener { return ln }, setUp)
+}
+
+// openOn is open with the router's listener changed.
+func openOn(t *testing.T, listen func(net.Listener) net.Listener, setUp func(*standin.Fleet)) *site {
 	t.Cleanup(func() { goleak.VerifyNone(t, goleak.IgnoreCurrent()) })
 	s := &site{t: t, fleet: standin.New(), file: filepath.Join(t.TempDir(), "config.json"), signals: make(chan os.Signal, 4),
 		ended: make(chan error, 1)}
@@ -63,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.ended <- r.Serve(context.Background(), ln, s.signals) }()
+	go func() { s.ended <- r.Serve(context.Background(), listen(ln), s.signals) }()
 	t.Cleanup(s.close)
 	s.until("ready", func() bool { return s.get("/ready") == 200 })
 	return s
@@ -412,6 +418,93 @@
 	}
 }
 
+// A new configuration may be another customer's: requests under way end as they came, new ones find its classes,
+// limits and kinds alone, also where discovery says nothing since.
+func TestReloadToOthers(t *testing.T) {
+	hold := make(chan struct{})
+	var reader *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		reader = f.Add(standin.Prompt, func(_ int, id string) standin.Script {
+			if id == "u-old" {
+				return standin.Script{Until: hold}
+			}
+			return standin.Script{}
+		})
+		f.Add(standin.Answer, nil)
+	})
+	s.wantServed(s.ask("first", "question", 4000), "first")
+	old := make(chan answer, 1)
+	go func() { old <- s.ask("u-old", "adjustment", 8000) }()
+	s.until("it is being read", func() bool { n, _, _ := reader.Count(); return n == 2 })
+	s.fleet.Mute(true)
+	s.configure(func(c map[string]any) {
+		c["settings"] = json.RawMessage(strings.NewReplacer(`"name":"question"`, `"name":"pregunta"`, `"name":"adjustment"`, `"name":"ajuste"`,
+			`"kindRole":["read","write"]`, `"kindRole":["write","read"]`, `"kinds":["prompt","answer"]`, `"kinds":["answer","prompt"]`,
+			`"maxAttempts":4`, `"maxAttempts":2`, `"tenants":[]`, `"tenants":[{"name":"norte","quotaPerS":5}]`).Replace(standin.Settings))
+		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 128}
+	})
+	s.signals <- syscall.SIGHUP
+	s.until("it is taken up", func() bool { return s.logs.FilterMessage("new configuration").Len() > 0 })
+	s.wantServed(s.ask("u-new", "ajuste", 4000), "u-new")
+	s.wantServed(s.ask("new", "pregunta", 4000), "new")
+	for _, class := range []string{"question", "adjustment"} {
+		if a := s.ask("gone", class, 4000); a.status != 400 {
+			t.Errorf("class %s of the former customer: %+v", class, a)
+		}
+	}
+	close(hold)
+	s.wantServed(<-old, "u-old")
+	s.fleet.Mute(false)
+}
+
+// smallBuffers has the system hold little of what is written to a client.
+type smallBuffers struct{ net.Listener }
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		nc.(*net.TCPConn).SetWriteBuffer(4096)
+	}
+	return nc, err
+}
+
+// A stream that its worker has finished is passed on to its end although the router stops and its client is slow:
+// the router does not end it as it does streams whose clients go on elsewhere.
+func TestFinishedStreamOutlivesStop(t *testing.T) {
+	small := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error { // a client with a small window
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+	}}
+	const long = 3000 // about 200 KiB, far more than the system holds
+	finished := make(chan struct{})
+	s := openOn(t, func(ln net.Listener) net.Listener { return smallBuffers{ln} }, func(f *standin.Fleet) {
+		f.Add(standin.Prompt, nil)
+		f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Chunks: long} }).
+			Finished(func(string) { close(finished) })
+	})
+	nc, err := small.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	io.WriteString(nc, request("slow", "question", 4000, body))
+	select {
+	case <-finished:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the worker can't finish while the client takes nothing")
+	}
+	s.signals <- syscall.SIGTERM
+	time.Sleep(3300 * ms) // beyond the last moment of a planned end, 0.87 of the time to the kill
+	nc.(*net.TCPConn).SetReadBuffer(1 << 20)
+	res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(res.Body)
+	if err != nil || string(text) != stream("slow", long) {
+		t.Errorf("%d of %d bytes, %v", len(text), len(stream("slow", long)), err)
+	}
+}
+
 // A client that leaves ends its attempt, and what was held for it is let go.
 func TestClientLeaves(t *testing.T) {
 	var writer *standin.Worker
@@ -419,7 +512,8 @@
 		f.Add(standin.Prompt, nil)
 		writer = f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Wait: 10 * time.Second} })
 	})
-	for i, behind := range []string{"", "\r\n", strings.Repeat(request("y", "question", 4000, body), 20)} { // also if it had sent ahead
+	for i, behind := range []string{"", "\r\n", strings.Repeat(request("y", "question", 4000, body), 20),
+		strings.Repeat(request("y", "question", 4000, body), 3000)} { // also if it had sent ahead, far more than is kept
 		nc := s.dial()
 		io.WriteString(nc, request(fmt.Sprint("x", i), "question", 4000, body)+behind)
 		s.until("the writer has it", func() bool { n, _, _ := writer.Count(); return n == i+1 })
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -37,6 +37,7 @@
 // Script is how a worker answers one request.
 type Script struct {
 	Wait   time.Duration // before it answers
+	Until  chan struct{} // it answers once this is closed; nil: at once
 	Status int           // in place of a state or stream; 0: none
 	NotRun bool          // with the status: it never ran
 	Raw    string        // written in place of the answer, and the connection stays open
@@ -78,7 +79,8 @@
 	boot      int64
 	rev       int64
 	plan      func(n int, id string) Script
-	Requests  int // guarded by the fleet's lock, as what follows
+	finished  func(id string) // called once a stream is written to its end
+	Requests  int             // guarded by the fleet's lock, as what follows
 	Holds     int
 	Releases  int
 	Timeouts  []string      // X-Timeout-Ms as they came
@@ -161,6 +163,13 @@
 	return w.Requests, w.Holds, w.Releases
 }
 
+// Finished has a function called once the worker has written a stream to its end.
+func (w *Worker) Finished(call func(id string)) {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	w.finished = call
+}
+
 // Headers is the fields of the requests that a worker got.
 func (w *Worker) Headers() []http.Header {
 	w.f.mu.Lock()
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -34,6 +34,15 @@
 	if !w.wait(req, s.Wait) {
 		return
 	}
+	if s.Until != nil {
+		select {
+		case <-s.Until:
+		case <-req.Context().Done():
+			return
+		case <-f.closed:
+			return
+		}
+	}
 	if s.Status != 0 {
 		if s.NotRun {
 			rw.Header().Set("X-Not-Processed", "1")
@@ -171,6 +180,12 @@
 			return
 		}
 	}
+	w.f.mu.Lock()
+	finished := w.finished
+	w.f.mu.Unlock()
+	if finished != nil {
+		finished(id)
+	}
 }
 
 func (w *Worker) hold(rw http.ResponseWriter, method, id string) {
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -15,7 +15,7 @@
 	if !call.Sent.Came(ctx) {
 		return attempt.Denied // nothing was asked
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.lim.Hold)
+	ctx, cancel := context.WithTimeout(ctx, c.lim.Load().Hold)
 	defer cancel()
 	x, err := c.open(ctx, call.Addr, "POST", HoldsPath+call.Key, &attempt.Call{Key: call.Key})
 	var unsent attempt.NotSent
@@ -61,7 +61,7 @@
 
 // release asks one worker.
 func (c *Client) release(ctx context.Context, id, name string) bool {
-	ctx, cancel := context.WithTimeout(ctx, c.lim.Let)
+	ctx, cancel := context.WithTimeout(ctx, c.lim.Load().Let)
 	defer cancel()
 	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, &attempt.Call{Key: name})
 	if err != nil {
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -27,7 +27,7 @@
 
 // pool keeps unused connections and counts all.
 type pool struct {
-	lim  Limits
+	lim  *atomic.Pointer[Limits]
 	idle *conns.Idle
 	open atomic.Int64
 }
@@ -40,10 +40,10 @@
 			return c, nil
 		}
 	}
-	if !p.room(ctl) {
-		return nil, attempt.NotSent{Err: errNoRoom}
+	if err := p.reserve(ctx, ctl); err != nil {
+		return nil, attempt.NotSent{Err: err}
 	}
-	d := net.Dialer{Timeout: p.lim.Dial, KeepAlive: -1}
+	d := net.Dialer{Timeout: p.lim.Load().Dial, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.open.Add(-1)
@@ -52,19 +52,43 @@
 	return conns.New(nc, 2048, func() { p.open.Add(-1) }), nil
 }
 
+// roomPoll is how often a place or a release looks for room.
+const roomPoll = 2 * time.Millisecond
+
+// reserve counts one more connection. An attempt that finds no room goes
+// elsewhere; a place or a release waits for some, since what is held has to be
+// let go, and many requests that end at once let go at once.
+func (p *pool) reserve(ctx context.Context, ctl bool) error {
+	for !p.room(ctl) {
+		if !ctl {
+			return errNoRoom
+		}
+		select {
+		case <-time.After(roomPoll):
+		case <-ctx.Done():
+			return errNoRoom
+		}
+	}
+	return nil
+}
+
 // room counts one more connection, if there may be one in place of one that is
 // unused. Attempts leave a tenth to places and releases: what holds a state must
 // be able to let it go.
 func (p *pool) room(ctl bool) bool {
-	most := int64(p.lim.Conns)
+	most := int64(p.lim.Load().Conns)
 	if !ctl {
 		most -= most / 10
 	}
-	for p.open.Add(1) > most {
-		p.open.Add(-1)
-		if !p.idle.CloseOldest() {
+	for {
+		open := p.open.Load()
+		switch {
+		case open < most:
+			if p.open.CompareAndSwap(open, open+1) {
+				return true
+			}
+		case !p.idle.CloseOldest():
 			return false
 		}
 	}
-	return true
 }
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gannethook"
@@ -39,10 +40,11 @@
 
 // worker is what is known of one.
 type worker struct {
-	addr  string
-	boot  float64
-	heard time.Time // when it last answered anything
-	seen  Seen
+	addr   string
+	boot   float64
+	drains bool      // nothing new may begin
+	heard  time.Time // when it last answered anything
+	seen   Seen
 }
 
 // Seen is what passed between this router and a worker since it was listed.
@@ -121,7 +123,7 @@
 // Client makes attempts. It is safe for concurrent use.
 type Client struct {
 	pool pool
-	lim  Limits
+	lim  *atomic.Pointer[Limits]
 	mu   sync.Mutex
 	byID map[string]*worker
 	kept trust.Kept // guarded by mu
@@ -132,11 +134,19 @@
 
 // New returns a client; Close ends it.
 func New(lim Limits) *Client {
-	c := &Client{lim: lim, pool: pool{lim: lim, idle: conns.NewIdle(lim.Idle, lim.Rest, lim.Spare)}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
+	c := &Client{lim: &atomic.Pointer[Limits]{}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
+	c.pool = pool{lim: c.lim, idle: conns.NewIdle(lim.Idle, lim.Rest, lim.Spare)}
+	c.lim.Store(&lim)
 	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/8, 100*time.Millisecond), c.stop) })
 	return c
 }
 
+// Reconfigure sets the limits of what begins from now on.
+func (c *Client) Reconfigure(lim Limits) {
+	c.lim.Store(&lim)
+	c.pool.idle.Bound(lim.Idle, lim.Rest, lim.Spare)
+}
+
 // Close closes unused connections; those in use close when their attempts end.
 func (c *Client) Close() {
 	close(c.stop)
@@ -148,6 +158,7 @@
 type Worker struct {
 	ID, Addr string
 	Boot     float64
+	Draining bool
 	Gone     bool
 }
 
@@ -164,8 +175,9 @@
 			delete(c.byID, w.ID)
 		} else if o := old[w.ID]; o != nil && o.addr == w.Addr && o.boot == w.Boot {
 			c.byID[w.ID] = o
+			o.drains = w.Draining
 		} else {
-			c.byID[w.ID] = &worker{addr: w.Addr, boot: w.Boot}
+			c.byID[w.ID] = &worker{addr: w.Addr, boot: w.Boot, drains: w.Draining}
 		}
 	}
 	known := make(map[string]bool, len(c.byID))
@@ -230,9 +242,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := ctx.Err(); err != nil { // called off while it connected: nothing begins any more
-		cn.Close()
-		return nil, attempt.NotSent{Err: err}
+	if err := c.mayBegin(ctx, id, method, call); err != nil {
+		if errors.Is(err, errDrains) {
+			cn.Close()
+		} else {
+			c.pool.idle.Put(addr, cn) // nothing was written on it
+		}
+		return nil, err
 	}
 	x := &exchange{c: c, addr: addr, conn: cn}
 	x.cut = make(chan struct{})
@@ -262,6 +278,39 @@
 	return x, nil
 }
 
+// Reasons for which an attempt whose connection has come up does not begin.
+var (
+	errDrains    = errors.New("the worker has begun to drain, or is listed no more")
+	errTooLate   = errors.New("the connection came up when the request might no longer be sent")
+	errLeft      = errors.New("its client has left")
+	errCalledOff = errors.New("called off")
+)
+
+// mayBegin tells whether a request may still be written, now that its connection
+// has come up: that may have taken long, and whoever decided on it could not know
+// what has come meanwhile.
+func (c *Client) mayBegin(ctx context.Context, id, method string, call *attempt.Call) error {
+	if ctx.Err() != nil {
+		return attempt.NotSent{Err: errCalledOff}
+	}
+	if method == "DELETE" { // to let go is no new work
+		return nil
+	}
+	c.mu.Lock()
+	w := c.byID[id]
+	drains := w == nil || w.drains
+	c.mu.Unlock()
+	switch {
+	case drains:
+		return attempt.NotSent{Err: errDrains}
+	case !call.Before.IsZero() && time.Now().After(call.Before):
+		return attempt.NotSent{Err: errTooLate}
+	case call.Gone != nil && call.Gone():
+		return errLeft
+	}
+	return nil
+}
+
 // head reads the answer's head. It may take its time to begin, but not to end.
 func (x *exchange) head() (err error) {
 	if _, err = x.conn.BR.Peek(1); err != nil {
@@ -319,6 +368,9 @@
 
 // failed maps an error of the connection to an outcome. What stalls once it has begun is spoilt, too.
 func failed(ctx context.Context, err error) attempt.Result {
+	if errors.Is(err, errLeft) {
+		return attempt.Result{Outcome: gannethook.Cancelled, Detail: err.Error()}
+	}
 	return attempt.Ended(ctx, err, http1.ErrMalformed, http1.ErrTooLarge, os.ErrDeadlineExceeded)
 }
 
@@ -466,6 +518,6 @@
 type silent struct{ x *exchange }
 
 func (s silent) Read(p []byte) (int, error) {
-	s.x.conn.SetReadDeadline(time.Now().Add(s.x.c.lim.Silent))
+	s.x.conn.SetReadDeadline(time.Now().Add(s.x.c.lim.Load().Silent))
 	return s.x.body.Read(p)
 }
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -54,6 +54,7 @@
 		Fields []string `json:"fields"`
 	} `json:"report"`
 	Tenants []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quotaPerS"`
 	} `json:"tenants"`
 	Zones []string `json:"zones"`
@@ -70,6 +71,7 @@
 type Profile struct {
 	Settings gannethook.Settings
 	Classes  []string          // their names
+	Tenants  []string          // the same
 	Kinds    []string          // the same
 	Zones    []string          // the same
 	Memory   int               // place of the memory share in a load report; -1: none
@@ -117,6 +119,9 @@
 		out.Classes = append(out.Classes, c.Name)
 		out.GiveUp = max(out.GiveUp, gannethook.Millis(c.Deadline))
 	}
+	for _, t := range p.Tenants {
+		out.Tenants = append(out.Tenants, t.Name)
+	}
 	return out, nil
 }
 
--- a/reconfigure_test.go
+++ b/reconfigure_test.go
@@ -1,6 +1,9 @@
 package gannethook
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // Settings are swapped between two events; what would break a promise under way is not.
 func TestReconfigure(t *testing.T) {
@@ -15,24 +18,56 @@
 	if acts := r.Handle(1, Reconfigure{next}); len(acts) > 0 || r.set.Classes[0].Aim != 5000 {
 		t.Errorf("%v, aim %v", acts, r.set.Classes[0].Aim)
 	}
+	bad := next
+	bad.PinLimit = -1
+	if r.Handle(2, Reconfigure{bad}); r.set.PinLimit != 0 {
+		t.Error("settings that make no sense are taken")
+	}
 	for name, change := range map[string]func(*Settings){
-		"an effect":       func(s *Settings) { s.Classes[0].Effect = Safe },
-		"a class more":    func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
-		"a role":          func(s *Settings) { s.Kinds[0].Role = Mixed },
-		"holds":           func(s *Settings) { s.Holds = true },
-		"a negative time": func(s *Settings) { s.PinLimit = -1 },
+		"an effect":    func(s *Settings) { s.Classes[0].Effect = Safe },
+		"a class more": func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
+		"a role":       func(s *Settings) { s.Kinds[0].Role = Mixed },
+		"holds":        func(s *Settings) { s.Holds = true },
 	} {
-		bad := next
-		bad.Classes = append([]Class{}, next.Classes...)
-		bad.Kinds = append([]Kind{}, next.Kinds...)
-		change(&bad)
-		if next.Compatible(&bad) == nil {
-			t.Errorf("%s may change", name)
+		other := next
+		other.Classes = slices.Clone(next.Classes)
+		other.Kinds = slices.Clone(next.Kinds)
+		change(&other)
+		if next.Compatible(&other) == nil {
+			t.Errorf("%s may change under those who number requests by it", name)
 		}
-		r.Handle(2, Reconfigure{bad})
 	}
-	if r.set.Classes[0].Effect != Unsafe || r.set.Holds || len(r.set.Classes) != 1 {
-		t.Errorf("swapped: %+v", r.set)
+}
+
+// Settings of another customer: what came before keeps its effect, attempts and times to its end; what comes
+// after finds nothing of the old settings, neither classes nor tenants, nor roles, nor what was learned by their numbers.
+func TestReconfigureToOthers(t *testing.T) {
+	old := fleet(func(s *Settings) { s.Holds, s.MaxAttempts = false, 5 })
+	s := newScript(t, old, oneEach...)
+	s.on(1, ask(1, 1)) // unsafe
+	s.on(9, Ended{ID: 1, Server: "r1", Outcome: ReadDone})
+	s.on(1, ask(2, 3))
+	s.on(1, Ended{ID: 2, Server: "r1", Outcome: Full}) // class 3 is turned away
+	next := Settings{Routers: 9, Classes: []Class{{Aim: 700, Worth: 1, Effect: Safe, Streamed: true}},
+		Kinds:   []Kind{{Role: Writer, Memory: 1e5}, {Role: Reader, Memory: 1e5}},
+		Tenants: []Tenant{{QuotaPerS: 1}, {QuotaPerS: 5}}, MaxAttempts: 2, PinLimit: 900, Quantum: 4, Cancel: true}
+	s.on(1, Reconfigure{next})
+	if s.on(0, ask(3, 1)); len(s.acts) > 0 {
+		t.Errorf("a class that is gone: %v", s.acts)
+	}
+	s.on(1, Membership{Whole: true, Servers: []Server{at("w9", 0, 0, 0), at("r9", 1, 0, 0)}})
+	s.on(1, ask(4, 0))
+	s.want("send 4 r9")
+	s.on(1, Ended{ID: 4, Server: "r9", Outcome: ReadDone})
+	s.want("send 4 w9")
+	s.on(1, Ended{ID: 4, Attempt: 1, Server: "w9", Outcome: Failed}) // of two
+	s.want("release 4", "refuse 4", "release 4")
+	s.on(1, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Failed}) // unsafe, as it came
+	s.want("fail 1", "release 1")
+	for i, part := range s.r.turned[:len(s.r.turned)-1] {
+		if part.v > 0 || s.r.servers["r9"].full[i].v > 0 {
+			t.Errorf("flow %d begins with what was learned of another", i)
+		}
 	}
 }
 
--- a/router.go
+++ b/router.go
@@ -118,16 +118,17 @@
 // request is one request until its last attempt has ended.
 type request struct {
 	Request
-	deadline, aim Millis // the aim is a span
-	sent          int    // attempts made
+	set           *Settings // under which it was taken, to its end
+	deadline, aim Millis    // the aim is a span
+	sent          int       // attempts made
 	out           []attempt
 	state, place  *server   // reader at which the state waits, writer at which a place was asked for
 	bookedAt      Millis    // when its tokens were last booked at a writer
 	asked         int       // writers asked during this read
 	tried         []*server // servers not to try again
 	idle          Millis    // last outcome
-	ranOn         *server   // where it may have run first, and when
-	ranAt         Millis
+	ranOn         *server   // where it may have run first
+	ranAt         Millis    // and when; where it is not known to, when it was last sent to where it may
 	stream, ended bool
 	repeat        bool // an attempt gave no answer: what follows repeats it
 }
@@ -153,7 +154,7 @@
 
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
-	set              Settings
+	set              *Settings
 	seed             uint64
 	now              Millis
 	begun            Millis  // first event; 0: none yet
@@ -185,12 +186,12 @@
 	if err := validate(&set); err != nil {
 		return nil, err
 	}
-	return &Router{
-		set: set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+	r := &Router{
+		set: &set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		visits: map[Key]visit{}, begins: map[Key]fading{}, texts: map[text]Millis{},
-		tenants: make([]fading, len(set.Tenants)),
-		turned:  make([]fading, len(set.Classes)*(len(set.Tenants)+1)),
-	}, nil
+	}
+	r.reconfigure(set)
+	return r, nil
 }
 
 // Handle takes one event at time now and returns what is to be done, in order.
@@ -219,8 +220,8 @@
 			r.end(q)
 		}
 	case Reconfigure:
-		if r.set.Compatible(&ev.Settings) == nil {
-			r.set = ev.Settings
+		if validate(&ev.Settings) == nil {
+			r.reconfigure(ev.Settings)
 		}
 	case Wakeup:
 		switch q := r.requests[RequestID(ev.Ref/refStep)]; ev.Ref % refStep {
@@ -248,8 +249,8 @@
 	}
 	r.arrived++
 	class := &r.set.Classes[ev.Class]
-	q := &request{Request: ev, deadline: r.now + ev.Budget, idle: r.now,
-		aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
+	q := &request{Request: ev, set: r.set, deadline: r.now + ev.Budget, idle: r.now,
+		ranAt: Millis(math.Inf(1)), aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
 	r.requests[ev.ID] = q
 	r.do(Wake{In: max(ev.Budget-lastCall*r.set.Quantum-1, 0), Ref: uint64(ev.ID)*refStep + refDeadline})
 	if r.admits(q) {
@@ -261,12 +262,11 @@
 
 // admits tells whether a request is taken on. Its freeness is the best reader's or, as other routers' load is
 // unseen, that of the times to read and to the first token seen of late, or that of the best writer's memory,
-// whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner.
-// What reads of late would have taken alone is no load: it is left out of their time and of the aim. Guards
-// against refusing where the aim is not much longer than a read. Harms where all readers are slow from the
-// first read on: that is taken for well.
-// Charges for what failed at once are left out: where all servers fail a part, they refused what had room.
-// Refusals rise as freeness falls, so that routers that see the same do not swing between all and nothing.
+// whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner. What
+// reads of late would have taken alone is no load, and left out of their time and of the aim: the aim may not
+// be much longer than a read. Harms where all readers are slow from the first read on. Charges for what
+// failed at once are left out: where all servers fail a part, they refused what had room. Refusals rise as
+// freeness falls, so that routers that see the same do not swing between all and nothing.
 func (r *Router) admits(q *request) bool {
 	floor := 1 - (1-admitFloor)/r.overShare(q.Tenant)
 	low := slices.MinFunc(r.set.Classes, func(a, b Class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
@@ -308,7 +308,7 @@
 		return
 	}
 	s := r.pickReader(q)
-	if s == nil && r.set.WritersRead && !r.oneStage(q) {
+	if s == nil && q.set.WritersRead && !r.oneStage(q) {
 		s = r.pickWriter(q, nil)
 	}
 	switch {
@@ -323,11 +323,14 @@
 
 // attemptsLeft tells whether n more attempts are allowed.
 func (r *Router) attemptsLeft(q *request, n int) bool {
-	return r.set.MaxAttempts == 0 || q.sent+n <= r.set.MaxAttempts
+	return q.set.MaxAttempts == 0 || q.sent+n <= q.set.MaxAttempts
 }
 
 // oneStage tells whether a request's work ends where its prompt is read.
-func (r *Router) oneStage(q *request) bool { return r.set.Classes[q.Class].OneStage }
+func (r *Router) oneStage(q *request) bool { return q.class().OneStage }
+
+// class is the request's class, as it was when the request came.
+func (q *request) class() *Class { return &q.set.Classes[q.Class] }
 
 // read sends a prompt to a reader and holds a place for its answer; a mixed server gets the whole at once.
 // One-stage work is read, timed and watched as any prompt, at a mixed server too, but holds nothing.
@@ -357,10 +360,10 @@
 		return 0
 	}
 	wait := r.span(q, a.on.role, math.Max(a.queue/r.speed(a.on), r.reading.v))
-	// Guards rule 2: one-stage work taken away from its server may have run, and then may not go again.
-	if wait == 0 || r.oneStage(q) && r.set.Classes[q.Class].Effect != Safe {
+	// Rule 2: one-stage work taken away from its server may have run, and then may not go again.
+	if wait == 0 || r.oneStage(q) && q.class().Effect != Safe {
 		a.letBe, wait = true, q.aim
-	} else if !r.set.Cancel {
+	} else if !q.set.Cancel {
 		return wait
 	}
 	a.check = r.now + wait
@@ -397,7 +400,7 @@
 // tenant; also full queues, where places are few anyway. Harms where few writers throttle: states move late.
 func (r *Router) hold(q *request, reader *server) {
 	turned := r.turned[r.flow(q)].left(r.now, fullFade*r.window())
-	if !r.set.Holds || q.asked >= holdTries || turned > turnedBad {
+	if !q.set.Holds || q.asked >= holdTries || turned > turnedBad {
 		return
 	}
 	if w := r.pickWriter(q, reader); w != nil {
@@ -442,17 +445,17 @@
 	q.unplace()
 	q.book(w, r.now)
 	timeout := Millis(0)
-	class := &r.set.Classes[q.Class]
+	class := q.class()
 	if class.Effect == Safe && class.Streamed && q.ranOn == nil && r.attemptsLeft(q, 2) {
 		timeout = r.span(q, w.role, r.opening.v)
 	}
 	r.send(q, attempt{on: w}, timeout)
 }
 
-// span is how long an attempt may take that usually takes so many ms, or 0 to let it be: where a server, at
-// the best pace that this router saw, ends own work so seldom that silence tells nothing within the aim, or
-// where all are slow. Guards against giving up what only waits its turn: it is done all the same, and again
-// elsewhere, no text kept. Where cancels stop work, hung servers are left later than they could be.
+// span is how long an attempt may take that usually takes so many ms, or 0 to let it be: where all are slow,
+// or a server ends own work so seldom that silence tells nothing within the aim. Guards against giving up
+// what only waits its turn: it is done all the same, and again elsewhere. Hung servers are left later than
+// they could be.
 func (r *Router) span(q *request, role Role, usual float64) Millis {
 	if wait := max(patience*q.aim, usualTimes*Millis(usual), Millis(1000/r.peak[role])); wait < q.aim {
 		return wait
@@ -469,7 +472,14 @@
 	}
 	q.sent++
 	q.out = append(q.out, a)
-	r.do(Send{ID: q.ID, Server: a.on.ID, Timeout: timeout})
+	within := Millis(0)
+	if q.ranOn == nil && (!a.reads || r.oneStage(q)) {
+		q.ranAt = r.now
+	} else if q.ranOn != nil && q.class().Effect == Keyed {
+		// Rule 2: a connection may come up when the group has forgotten the attempt that may have run.
+		within = q.ranAt + q.class().Window - r.now
+	}
+	r.do(Send{ID: q.ID, Server: a.on.ID, Timeout: timeout, Within: within})
 }
 
 // streaming notes that the answer has started.
@@ -594,7 +604,7 @@
 		if q.ranOn == nil {
 			q.ranOn, q.ranAt = a.on, a.sent
 		}
-		if r.set.Classes[q.Class].Effect == Unsafe {
+		if q.class().Effect == Unsafe {
 			r.finish(q)
 			return
 		}
@@ -605,7 +615,7 @@
 	taken := !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed && !r.attemptsLeft(q, 3)
 	// Rule 5, where whole zones fall silent: writers that are not reached leave the state where it is, and
 	// its time goes on. Harms where a third writer would have been reached: it is read anew, or refused.
-	pinned := ev.Outcome == ConnectFailed && r.now-q.idle > r.set.PinLimit
+	pinned := ev.Outcome == ConnectFailed && r.now-q.idle > q.set.PinLimit
 	if a.reads || ev.NoState || taken || pinned {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
@@ -621,10 +631,11 @@
 	if q == nil || q.ended || q.stream {
 		return
 	}
-	class := &r.set.Classes[q.Class]
-	free := class.Effect == Safe || class.Effect == Keyed && class.Group == GroupAll
-	if free || q.ranOn == nil && len(q.out) == 0 {
-		r.do(Refuse{ID: q.ID, RetryAfter: retryPart * r.set.MaxRetryAfter})
+	class, wait := q.class(), retryPart*q.set.MaxRetryAfter
+	// A keyed one that may have run is dropped as a repeat only while its servers remember it.
+	known := class.Effect == Keyed && class.Group == GroupAll && r.now+wait-q.ranAt <= class.Window
+	if class.Effect == Safe || known || q.ranOn == nil && len(q.out) == 0 {
+		r.do(Refuse{ID: q.ID, RetryAfter: wait})
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
@@ -635,7 +646,7 @@
 func (r *Router) end(q *request) {
 	q.ended = true
 	for _, a := range q.out {
-		if r.set.Cancel && !q.stream {
+		if q.set.Cancel && !q.stream {
 			r.do(Cancel{ID: q.ID, Attempt: a.n})
 		}
 	}
@@ -658,7 +669,7 @@
 func (r *Router) wait(q *request) {
 	limit := waitPart * q.aim
 	if q.state != nil {
-		limit = pinPart * r.set.PinLimit // rule 5: a state with no writer in sight is let go in time
+		limit = pinPart * q.set.PinLimit // rule 5: a state with no writer in sight is let go in time
 	}
 	if r.now-q.idle > limit {
 		r.finish(q)
@@ -711,13 +722,18 @@
 // partLeft is the part of a role's servers, of the most that this router knew, that can take a request, each
 // by its warmth and what is taken off it.
 func (r *Router) partLeft(q *request, role Role) float64 {
-	well := 0.0
+	well := r.sum(role, func(s *server) float64 { return r.warmth(s) * math.Max(1-r.takenOff(s, q), 0) })
+	return math.Min(well/math.Max(r.most[role], 1), 1)
+}
+
+// sum adds up a figure of the role's servers that are ready.
+func (r *Router) sum(role Role, figure func(*server) float64) (total float64) {
 	for _, s := range r.list {
 		if s.role == role && s.State == Ready {
-			well += r.warmth(s) * math.Max(1-r.takenOff(s, q), 0)
+			total += figure(s)
 		}
 	}
-	return math.Min(well/math.Max(r.most[role], 1), 1)
+	return total
 }
 
 // pickReader chooses the reader of highest freeness; among those near it the session's last, else a home.
@@ -806,13 +822,13 @@
 
 // inGroup keeps a keyed request that may have run inside the group that drops its repeats.
 func (r *Router) inGroup(s *server, q *request) bool {
-	class := &r.set.Classes[q.Class]
+	class := q.class()
 	if q.ranOn == nil || class.Effect != Keyed {
 		return true
 	}
 	same := class.Group == GroupAll || class.Group == GroupZone && s.Zone == q.ranOn.Zone ||
 		class.Group == GroupCell && s.Cell == q.ranOn.Cell
-	return same && r.now-q.ranAt <= class.Window
+	return same && r.now-q.ranAt < class.Window
 }
 
 // freeness is a reader's: one minus the price of own reads out over what it reads within the aim.
@@ -820,8 +836,12 @@
 	return 1 - s.out/r.budget(s, q) - r.takenOff(s, q)
 }
 
-// flow is what a server may turn away by itself: a class and a tenant.
+// flow is what a server may turn away by itself: a class and a tenant. All of older settings are one, the
+// last.
 func (r *Router) flow(q *request) int {
+	if q.set != r.set {
+		return len(r.turned) - 1
+	}
 	return q.Class*(len(r.tenants)+1) + min(max(q.Tenant, 0), len(r.tenants))
 }
 
@@ -957,15 +977,13 @@
 	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*math.Max(float64(age/r.set.WarmAfter), 0))
 }
 
-// hasCredit tells whether a server may get a request's send. Guards rule 4: a cold server gets, times its
-// warmth, the most that this router saw a warm one get done; to count sends would count a storm of retries.
-// A router that sends a warm server too few in the warm-up to go by that count draws lots by the warmth
-// instead, one for each request, and is ahead by one send at most. Guards against cold capacity unused:
-// credits of many routers, each under one send for most of the warm-up, do not meet their few requests. Where
-// most servers are gone, failing or full the lots are fewer by as many: else the rest, if cold, got it all.
-// They are fewer by the sends that the request had, too: its lot stays the same as the others that it could
-// go to fail, which most routers have not seen yet, and the sum over all routers was too much by a quarter.
-// Harms where a fleet was made smaller: its cold servers are spared more than they need.
+// hasCredit tells whether a server may get a request's call. Guards rule 4 for the sum over all routers: a
+// cold server gets, times its warmth, the most that this router saw a warm one get done; to count sends would
+// count a storm of retries. A router that sends a warm server too few to go by that draws a lot for each
+// request, and is ahead by one send at most: credits under one send for most of the warm-up would leave cold
+// capacity unused. Lots are fewer by what is gone, failing or full, else the rest, if cold, got it all, and
+// by the sends that the request had: most routers have not seen yet that the others fail. Harms where a fleet
+// was made smaller.
 func (r *Router) hasCredit(s *server, q *request, left float64) bool {
 	w := r.warmth(s)
 	if w >= 1 {
@@ -992,13 +1010,7 @@
 
 // prove counts work that a server got done: a read ended or a stream begun.
 func (r *Router) prove(role Role) {
-	fleet := 0.0
-	for _, o := range r.list {
-		if o.role == role && o.State == Ready {
-			fleet += r.warmth(o)
-		}
-	}
-	window := r.window()
+	window, fleet := r.window(), r.sum(role, r.warmth)
 	r.done[role].count(r.now, window)
 	r.peak[role] = math.Max(r.peak[role], r.done[role].perSecond(r.now, window)/math.Max(fleet, 1))
 }
@@ -1038,6 +1050,28 @@
 	r.all.count(r.now, longest)
 }
 
+// reconfigure takes settings for what comes from now on; requests under way keep those that they came under.
+// What was learned by the old numbers of classes and tenants goes. Where kinds change no server is known
+// until the list is told again, since roles may change.
+func (r *Router) reconfigure(set Settings) {
+	if set.AskDiscovery && !r.set.AskDiscovery {
+		r.do(Subscribe{})
+	}
+	same := slices.Equal(r.set.Kinds, set.Kinds)
+	r.set, r.tenants = &set, make([]fading, len(set.Tenants))
+	r.turned = make([]fading, len(set.Classes)*(len(set.Tenants)+1)+1)
+	for _, s := range r.list {
+		clear(s.full)
+		if !same {
+			s.State = Gone
+		}
+	}
+	if !same {
+		clear(r.servers)
+		r.list = nil
+	}
+}
+
 // membership takes news of the list.
 func (r *Router) membership(ev Membership) {
 	if ev.Failed {
@@ -1054,18 +1088,14 @@
 	for _, e := range ev.Servers {
 		r.update(e)
 	}
-	var ready [Mixed + 1]float64
 	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
 		if s.State == Gone && r.servers[s.ID] == s {
 			delete(r.servers, s.ID)
 		}
-		if s.State == Ready {
-			ready[s.role]++
-		}
 		return s.State == Gone
 	})
-	for role := range ready {
-		r.most[role] = math.Max(r.most[role], ready[role])
+	for role := range r.most {
+		r.most[role] = math.Max(r.most[role], r.sum(Role(role), func(*server) float64 { return 1 }))
 	}
 }
 
@@ -1103,7 +1133,7 @@
 	for _, s := range r.list {
 		v := View{Server: s.Server, Role: s.role, Charge: r.chargeOf(s), Backlog: s.out,
 			Holds: len(s.streams), Memory: s.share, Heard: s.heard}
-		q := &request{aim: r.set.Classes[0].Aim} // of the first class: freeness is a request's
+		q := &request{set: r.set, aim: r.set.Classes[0].Aim} // of the first class: freeness is a request's
 		q.Budget = q.aim
 		if v.Freeness = r.freeness(s, q); s.role == Writer {
 			v.Freeness = r.memory(s, q)
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -475,6 +475,67 @@
 	}
 }
 
+// TestKeyedRefusedInItsWindow: a keyed request that may have run is refused only while its group still drops a repeat
+// that follows the advised wait; later it fails, which promises nothing. A read that is out has run nothing.
+func TestKeyedRefusedInItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		window Millis
+		want   string
+	}{{2000, "refuse 1"}, {900, "fail 1"}} {
+		s := newScript(t, fleet(func(set *Settings) {
+			set.Classes[2].Group, set.Classes[2].Window, set.Holds = GroupAll, c.window, false
+		}), at("r1", 0, 0, 0), at("w1", 1, 0, 0))
+		s.on(1, ask(1, 2))
+		deadline := s.acts[0].(Wake)
+		s.on(10, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		s.want("send 1 w1")
+		s.on(700, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Broken}) // 250 ms are advised
+		s.on(deadline.In, Wakeup{Ref: deadline.Ref})
+		if !slices.Contains(shorts(s.acts), "fail 1") { // by then all windows are over
+			t.Errorf("window %v, at the deadline: %v", c.window, shorts(s.acts))
+		}
+		s.on(1, ask(2, 2))
+		s.on(10, Ended{ID: 2, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		s.on(700, Ended{ID: 2, Attempt: 1, Server: "w1", Outcome: Broken})
+		q := s.r.requests[2]
+		s.acts = nil
+		s.r.finish(q)
+		if got := shorts(s.r.acts)[0]; got != strings.Replace(c.want, "1", "2", 1) {
+			t.Errorf("window %v: %v", c.window, got)
+		}
+		s.r.acts = nil
+		s.on(5000, ask(3, 2))
+		s.on(1500, ClientGone{ID: 99})
+		if s.r.finish(s.r.requests[3]); shorts(s.r.acts)[0] != "refuse 3" {
+			t.Errorf("window %v, with a read out: %v", c.window, shorts(s.r.acts))
+		}
+	}
+}
+
+// TestRepeatIsWrittenInItsWindow: a keyed request's repeat tells until when it may be written, what is left of the
+// window since the send that may have run; others tell nothing.
+func TestRepeatIsWrittenInItsWindow(t *testing.T) {
+	s := newScript(t, fleet(func(set *Settings) { set.Classes[2].Group, set.Holds = GroupAll, false }),
+		at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 0))
+	within := func() Millis {
+		for _, a := range s.acts {
+			if send, ok := a.(Send); ok {
+				return send.Within
+			}
+		}
+		t.Fatalf("no send: %v", s.acts)
+		return 0
+	}
+	s.on(1, ask(1, 2))
+	first := within()
+	s.on(10, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	second, writer := within(), s.sent()
+	s.on(700, Ended{ID: 1, Attempt: 1, Server: writer, Outcome: Broken})
+	if third := within(); first != 0 || second != 0 || third != 1300 {
+		t.Errorf("%v, %v, then %v of a window of 2000", first, second, third)
+	}
+}
+
 // TestMixedServerTakesAll: a mixed server gets the whole request, without a hold.
 func TestMixedServerTakesAll(t *testing.T) {
 	s := newScript(t, fleet(), at("m1", 2, 0, 0))
@@ -535,7 +596,7 @@
 	fresh.Since = fleetOf[0].now
 	for i, s := range fleetOf {
 		if i < 20 { // restarted just now
-			s.r, _ = New(s.r.set, uint64(i))
+			s.r, _ = New(*s.r.set, uint64(i))
 			s.on(0, Membership{Whole: true, Servers: append(slices.Clone(warm), fresh)})
 		}
 		s.on(0, Membership{Servers: []Server{fresh}})
