--- a/api.go
+++ b/api.go
@@ -52,7 +52,7 @@
 
 // Class describes a class of requests.
 type Class struct {
-	Aim        Millis  // first token wanted within this
+	Aim        Millis  // first token wanted within this; 0: while its client waits
 	AimPer1000 Millis  // and so much more for each 1,000 prompt tokens
 	Worth      float64 // of one request, or of one unit of its work
 	Effect     Effect
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -93,6 +93,9 @@
 	if c.Profile, err = profile.Parse(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := c.Profile.Settings.Validate(); err != nil {
+		return nil, err
+	}
 	if len(c.Profile.Classes) == 0 {
 		return nil, errors.New("settings: classes is empty")
 	}
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -55,6 +55,8 @@
 		{`"sockets":256`, `"sockets":-1`, "limits.sockets"},
 		{`"pure"`, `"odd"`, `settings: effect "odd" of class 0`},
 		{`"peersTotal":1`, `"peers":1`, "settings: peersTotal is missing"},
+		{`"warmAfterMs":10000`, `"warmAfterMs":-1`, "settings: a time is negative"},
+		{`"peersTotal":1`, `"peersTotal":0`, "settings: a figure is out of range"},
 		{`"SERVING"`, `"READY"`, `known: targets[0]: state "READY"`},
 		{`"uid":"s-1"`, `"uid":""`, "known: targets[0]: uid is missing"},
 		{`"rev":41`, `"rev":null`, "known: rev is missing"},
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -82,9 +82,12 @@
 			if failed {
 				w.Log.Info("discovery answers again", zap.Int64("rev", list.Rev))
 			}
-			whole, failed, pause = false, false, again
-			w.Rev = list.Rev
-			w.Told(list)
+			// A list that has gone back began anew: what it counts from is not what is known here.
+			whole, failed, pause = !list.All && list.Rev < w.Rev, false, again
+			if !whole {
+				w.Rev = list.Rev
+				w.Told(list)
+			}
 			continue
 		}
 		c.close()
--- a/internal/platform/discovery/watch_test.go
+++ b/internal/platform/discovery/watch_test.go
@@ -16,6 +16,41 @@
 
 const ms = time.Millisecond
 
+// An agent that counts anew, from less than what is known, is asked for the whole list: its changes since a number that
+// it has not reached would never come.
+func TestAgentThatCountsAnew(t *testing.T) {
+	answers := []string{`{"rev":41,"all":true,"targets":[]}`, `{"rev":3,"all":false,"targets":[]}`, `{"rev":3,"all":true,"targets":[]}`}
+	var targets []string
+	done := make(chan struct{})
+	addr := agent(t, func(n int, target string) ([]string, time.Duration) {
+		if n > len(answers) {
+			return nil, 0
+		}
+		targets = append(targets, target)
+		text := answers[n-1]
+		return []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)}, 0
+	})
+	var told []int64
+	w := &Watch{Told: func(l *List) {
+		if told = append(told, l.Rev); len(told) == 2 {
+			close(done)
+		}
+	}, Log: zap.NewNop(), Rev: -1, Times: Usual}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Run(ctx, addr, nil) })
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("the list that began anew is not told")
+	}
+	cancel()
+	wg.Wait()
+	if len(told) != 2 || told[0] != 41 || told[1] != 3 || len(targets) < 3 || targets[2] != "/v1/endpoints" {
+		t.Errorf("told %v by %v", told, targets)
+	}
+}
+
 // agent answers calls as told, each connection's until it hangs up.
 func agent(t *testing.T, answer func(n int, target string) (parts []string, pause time.Duration)) string {
 	t.Helper()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -43,11 +45,16 @@
 // open starts a router on a platform that setUp makes. At the test's end the
 // router is stopped, and the rules are checked from the platform's side.
 func open(t *testing.T, setUp func(*standin.Fleet)) *site {
-	return openOn(t, func(ln net.Listener) net.Listener { return ln }, setUp)
+	return openWith(t, options{}, setUp)
 }
 
-// openOn is open with the router's listener changed.
-func openOn(t *testing.T, listen func(net.Listener) net.Listener, setUp func(*standin.Fleet)) *site {
+// options change how a router is started.
+type options struct {
+	listen    func(net.Listener) net.Listener
+	configure func(map[string]any)
+}
+
+func openWith(t *testing.T, o options, setUp func(*standin.Fleet)) *site {
 	t.Cleanup(func() { goleak.VerifyNone(t, goleak.IgnoreCurrent()) })
 	s := &site{t: t, fleet: standin.New(), file: filepath.Join(t.TempDir(), "config.json"), signals: make(chan os.Signal, 4),
 		ended: make(chan error, 1)}
@@ -57,7 +64,10 @@
 		t.Fatal(err)
 	}
 	s.addr = ln.Addr().String()
-	s.configure(nil)
+	s.configure(o.configure)
+	if o.listen != nil {
+		ln = o.listen(ln)
+	}
 	env := func(name string) string { return map[string]string{"EDGE_CONFIG": s.file}[name] }
 	cfg, err := config.Load(env)
 	if err != nil {
@@ -69,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { s.ended <- r.Serve(context.Background(), listen(ln), s.signals) }()
+	go func() { s.ended <- r.Serve(context.Background(), ln, s.signals) }()
 	t.Cleanup(s.close)
 	s.until("ready", func() bool { return s.get("/ready") == 200 })
 	return s
@@ -418,9 +428,71 @@
 	}
 }
 
+// Whatever the settings name and allow, a request is served by them, and one of a class that they lack is an error.
+func TestStrangeSettings(t *testing.T) {
+	many := make([]map[string]any, 500)
+	for i := range many {
+		many[i] = map[string]any{"name": fmt.Sprint("inquilino ", i), "quotaPerS": 0.01}
+	}
+	for _, c := range []struct {
+		name   string
+		class  string
+		change func(settings, limits map[string]any)
+	}{
+		{"one class of a strange name", "Käse & Brot, 50%", func(set, _ map[string]any) {
+			class := set["classes"].([]any)[0].(map[string]any)
+			class["name"] = "Käse & Brot, 50%"
+			set["classes"] = []any{class}
+		}},
+		{"many tenants", "question", func(set, _ map[string]any) { set["tenants"] = many }},
+		{"no report, no zones, no rules of slow start", "question", func(set, _ map[string]any) {
+			delete(set, "report")
+			delete(set, "guarantees")
+			delete(set, "zones")
+		}},
+		{"one attempt at each server, no cancels, no places", "question", func(set, _ map[string]any) {
+			set["ceilings"] = map[string]any{"maxAttempts": 2}
+			set["domain"].(map[string]any)["holdsAllowed"] = false
+		}},
+		{"no limit on attempts", "question", func(set, _ map[string]any) { set["ceilings"] = map[string]any{"cancel": true} }},
+		{"keyed, with a window of a millisecond", "question", func(set, _ map[string]any) {
+			class := set["classes"].([]any)[0].(map[string]any)
+			class["effect"], class["group"], class["windowMs"] = "token", "cell", 1
+		}},
+		{"an aim of nothing", "question", func(set, _ map[string]any) {
+			set["classes"].([]any)[0].(map[string]any)["aimMs"] = 0
+		}},
+		{"the least limits", "question", func(_, limits map[string]any) {
+			limits["memory_mb"], limits["sockets"], limits["cores"] = 16, 64, 0.05
+		}},
+		{"large limits", "question", func(_, limits map[string]any) {
+			limits["memory_mb"], limits["sockets"], limits["cores"] = 1<<20, 1<<20, 512
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := openWith(t, options{configure: func(file map[string]any) {
+				set, limits := map[string]any{}, map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 256}
+				if err := json.Unmarshal([]byte(standin.Settings), &set); err != nil {
+					t.Fatal(err)
+				}
+				c.change(set, limits)
+				file["settings"], file["limits"] = set, limits
+			}}, two)
+			s.wantServed(s.ask("a", c.class, 4000), "a")
+			nc := s.dial()
+			s.wantServed(s.on(nc, bufio.NewReader(nc), request("b", c.class, 4000, body, "X-Tenant-Id: inquilino 7\r\n")), "b")
+			if a := s.ask("c", "no such class", 4000); a.status != 400 {
+				t.Errorf("a class of nobody's: %+v", a)
+			}
+		})
+	}
+}
+
 // A new configuration may be another customer's: requests under way end as they came, new ones find its classes,
 // limits and kinds alone, also where discovery says nothing since.
 func TestReloadToOthers(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0)) // the new limits are this process's
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	hold := make(chan struct{})
 	var reader *standin.Worker
 	s := open(t, func(f *standin.Fleet) {
@@ -457,6 +529,101 @@
 	s.fleet.Mute(false)
 }
 
+// A request whose first byte came before the router turned its clients away is answered, on a new connection or one
+// that was used, wherever in it the turn falls; on one that rests nothing is taken any more, and it ends in order.
+func TestStopAcrossRequests(t *testing.T) {
+	s := open(t, two)
+	type half struct {
+		name, raw string
+		nc        net.Conn
+		br        *bufio.Reader
+		cut       int
+	}
+	var halves []half
+	for _, used := range []bool{false, true} {
+		for i, cut := range []int{1, 40, -1, 0} {
+			id := fmt.Sprintf("h%d-%v", i, used)
+			h := half{name: id, raw: request(id, "question", 5000, body), nc: s.dial(), cut: cut}
+			h.br = bufio.NewReader(h.nc)
+			if cut < 0 {
+				h.cut = len(h.raw) - 1
+			}
+			if used {
+				s.wantServed(s.on(h.nc, h.br, request("a"+id, "question", 4000, body)), "a"+id)
+			}
+			io.WriteString(h.nc, h.raw[:h.cut])
+			halves = append(halves, h)
+		}
+	}
+	s.signals <- syscall.SIGTERM
+	s.until("it takes no more connections", func() bool {
+		nc, err := net.Dial("tcp", s.addr)
+		if err == nil {
+			nc.Close()
+		}
+		return err != nil
+	})
+	for _, h := range halves {
+		if h.cut > 0 {
+			s.wantServed(s.on(h.nc, h.br, h.raw[h.cut:]), h.name)
+			continue
+		}
+		h.nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if _, err := h.br.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: %v", h.name, err)
+		}
+		io.WriteString(h.nc, h.raw) // read behind the shutdown, or not at all
+	}
+	for _, id := range []string{"h3-false", "h3-true"} {
+		if n := s.fleet.Ran(id); n != 0 {
+			t.Errorf("%s was sent on after its connection had ended", id)
+		}
+	}
+}
+
+// Each event is passed on before the next is written, in many streams at once on one core: none is held back until
+// others come.
+func TestEventsNeverWaitForOthers(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const streams, events = 20, 50
+	steps := make(map[string]chan struct{}, streams)
+	for i := range streams {
+		steps[fmt.Sprint("s", i)] = make(chan struct{}, 1)
+	}
+	s := open(t, func(f *standin.Fleet) {
+		f.Add(standin.Prompt, nil)
+		f.Add(standin.Answer, func(_ int, id string) standin.Script { return standin.Script{Chunks: events, Step: steps[id]} })
+	})
+	var wg sync.WaitGroup
+	for id, step := range steps {
+		wg.Go(func() {
+			nc, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(nc, request(id, "question", 8000, body))
+			step <- struct{}{}
+			res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if err != nil {
+				t.Errorf("%s: %v", id, err)
+				return
+			}
+			for n := range events {
+				event := make([]byte, len(standin.Event(id, n)))
+				if _, err := io.ReadFull(res.Body, event); err != nil || string(event) != standin.Event(id, n) {
+					t.Errorf("%s, event %d: %q, %v", id, n, event, err)
+					return
+				}
+				step <- struct{}{} // only now may the worker write the next
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // smallBuffers has the system hold little of what is written to a client.
 type smallBuffers struct{ net.Listener }
 
@@ -476,7 +643,7 @@
 	}}
 	const long = 3000 // about 200 KiB, far more than the system holds
 	finished := make(chan struct{})
-	s := openOn(t, func(ln net.Listener) net.Listener { return smallBuffers{ln} }, func(f *standin.Fleet) {
+	s := openWith(t, options{listen: func(ln net.Listener) net.Listener { return smallBuffers{ln} }}, func(f *standin.Fleet) {
 		f.Add(standin.Prompt, nil)
 		f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Chunks: long} }).
 			Finished(func(string) { close(finished) })
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -42,6 +42,7 @@
 	NotRun bool          // with the status: it never ran
 	Raw    string        // written in place of the answer, and the connection stays open
 	Cut    bool          // the connection breaks in place of the answer
+	Step   chan struct{} // each event is written once this gives something; nil: as the gap tells
 	Chunks int           // events of a stream; 0: three
 	After  string        // written raw behind so many events, with the stream left open
 	Early  string        // written raw ahead of the answer
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -174,6 +174,13 @@
 func (w *Worker) stream(rw http.ResponseWriter, req *http.Request, id string, s Script) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for n := range s.Chunks {
+		if s.Step != nil {
+			select {
+			case <-s.Step:
+			case <-req.Context().Done():
+				return
+			}
+		}
 		io.WriteString(rw, Event(id, n))
 		rw.(http.Flusher).Flush()
 		if !w.wait(req, s.Gap) {
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -303,7 +303,7 @@
 	switch {
 	case drains:
 		return attempt.NotSent{Err: errDrains}
-	case !call.Before.IsZero() && time.Now().After(call.Before):
+	case !call.Before.IsZero() && time.Now().After(call.Before), !call.Until.IsZero() && time.Now().After(call.Until):
 		return attempt.NotSent{Err: errTooLate}
 	case call.Gone != nil && call.Gone():
 		return errLeft
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -312,19 +312,24 @@
 		Hold: time.Second, Let: time.Second})
 	defer cl.Close()
 	cl.Update(true, []Worker{{ID: "w", Addr: addr}})
-	for i, until := range []time.Duration{300 * time.Millisecond, -time.Second} {
+	for i, until := range []time.Duration{300 * time.Millisecond, 200 * time.Millisecond} {
 		c := call(i)
 		c.Until = time.Now().Add(until)
 		if r := cl.Read(context.Background(), c); r.Outcome != gannethook.ReadDone {
 			t.Errorf("%+v", r)
 		}
-		if ms, err := strconv.Atoi(<-told); err != nil || ms < 1 || ms > max(int(until.Milliseconds()), 1) {
+		if ms, err := strconv.Atoi(<-told); err != nil || ms < 1 || ms > int(until.Milliseconds()) {
 			t.Errorf("told %d ms, %v; %v are left", ms, err, until)
 		}
 	}
 	if n := conns.Load(); n != 2 {
 		t.Errorf("%d connections", n)
 	}
+	late := call(2)
+	late.Until = time.Now().Add(-time.Second)
+	if r := cl.Read(context.Background(), late); r.Outcome != gannethook.ConnectFailed || requests.Load() != 2 {
+		t.Errorf("with no time left: %+v after %d requests", r, requests.Load())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if r := cl.Read(ctx, call(2)); r.Outcome != gannethook.ConnectFailed || requests.Load() != 2 {
--- a/router.go
+++ b/router.go
@@ -183,7 +183,7 @@
 
 // New returns a router that knows nothing but its settings.
 func New(set Settings, seed uint64) (*Router, error) {
-	if err := validate(&set); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
 	r := &Router{
@@ -220,7 +220,7 @@
 			r.end(q)
 		}
 	case Reconfigure:
-		if validate(&ev.Settings) == nil {
+		if ev.Settings.Validate() == nil {
 			r.reconfigure(ev.Settings)
 		}
 	case Wakeup:
@@ -249,8 +249,9 @@
 	}
 	r.arrived++
 	class := &r.set.Classes[ev.Class]
-	q := &request{Request: ev, set: r.set, deadline: r.now + ev.Budget, idle: r.now,
-		ranAt: Millis(math.Inf(1)), aim: class.Aim + class.AimPer1000*Millis(ev.Prompt/1000)}
+	aim := cmp.Or(class.Aim, ev.Budget) + class.AimPer1000*Millis(ev.Prompt/1000)
+	q := &request{Request: ev, set: r.set, deadline: r.now + ev.Budget, idle: r.now, aim: aim,
+		ranAt: Millis(math.Inf(1))}
 	r.requests[ev.ID] = q
 	r.do(Wake{In: max(ev.Budget-lastCall*r.set.Quantum-1, 0), Ref: uint64(ev.ID)*refStep + refDeadline})
 	if r.admits(q) {
--- a/settings.go
+++ b/settings.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// validate tells what in the settings makes no sense.
-func validate(set *Settings) error {
+// Validate tells what in the settings makes no sense.
+func (set *Settings) Validate() error {
 	if len(set.Classes) == 0 {
 		return errors.New("settings: no classes")
 	}
@@ -58,5 +58,5 @@
 		set.WritersRead != next.WritersRead {
 		return errors.New("settings: what engines can do changed")
 	}
-	return validate(next)
+	return next.Validate()
 }
