What was read behind an open request is answered, at the stop and beyond the bound

Cause: exchange.serve closed the connection after the open request's answer once the router stopped, or once more was sent ahead than is kept, although whole requests had been read behind it: read, and closed with no answer. TestStopAnswersWhatWasSentAhead ('second: {status:0') and TestFloodIsAnswered ('1 answers to 1 requests that were read') fail without the change. Now what was read ahead is served first; beyond the bound comes an error and a close.

--- a/internal/platform/clients/crossing_test.go
+++ b/internal/platform/clients/crossing_test.go
@@ -32,6 +32,33 @@
 	}
 }
 
+// Of many requests in one write those that are kept are answered, in order; what goes beyond the bound gets an error and a
+// close, and nothing that was read ends without a word.
+func TestFloodIsAnswered(t *testing.T) {
+	addr, asked, _ := served(t, 10, nil)
+	nc := dial(t, addr)
+	go io.WriteString(nc, strings.Repeat(whole, 4*mostAhead/len(whole)))
+	br, answers, last := bufio.NewReader(nc), 0, ""
+	for {
+		res, err := http1.ReadResponse(br)
+		if err != nil {
+			break
+		}
+		body, err := http1.ResponseBody(br, res)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answers, last = answers+1, string(text)
+	}
+	if n := int(asked.Load()); answers < 100 || answers != n && answers != n+1 || answers == n+1 && !strings.Contains(last, "too much") {
+		t.Errorf("%d answers to %d requests that were read, the last %q", answers, n, last)
+	}
+}
+
 // A connection that is taken in the very moment in which the router turns away does not stay open for a request that
 // would come too late to be answered.
 func TestTakenAsTheRouterTurns(t *testing.T) {
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -34,7 +34,7 @@
 	req  *http1.Request
 	from time.Time
 	keep bool
-	held int64 // bytes of the body
+	held int64 // bytes of the head and the body
 
 	stream uint64        // its number among the streams, once begun
 	since  time.Duration // of the server's life, when it began
@@ -90,8 +90,9 @@
 	}
 	a := x.wait(call.Abandon)
 	s.ended(x)
+	x.keep = x.keep && !x.l.turned()
 	x.answer(a)
-	return x.keep && !s.stops.Load()
+	return x.keep
 }
 
 // refusal tells why a request can't be taken.
@@ -152,7 +153,6 @@
 		x.keep = false
 		abandon()
 	}
-	x.keep = x.keep && x.l.ahead.lost == 0
 	<-x.done
 	return *x.final
 }
@@ -223,7 +223,6 @@
 // answer writes what is left to say. A stream that is not whole ends with its
 // connection, without the last chunk.
 func (x *exchange) answer(a driver.Answer) {
-	stops := x.l.s.stops.Load()
 	switch {
 	case a.Kind == driver.Served && x.begun:
 		if x.out.chunk(nil) != nil || x.out.wait(time.Time{}) != nil {
@@ -239,9 +238,9 @@
 		if a.RetryAfter > 0 {
 			more = append(more, http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)})
 		}
-		x.l.plain("503 Service Unavailable", "refused: nothing was done\n", x.keep && !stops, more...)
+		x.l.plain("503 Service Unavailable", "refused: nothing was done\n", x.keep, more...)
 	default:
-		x.l.plain("500 Internal Server Error", "failed\n", x.keep && !stops)
+		x.l.plain("500 Internal Server Error", "failed\n", x.keep)
 	}
 }
 
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -386,6 +386,10 @@
 // has tells whether something that came ahead waits for its turn.
 func (l *link) has() bool { return l.br.Buffered() > 0 || len(l.ahead.kept) > 0 }
 
+// turned tells whether no further request is taken: the router stops, and none
+// was read ahead, which would then be lost.
+func (l *link) turned() bool { return l.s.stops.Load() && !l.has() }
+
 func (l *link) readable() error {
 	if l.has() {
 		return nil
@@ -398,6 +402,10 @@
 	from := time.Now()
 	l.nc.SetReadDeadline(from.Add(l.s.limits.Load().Head))
 	req, err := http1.ReadRequest(l.br)
+	if err != nil && l.ahead.lost > 0 {
+		l.refuse("503 Service Unavailable", "too much was sent behind an open request")
+		return false
+	}
 	if err != nil {
 		l.badHead(err)
 		return false
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -581,6 +581,37 @@
 	}
 }
 
+// A request that was read behind another one is answered although the router stops in between.
+func TestStopAnswersWhatWasSentAhead(t *testing.T) {
+	hold := make(chan struct{})
+	var reader *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		reader = f.Add(standin.Prompt, func(_ int, id string) standin.Script {
+			if id == "first" {
+				return standin.Script{Until: hold}
+			}
+			return standin.Script{}
+		})
+		f.Add(standin.Answer, nil)
+	})
+	nc := s.dial()
+	br := bufio.NewReader(nc)
+	io.WriteString(nc, request("first", "question", 6000, body)+request("second", "question", 6000, body))
+	s.until("the first is being read", func() bool { n, _, _ := reader.Count(); return n == 1 })
+	s.signals <- syscall.SIGTERM
+	s.until("it takes no more connections", func() bool {
+		nc, err := net.Dial("tcp", s.addr)
+		if err == nil {
+			nc.Close()
+		}
+		return err != nil
+	})
+	close(hold)
+	for _, id := range []string{"first", "second"} {
+		s.wantServed(s.on(nc, br, ""), id)
+	}
+}
+
 // Each event is passed on before the next is written, in many streams at once on one core: none is held back until
 // others come.
 func TestEventsNeverWaitForOthers(t *testing.T) {
