Lots for cold servers go by the calls of a request and its repeats, not by every send

Cause: lots were divided by one plus all sends, the read of every state among them, so writers' lots were halved on deployments without places as well. Now a request's calls at a writer are two where places are held, one else; the lot is times half the overload factor over the calls, where that is under one, and over the sends if several.

--- a/router.go
+++ b/router.go
@@ -455,8 +455,7 @@
 
 // span is how long an attempt may take that usually takes so many ms, or 0 to let it be: where all are slow,
 // or a server ends own work so seldom that silence tells nothing within the aim. Guards against giving up
-// what only waits its turn: it is done all the same, and again elsewhere. Hung servers are left later than
-// they could be.
+// what only waits its turn: it is done all the same, and again elsewhere. Hung servers are left late.
 func (r *Router) span(q *request, role Role, usual float64) Millis {
 	if wait := max(patience*q.aim, usualTimes*Millis(usual), Millis(1000/r.peak[role])); wait < q.aim {
 		return wait
@@ -837,8 +836,7 @@
 	return 1 - s.out/r.budget(s, q) - r.takenOff(s, q)
 }
 
-// flow is what a server may turn away by itself: a class and a tenant. All of older settings are one, the
-// last.
+// flow is what a server may turn away by itself: a class and a tenant. Those of older settings are the last.
 func (r *Router) flow(q *request) int {
 	if q.set != r.set {
 		return len(r.turned) - 1
@@ -982,9 +980,9 @@
 // cold server gets, times its warmth, the most that this router saw a warm one get done; to count sends would
 // count a storm of retries. A router that sends a warm server too few to go by that draws a lot for each
 // request, and is ahead by one send at most: credits under one send for most of the warm-up would leave cold
-// capacity unused. Lots are fewer by what is gone, failing or full, else the rest, if cold, got it all, and
-// by the sends that the request had: most routers have not seen yet that the others fail. Harms where a fleet
-// was made smaller.
+// capacity unused. Lots are fewer by what is gone, failing or full, else the rest, if cold, got it all; by
+// the request's repeats: most routers have not seen yet that the others fail; and where a request is two
+// calls, by what the settings allow. Harms where a fleet was made smaller.
 func (r *Router) hasCredit(s *server, q *request, left float64) bool {
 	w := r.warmth(s)
 	if w >= 1 {
@@ -993,8 +991,12 @@
 	perMs := math.Min(coldPart, r.set.OverloadFactor/2) * w * r.peak[s.role] / 1000
 	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
 	few := r.peak[s.role]*float64(r.set.WarmAfter) < enough*1000
-	lot := unit(uint64(q.ID)^r.seed, s.hash) * float64(1+q.sent)
-	return s.credit >= 1 || few && s.credit >= 0 && lot < w*left
+	calls := 1.0
+	if s.role == Writer && r.set.Holds {
+		calls = 2 // a place, then the state
+	}
+	lot := unit(uint64(q.ID)^r.seed, s.hash) * float64(max(q.sent, 1))
+	return s.credit >= 1 || few && s.credit >= 0 && lot < w*left*math.Min(1, r.set.OverloadFactor/2/calls)
 }
 
 // mayRepeat tells whether a request that was sent before may go to a server. Guards against storms of repeats
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -23,6 +23,7 @@
 	warmAfter      Millis
 	overloadFactor float64
 	fall           Millis // the span in which too many calls make it fall
+	holds          bool   // a place is asked for ahead of a state
 }
 
 const (
@@ -77,6 +78,7 @@
 	f := &slowStartFleet{slowStart: c, rnd: rand.New(rand.NewPCG(seed, uint64(c.routers))), now: 1e6,
 		failing: map[ServerID]bool{}, calls: map[ServerID][]Millis{}}
 	set := fleet(func(set *Settings) {
+		set.Holds = c.rules.holds
 		set.Routers, set.ColdFrom, set.WarmAfter, set.OverloadFactor = c.routers, c.rules.coldFrom, c.rules.warmAfter,
 			c.rules.overloadFactor
 	})
@@ -235,7 +237,8 @@
 // 30), N being what the settings allow then. All calls count: prompts, reservations, states, and every repeat.
 // And cold servers are used: together they get half of their share by warmth at the least.
 func TestSlowStartOfTheSum(t *testing.T) {
-	rules := []slowStartRules{{0.25, 10000, 3, 3000}, {0.15, 20000, 2.2, 1500}, {0.25, 14000, 2, 1000}, {0.4, 6000, 4, 4000}}
+	rules := []slowStartRules{{0.25, 10000, 3, 3000, true}, {0.15, 20000, 2.2, 1500, true}, {0.25, 14000, 2, 1000, true},
+		{0.4, 6000, 4, 4000, true}, {0.25, 14000, 2, 1000, false}, {0.25, 10000, 2.5, 1500, false}}
 	for _, routers := range []int{1, 3, 10, 30, 100, 300} {
 		for load, rounds := range slowStartRounds {
 			for i, rule := range rules {
