--- a/internal/daemon/apis_test.go
+++ b/internal/daemon/apis_test.go
@@ -147,7 +147,7 @@
 			}
 		}
 	}
-	s, err := c.CreateChatCompletionStream(context.Background(), sashabaranov.ChatCompletionRequest{Model: "m", MaxTokens: 10,
+	s, err := c.CreateChatCompletionStream(context.Background(), sashabaranov.ChatCompletionRequest{Model: "m", MaxCompletionTokens: 10,
 		Messages: []sashabaranov.ChatCompletionMessage{{Role: "user", Content: "hi"}}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -441,8 +441,7 @@
 		}
 	}
 	classes := map[uint64]int{}
-	var apply func(list []Verdict, at time.Duration)
-	apply = func(list []Verdict, at time.Duration) {
+	apply := func(list []Verdict, at time.Duration) {
 		for _, verdict := range list {
 			if verdict.Pass {
 				ends = append(ends, ending{v.done(at, prices[verdict.ID]), verdict.ID, classes[verdict.ID]})
