--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -69,9 +69,11 @@
 	turn    int
 	now     Millis
 	id      RequestID
-	failing map[ServerID]bool     // these fail whatever they get, at once
-	calls   map[ServerID][]Millis // every call: prompts, reservations, states
-	sends   int
+	failing map[ServerID]bool                               // these fail whatever they get, at once
+	calls   map[ServerID][]Millis                           // every call: prompts, reservations, states
+	vary    func(*Request)                                  // if not nil, changes a request before it is handed in
+	answer  func(*Ended)                                    // the same for an outcome of a server that is well
+	trace   func(router int, event Event, actions []Action) // if not nil, told of all that is handed in and done
 }
 
 func newSlowStartFleet(c slowStart, seed uint64, servers []Server) *slowStartFleet {
@@ -111,7 +113,11 @@
 
 // hand gives a router one event and has the servers answer what it does.
 func (f *slowStartFleet) hand(i int, ev Event) {
-	for _, act := range f.routers[i].Handle(f.now, ev) {
+	actions := f.routers[i].Handle(f.now, ev)
+	if f.trace != nil {
+		f.trace(i, ev, actions)
+	}
+	for _, act := range actions {
 		switch a := act.(type) {
 		case Send:
 			f.send(i, a)
@@ -128,7 +134,6 @@
 }
 
 func (f *slowStartFleet) send(i int, a Send) {
-	f.sends++
 	f.calls[a.Server] = append(f.calls[a.Server], f.now)
 	end := Ended{ID: a.ID, Attempt: f.routers[i].requests[a.ID].sent - 1, Server: a.Server}
 	switch {
@@ -137,14 +142,25 @@
 		f.after(5, i, end)
 	case f.routers[i].servers[a.Server].role == Reader:
 		end.Outcome = ReadDone
+		f.change(&end)
 		f.after(readTime, i, end)
 	default:
 		end.Outcome, end.Done = Served, true
-		f.after(tokenTime, i, Streaming{ID: a.ID, Attempt: end.Attempt, Server: a.Server})
+		f.change(&end)
+		if end.Outcome == Served {
+			f.after(tokenTime, i, Streaming{ID: a.ID, Attempt: end.Attempt, Server: a.Server})
+		}
 		f.after(writeTime, i, end)
 	}
 }
 
+// change lets the case change an outcome.
+func (f *slowStartFleet) change(end *Ended) {
+	if f.answer != nil {
+		f.answer(end)
+	}
+}
+
 // play has requests arrive for a while, so many a second over all routers.
 func (f *slowStartFleet) play(length Millis, rate float64) {
 	end, next := f.now+length, f.now
@@ -162,6 +178,9 @@
 		f.id++
 		q := ask(f.id, 0)
 		q.Budget, q.Prefix, q.PrefixLen, q.Session = 5000, Key(1+f.id%7), 500, Key(f.rnd.Uint64())
+		if f.vary != nil {
+			f.vary(&q)
+		}
 		at := f.rnd.Float64() * f.parts[len(f.parts)-1]
 		i, _ := slices.BinarySearch(f.parts, at)
 		f.hand(min(i, len(f.parts)-1), q)
