Lists that are asked for are asked for seldom, apart from other routers, and waited for

Three of its routers logged 'discovery does not answer ... i/o timeout' 0.5 s after the new address came up, and never 'answers again'; others 'status 503' at the first call of the whole fleet. Cause: discovery/watch.go has one set of times, for an agent that answers at once and at no cost. There each call costs what all routers share: calls every 1.5 s, given up after 0.5 s, made again after 50 to 400 ms, and whole lists by all at once kept discovery over its capacity. TestAskedForSeldom and TestFirstCall fail without.

--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -18,7 +19,6 @@
 	Told func(*List) // every list and change, in order, from Run's goroutine
 	Log  *zap.Logger
 	Rev  int64 // known at the start; negative: nothing
-	Times
 }
 
 // Times are those of the watch. What discovery tells counts as told some seconds
@@ -28,31 +28,56 @@
 	Wait  time.Duration // a watch's call waits so long for news
 	Grace time.Duration // for the first byte of an answer that is due, and between two parts of one
 	Whole time.Duration // for all of an answer from its first byte on
+
+	First           time.Duration // the first call is spread over this, where a list is known; zero: at once, for the whole list
+	Retry, RetryMax time.Duration // the pause after a failed call, doubled up to RetryMax, less a random half
 }
 
-// Usual are the times of the platform, on whose machines the agent answers at once.
-var Usual = Times{Wait: 1500 * time.Millisecond, Grace: 500 * time.Millisecond, Whole: 3 * time.Second}
+// Pushed are the times where lists are pushed: the agent is on this machine and
+// answers at once, at no cost.
+var Pushed = Times{Wait: 1500 * time.Millisecond, Grace: 500 * time.Millisecond, Whole: 3 * time.Second,
+	Retry: 50 * time.Millisecond, RetryMax: 400 * time.Millisecond}
+
+// Times where lists are asked for: each call costs discovery work that all routers
+// share, so they call seldom, wait longer and back off. What a silent call missed
+// counts as told 2 s after its wait; askedGrace is under that by a call's time.
+const (
+	askedWaitMin   = 3 * time.Second
+	askedWaitMax   = 20 * time.Second
+	askedPerRouter = 400 * time.Millisecond // of wait: together they call two or three times a second
+	askedGrace     = 1200 * time.Millisecond
+)
+
+// Asked are the times where lists are asked for by so many routers.
+func Asked(routers int) Times {
+	wait := min(max(time.Duration(routers)*askedPerRouter, askedWaitMin), askedWaitMax)
+	return Times{Wait: wait, Grace: askedGrace, Whole: 3 * time.Second, First: wait / 4, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+}
+
+// Source is an agent's address and how it is called.
+type Source struct {
+	Addr string
+	Times
+}
 
 const (
 	dial     = 500 * time.Millisecond
-	again    = 50 * time.Millisecond // after a failed call, doubled
-	againTop = 400 * time.Millisecond
 	mostBody = 32 << 20
 )
 
 // Run follows the agent at the address until another comes or the context ends.
 // The first call at an address asks for the whole list.
-func (w *Watch) Run(ctx context.Context, addr string, next <-chan string) {
+func (w *Watch) Run(ctx context.Context, from Source, next <-chan Source) {
 	for {
 		here, cancel := context.WithCancel(ctx)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			w.follow(here, addr)
+			w.follow(here, from)
 		}()
 		select {
-		case addr = <-next:
-			w.Log.Info("discovery has another address", zap.String("discovery", addr))
+		case from = <-next:
+			w.Log.Info("discovery has another address", zap.String("discovery", from.Addr))
 		case <-ctx.Done():
 		}
 		cancel()
@@ -64,12 +89,15 @@
 }
 
 // follow calls one agent over and over.
-func (w *Watch) follow(ctx context.Context, addr string) {
-	c := &caller{addr: addr, times: w.Times}
+func (w *Watch) follow(ctx context.Context, from Source) {
+	c := &caller{addr: from.Addr, times: from.Times}
 	defer c.close()
-	whole, pause, failed := true, again, false
+	whole, pause, failed := from.First == 0 || w.Rev < 0, from.Retry, false
+	if !whole {
+		w.sleep(ctx, rand.N(from.First))
+	}
 	for ctx.Err() == nil {
-		wait := w.Wait
+		wait := from.Wait
 		if failed { // what was missed is asked for without a wait, so that an agent still silent is noticed sooner
 			wait = time.Millisecond
 		}
@@ -83,7 +111,7 @@
 				w.Log.Info("discovery answers again", zap.Int64("rev", list.Rev))
 			}
 			// A list that has gone back began anew: what it counts from is not what is known here.
-			whole, failed, pause = !list.All && list.Rev < w.Rev, false, again
+			whole, failed, pause = !list.All && list.Rev < w.Rev, false, from.Retry
 			if !whole {
 				w.Rev = list.Rev
 				w.Told(list)
@@ -95,11 +123,15 @@
 			w.Log.Warn("discovery does not answer", zap.Error(err))
 		}
 		failed = true
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-		pause = min(2*pause, againTop)
+		w.sleep(ctx, pause-rand.N(pause/2)) // apart from other routers, which failed at the same moment
+		pause = min(2*pause, from.RetryMax)
+	}
+}
+
+func (w *Watch) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/platform/discovery/watch_test.go
+++ b/internal/platform/discovery/watch_test.go
@@ -16,6 +16,70 @@
 
 const ms = time.Millisecond
 
+// Where lists are asked for, each call costs what all routers share: an agent that answers late is waited for, and one that is
+// down is called seldom, by routers that do not keep step.
+func TestAskedForSeldom(t *testing.T) {
+	list := `{"rev":1,"all":true,"targets":[]}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	late := agent(t, func(int, string) ([]string, time.Duration) { return []string{"", whole}, 800 * ms })
+	if revs := follow(t, Asked(6), late, 1); len(revs) != 1 || revs[0] != 1 {
+		t.Errorf("told %v by an agent that answers after 0.8 s", revs)
+	}
+	var mu sync.Mutex
+	calls := 0
+	down := agent(t, func(int, string) ([]string, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		return []string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}, 0
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	w := &Watch{Told: func(*List) {}, Log: zap.NewNop(), Rev: -1}
+	w.Run(ctx, Source{down, Asked(6)}, make(chan Source))
+	if calls > 10 { // at 0, 0.1 to 0.2, 0.3 to 0.6, 0.7 to 1.4, 1.5 s and so on
+		t.Errorf("%d calls in 3 s to an agent that is down", calls)
+	}
+	for _, c := range []struct{ routers, atMost int }{{1, 1}, {6, 3}, {30, 4}, {300, 16}} { // calls a second by all of them
+		if rate := float64(c.routers) / Asked(c.routers).Wait.Seconds(); rate > float64(c.atMost) {
+			t.Errorf("%d routers call %.1f times a second together", c.routers, rate)
+		}
+	}
+	if Asked(6).Grace >= 2*time.Second {
+		t.Errorf("silence is noticed %v after the wait; it counts as told after 2 s", Asked(6).Grace)
+	}
+}
+
+// Where lists are asked for, a router that knows a list asks what has changed since, at a moment of its own: whole lists
+// asked for by a fleet at once, at its start, are more than discovery answers. Where they are pushed, the whole is asked for.
+func TestFirstCall(t *testing.T) {
+	asked := Asked(30)
+	if asked.First < time.Second {
+		t.Errorf("30 routers call first within %v", asked.First)
+	}
+	asked.First = time.Millisecond
+	for _, c := range []struct {
+		times  Times
+		rev    int64
+		target string
+	}{{asked, 41, "/v1/endpoints?since=41&timeout_ms=12000"}, {asked, -1, "/v1/endpoints"}, {Pushed, 41, "/v1/endpoints"}} {
+		targets := make(chan string, 100)
+		addr := agent(t, func(_ int, target string) ([]string, time.Duration) {
+			targets <- target
+			return []string{reset}, 0
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		w := &Watch{Told: func(*List) {}, Log: zap.NewNop(), Rev: c.rev}
+		wg.Go(func() { w.Run(ctx, Source{addr, c.times}, make(chan Source)) })
+		if got := <-targets; got != c.target {
+			t.Errorf("with rev %d known: %s, want %s", c.rev, got, c.target)
+		}
+		cancel()
+		wg.Wait()
+	}
+}
+
 // An agent that counts anew, from less than what is known, is asked for the whole list: its changes since a number that
 // it has not reached would never come.
 func TestAgentThatCountsAnew(t *testing.T) {
@@ -35,10 +99,10 @@
 		if told = append(told, l.Rev); len(told) == 2 {
 			close(done)
 		}
-	}, Log: zap.NewNop(), Rev: -1, Times: Usual}
+	}, Log: zap.NewNop(), Rev: -1}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { w.Run(ctx, addr, nil) })
+	wg.Go(func() { w.Run(ctx, Source{addr, Pushed}, nil) })
 	select {
 	case <-done:
 	case <-time.After(5 * time.Second):
@@ -113,12 +177,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	var revs []int64
-	w := &Watch{Log: zap.NewNop(), Rev: -1, Times: times, Told: func(l *List) {
+	w := &Watch{Log: zap.NewNop(), Rev: -1, Told: func(l *List) {
 		if revs = append(revs, l.Rev); len(revs) == lists {
 			cancel()
 		}
 	}}
-	w.Run(ctx, addr, make(chan string))
+	w.Run(ctx, Source{addr, times}, make(chan Source))
 	if len(revs) < lists {
 		t.Fatalf("told only %v", revs)
 	}
@@ -142,7 +206,7 @@
 		}
 		return []string{whole(fmt.Sprintf(`{"rev":%d,"all":false,"targets":[]}`, n))}, 0
 	})
-	times := Times{Wait: 150 * ms, Grace: 100 * ms, Whole: time.Second}
+	times := Times{Wait: 150 * ms, Grace: 100 * ms, Whole: time.Second, Retry: 50 * ms, RetryMax: 400 * ms}
 	from := time.Now()
 	if revs := follow(t, times, addr, 3); revs[0] != 1 || revs[1] != 4 || revs[2] != 6 {
 		t.Errorf("told %v", revs)
@@ -172,10 +236,10 @@
 		}
 		return parts, 30 * ms // longer in all than any one silence may be
 	})
-	if revs := follow(t, Times{Wait: 100 * ms, Grace: 200 * ms, Whole: 10 * time.Second}, addr, 1); revs[0] != 1 {
+	if revs := follow(t, Times{Wait: 100 * ms, Grace: 200 * ms, Whole: 10 * time.Second, Retry: 50 * ms, RetryMax: 400 * ms}, addr, 1); revs[0] != 1 {
 		t.Errorf("told %v", revs)
 	}
-	if Usual.Wait+Usual.Grace > 4*time.Second {
-		t.Errorf("silence is noticed after %v; it counts as told after 6 s", Usual.Wait+Usual.Grace)
+	if Pushed.Wait+Pushed.Grace > 4*time.Second {
+		t.Errorf("silence is noticed after %v; it counts as told after 6 s", Pushed.Wait+Pushed.Grace)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -49,7 +49,7 @@
 	workers *workers.Client
 	clients *clients.Server
 	watch   *discovery.Watch
-	next    chan string // discovery's new address
+	next    chan discovery.Source // discovery, as a new configuration has it
 	ready   atomic.Bool
 	listed  chan struct{} // closed with discovery's first answer
 	once    sync.Once
@@ -57,7 +57,7 @@
 
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
 func New(cfg *config.Config, env func(string) string, log *zap.Logger) (*Router, error) {
-	r := &Router{cfg: cfg, env: env, log: log, next: make(chan string, 1), listed: make(chan struct{})}
+	r := &Router{cfg: cfg, env: env, log: log, next: make(chan discovery.Source, 1), listed: make(chan struct{})}
 	r.workers = workers.New(workerLimits(cfg))
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
@@ -67,7 +67,7 @@
 	}
 	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load, Log: log,
 		Limits: clientLimits(cfg)})
-	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1, Times: discovery.Usual}
+	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1}
 	return r, nil
 }
 
@@ -115,8 +115,9 @@
 		known := *cfg.Known
 		known.All = true
 		r.take(&known)
+		r.watch.Rev = known.Rev
 	}
-	parts.Go(func() { r.watch.Run(ctx, cfg.Discovery, r.next) })
+	parts.Go(func() { r.watch.Run(ctx, source(cfg), r.next) })
 	parts.Go(func() {
 		if cfg.Known == nil || len(cfg.Known.Targets) == 0 { // without any list it could only refuse
 			select {
--- a/internal/platform/reload.go
+++ b/internal/platform/reload.go
@@ -12,6 +12,7 @@
 	"gannethook/internal/driver"
 	"gannethook/internal/platform/clients"
 	"gannethook/internal/platform/config"
+	"gannethook/internal/platform/discovery"
 	"gannethook/internal/platform/workers"
 	"gannethook/internal/profile"
 )
@@ -37,6 +38,15 @@
 		Head: 2 * time.Second, Idle: 20 * time.Second, Write: 4 * time.Second, Shutdown: 500 * time.Millisecond}
 }
 
+// source is how discovery is called: settings tell whether it pushes its lists or is asked for them.
+func source(cfg *config.Config) discovery.Source {
+	times := discovery.Pushed
+	if set := &cfg.Profile.Settings; set.AskDiscovery {
+		times = discovery.Asked(set.Routers)
+	}
+	return discovery.Source{Addr: cfg.Discovery, Times: times}
+}
+
 func names(cfg *config.Config) driver.Names {
 	return driver.Names{Classes: cfg.Profile.Classes, Tenants: cfg.Profile.Tenants}
 }
@@ -62,7 +72,7 @@
 	case <-r.next: // one that was not taken up yet
 	default:
 	}
-	r.next <- next.Discovery
+	r.next <- source(next)
 }
 
 // reconfigure has requests that come from now on go by another configuration;
