First calls for lists are spread by the number of routers

Now 0.2 s for each router, 8 s at the most, since what is listed counts as told 10 s after a start where lists are asked for; 2 s at another address.

--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -46,12 +46,18 @@
 	askedWaitMax   = 20 * time.Second
 	askedPerRouter = 400 * time.Millisecond // of wait: together they call two or three times a second
 	askedGrace     = 1200 * time.Millisecond
+
+	// The first calls of a fleet that starts at once, and those at another address:
+	// what is listed counts as told 10 s after a start, and 4 s after SIGHUP.
+	askedFirstPerRouter = 200 * time.Millisecond
+	askedFirstMax       = 8 * time.Second
+	askedSwitchMax      = 2 * time.Second
 )
 
 // Asked are the times where lists are asked for by so many routers.
 func Asked(routers int) Times {
 	wait := min(max(time.Duration(routers)*askedPerRouter, askedWaitMin), askedWaitMax)
-	return Times{Wait: wait, Grace: askedGrace, Whole: 3 * time.Second, First: wait / 4, Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+	return Times{Wait: wait, Grace: askedGrace, Whole: 3 * time.Second, First: min(time.Duration(routers)*askedFirstPerRouter, askedFirstMax), Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
 }
 
 // Source is an agent's address and how it is called.
@@ -68,15 +74,17 @@
 // Run follows the agent at the address until another comes or the context ends.
 // The first call at an address asks for the whole list.
 func (w *Watch) Run(ctx context.Context, from Source, next <-chan Source) {
+	first := from.First
 	for {
 		here, cancel := context.WithCancel(ctx)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			w.follow(here, from)
+			w.follow(here, from, first)
 		}()
 		select {
 		case from = <-next:
+			first = min(from.First, askedSwitchMax)
 			w.Log.Info("discovery has another address", zap.String("discovery", from.Addr))
 		case <-ctx.Done():
 		}
@@ -88,13 +96,13 @@
 	}
 }
 
-// follow calls one agent over and over.
-func (w *Watch) follow(ctx context.Context, from Source) {
+// follow calls one agent over and over, for the first time within first.
+func (w *Watch) follow(ctx context.Context, from Source, first time.Duration) {
 	c := &caller{addr: from.Addr, times: from.Times}
 	defer c.close()
-	whole, pause, failed := from.First == 0 || w.Rev < 0, from.Retry, false
+	whole, pause, failed := first == 0 || w.Rev < 0, from.Retry, false
 	if !whole {
-		w.sleep(ctx, rand.N(from.First))
+		w.sleep(ctx, rand.N(first))
 	}
 	for ctx.Err() == nil {
 		wait := from.Wait
