--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -122,6 +122,18 @@
 	s.t.Fatalf("%s: not within 5 s", what)
 }
 
+// untilClosed waits until the router takes no more connections.
+func (s *site) untilClosed() {
+	s.t.Helper()
+	s.until("it takes no more connections", func() bool {
+		nc, err := net.Dial("tcp", s.addr)
+		if err == nil {
+			nc.Close()
+		}
+		return err != nil
+	})
+}
+
 func (s *site) get(path string) int {
 	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + s.addr + path)
 	if err != nil {
@@ -568,13 +580,7 @@
 		}
 	}
 	s.signals <- syscall.SIGTERM
-	s.until("it takes no more connections", func() bool {
-		nc, err := net.Dial("tcp", s.addr)
-		if err == nil {
-			nc.Close()
-		}
-		return err != nil
-	})
+	s.untilClosed()
 	for _, h := range halves {
 		if h.cut > 0 {
 			s.wantServed(s.on(h.nc, h.br, h.raw[h.cut:]), h.name)
@@ -611,13 +617,7 @@
 	io.WriteString(nc, request("first", "question", 6000, body)+request("second", "question", 6000, body))
 	s.until("the first is being read", func() bool { n, _, _ := reader.Count(); return n == 1 })
 	s.signals <- syscall.SIGTERM
-	s.until("it takes no more connections", func() bool {
-		nc, err := net.Dial("tcp", s.addr)
-		if err == nil {
-			nc.Close()
-		}
-		return err != nil
-	})
+	s.untilClosed()
 	close(hold)
 	for _, id := range []string{"first", "second"} {
 		s.wantServed(s.on(nc, br, ""), id)
