--- a/reconfigure_test.go
+++ b/reconfigure_test.go
@@ -48,6 +48,9 @@
 	s.on(9, Ended{ID: 1, Server: "r1", Outcome: ReadDone})
 	s.on(1, ask(2, 3))
 	s.on(1, Ended{ID: 2, Server: "r1", Outcome: Full}) // class 3 is turned away
+	s.on(1, ask(5, 0))                                 // safe
+	s.on(9, Ended{ID: 5, Server: "r1", Outcome: ReadDone})
+	s.want("send 5 w1")
 	next := Settings{Routers: 9, Classes: []Class{{Aim: 700, Worth: 1, Effect: Safe, Streamed: true}},
 		Kinds:   []Kind{{Role: Writer, Memory: 1e5}, {Role: Reader, Memory: 1e5}},
 		Tenants: []Tenant{{QuotaPerS: 1}, {QuotaPerS: 5}}, MaxAttempts: 2, PinLimit: 900, Quantum: 4, Cancel: true}
@@ -55,17 +58,24 @@
 	if s.on(0, ask(3, 1)); len(s.acts) > 0 {
 		t.Errorf("a class that is gone: %v", s.acts)
 	}
-	s.on(1, Membership{Whole: true, Servers: []Server{at("w9", 0, 0, 0), at("r9", 1, 0, 0)}})
+	if s.on(1, ask(6, 0)); slices.Contains(shorts(s.acts), "send 6 r1") {
+		t.Error("a server of the former kinds is used before the list is told again")
+	}
+	s.on(1, ClientGone{ID: 6})
+	s.on(1, Membership{Whole: true, Servers: []Server{at("r1", 0, 0, 0), at("w1", 1, 0, 0)}}) // the same, in other roles
+	s.on(1, Ended{ID: 5, Attempt: 1, Server: "w1", Outcome: Full})                            // a third attempt, of five
+	s.want("send 5 r1")
+	s.on(1, ClientGone{ID: 5})
 	s.on(1, ask(4, 0))
-	s.want("send 4 r9")
-	s.on(1, Ended{ID: 4, Server: "r9", Outcome: ReadDone})
-	s.want("send 4 w9")
-	s.on(1, Ended{ID: 4, Attempt: 1, Server: "w9", Outcome: Failed}) // of two
+	s.want("send 4 w1")
+	s.on(1, Ended{ID: 4, Server: "w1", Outcome: ReadDone})
+	s.want("send 4 r1")
+	s.on(1, Ended{ID: 4, Attempt: 1, Server: "r1", Outcome: Failed}) // of two
 	s.want("release 4", "refuse 4", "release 4")
 	s.on(1, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Failed}) // unsafe, as it came
 	s.want("fail 1", "release 1")
 	for i, part := range s.r.turned[:len(s.r.turned)-1] {
-		if part.v > 0 || s.r.servers["r9"].full[i].v > 0 {
+		if part.v > 0 || s.r.servers["r1"].full[i].v > 0 {
 			t.Errorf("flow %d begins with what was learned of another", i)
 		}
 	}
