--- a/internal/platform/clients/clients_test.go
+++ b/internal/platform/clients/clients_test.go
@@ -40,9 +40,13 @@
 		job.PromptSize != 5120 || job.Kept != 2048 || job.MaxTokens != 800 || job.GiveUp.Milliseconds() != 4800 {
 		t.Errorf("%+v", job)
 	}
+	job, bad = readJob(parse(t, strings.Replace(head, "X-Attrs", "X-Tenant-Id: norte\r\nX-Attrs", 1)), classes)
+	if bad != nil || job.TenantName != "norte" {
+		t.Errorf("of a tenant: %+v, %v", job, bad)
+	}
 	// What a request need not say.
 	job, bad = readJob(parse(t, strings.Replace(head, "X-Attrs: prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800\r\n", "", 1)), classes)
-	if bad != nil || job.Prefix != 0 || job.PromptSize != 0 {
+	if bad != nil || job.Prefix != 0 || job.PromptSize != 0 || job.TenantName != "" {
 		t.Errorf("%+v, %v", job, bad)
 	}
 }
