--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -22,8 +22,8 @@
 }
 
 // Times are those of the watch. What discovery tells counts as told some seconds
-// after the watch fell silent, so calls wait short: that an agent says nothing is
-// noticed one Wait and one Grace later, whatever the call.
+// after the watch fell silent, or after a call's wait: that an agent says nothing
+// is noticed one Wait and one Grace later, whatever the call.
 type Times struct {
 	Wait  time.Duration // a watch's call waits so long for news
 	Grace time.Duration // for the first byte of an answer that is due, and between two parts of one
@@ -57,7 +57,9 @@
 // Asked are the times where lists are asked for by so many routers.
 func Asked(routers int) Times {
 	wait := min(max(time.Duration(routers)*askedPerRouter, askedWaitMin), askedWaitMax)
-	return Times{Wait: wait, Grace: askedGrace, Whole: 3 * time.Second, First: min(time.Duration(routers)*askedFirstPerRouter, askedFirstMax), Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
+	first := min(time.Duration(routers)*askedFirstPerRouter, askedFirstMax)
+	return Times{Wait: wait, Grace: askedGrace, Whole: 3 * time.Second, First: first,
+		Retry: 200 * time.Millisecond, RetryMax: 2 * time.Second}
 }
 
 // Source is an agent's address and how it is called.
@@ -72,7 +74,8 @@
 )
 
 // Run follows the agent at the address until another comes or the context ends.
-// The first call at an address asks for the whole list.
+// The first call at an address asks for the whole list, or, where it is spread, for
+// what has changed since Rev.
 func (w *Watch) Run(ctx context.Context, from Source, next <-chan Source) {
 	first := from.First
 	for {
@@ -114,16 +117,16 @@
 			target, wait = "/v1/endpoints", 0
 		}
 		list, err := c.call(ctx, target, wait)
+		if err == nil && !list.All && list.Rev < w.Rev { // it began anew: what it counts from is not what is known here
+			whole, err = true, fmt.Errorf("changes up to %d came where %d is known: the whole list is asked for", list.Rev, w.Rev)
+		}
 		if err == nil {
 			if failed {
 				w.Log.Info("discovery answers again", zap.Int64("rev", list.Rev))
 			}
-			// A list that has gone back began anew: what it counts from is not what is known here.
-			whole, failed, pause = !list.All && list.Rev < w.Rev, false, from.Retry
-			if !whole {
-				w.Rev = list.Rev
-				w.Told(list)
-			}
+			whole, failed, pause = false, false, from.Retry
+			w.Rev = list.Rev
+			w.Told(list)
 			continue
 		}
 		c.close()
--- a/internal/platform/discovery/watch_test.go
+++ b/internal/platform/discovery/watch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,6 +114,19 @@
 	if len(told) != 2 || told[0] != 41 || told[1] != 3 || len(targets) < 3 || targets[2] != "/v1/endpoints" {
 		t.Errorf("told %v by %v", told, targets)
 	}
+	// One that never gives the whole list is not called over and over without a pause; the last list stands.
+	var calls atomic.Int32
+	stuck := agent(t, func(int, string) ([]string, time.Duration) {
+		calls.Add(1)
+		return []string{fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answers[1]), answers[1])}, 0
+	})
+	ctx, cancel = context.WithTimeout(context.Background(), 500*ms)
+	defer cancel()
+	w = &Watch{Told: func(l *List) { t.Errorf("told %+v", l) }, Log: zap.NewNop(), Rev: 41}
+	w.Run(ctx, Source{stuck, Pushed}, make(chan Source))
+	if n := calls.Load(); n > 15 {
+		t.Errorf("%d calls in half a second", n)
+	}
 }
 
 // agent answers calls as told, each connection's until it hangs up.
--- a/internal/platform/workers/crossing_test.go
+++ b/internal/platform/workers/crossing_test.go
@@ -1,10 +1,10 @@
 package workers
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,19 +33,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var work, let atomic.Int32
-			cl := client(t, 10, script(t, func(nc net.Conn, br *bufio.Reader) {
-				for {
-					req, ok := take(br)
-					if !ok {
-						return
-					}
-					if req.Method == "DELETE" {
-						let.Add(1)
-					} else {
-						work.Add(1)
-					}
-					io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+			cl := client(t, 10, answering(t, func(nc net.Conn, req *http.Request) {
+				if req.Method == "DELETE" {
+					let.Add(1)
+				} else {
+					work.Add(1)
 				}
+				io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
 			}))
 			a := call(1)
 			a.Before, a.Gone = time.Now().Add(time.Hour), func() bool { return false }
@@ -80,21 +74,15 @@
 func TestReleaseWaitsForRoom(t *testing.T) {
 	var reads sync.WaitGroup
 	let, free := make(chan struct{}, 1), make(chan struct{})
-	cl := client(t, 2, script(t, func(nc net.Conn, br *bufio.Reader) {
-		for {
-			req, ok := take(br)
-			if !ok {
-				return
-			}
-			if req.Method == "DELETE" {
-				let <- struct{}{}
-				io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
-				continue
-			}
-			reads.Done()
-			<-free
-			io.WriteString(nc, done)
+	cl := client(t, 2, answering(t, func(nc net.Conn, req *http.Request) {
+		if req.Method == "DELETE" {
+			let <- struct{}{}
+			io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+			return
 		}
+		reads.Done()
+		<-free
+		io.WriteString(nc, done)
 	}))
 	var out sync.WaitGroup
 	reads.Add(2)
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -69,6 +69,20 @@
 	return req, err == nil
 }
 
+// answering serves requests, each by answer, until the test ends.
+func answering(t *testing.T, answer func(nc net.Conn, req *http.Request)) string {
+	t.Helper()
+	return script(t, func(nc net.Conn, br *bufio.Reader) {
+		for {
+			req, ok := take(br)
+			if !ok {
+				return
+			}
+			answer(nc, req)
+		}
+	})
+}
+
 func client(t *testing.T, conns int, addr string) *Client {
 	c := New(Limits{Conns: conns, IdlePerWorker: 10, Dial: time.Second, Idle: 10 * time.Second, StreamIdle: time.Second, ReservationTimeout: time.Second,
 		ReleaseTimeout: 300 * time.Millisecond})
@@ -156,19 +170,13 @@
 func TestRoomForReleases(t *testing.T) {
 	var let atomic.Int32
 	var reads sync.WaitGroup
-	cl := client(t, 20, script(t, func(nc net.Conn, br *bufio.Reader) {
-		for {
-			req, ok := take(br)
-			if !ok {
-				return
-			}
-			if req.Method == "DELETE" {
-				let.Add(1)
-				io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
-				continue
-			}
-			reads.Done()
+	cl := client(t, 20, answering(t, func(nc net.Conn, req *http.Request) {
+		if req.Method == "DELETE" {
+			let.Add(1)
+			io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+			return
 		}
+		reads.Done()
 	}))
 	ctx, cancel := context.WithCancel(context.Background())
 	var out sync.WaitGroup
@@ -190,23 +198,11 @@
 
 // A release that a silent worker does not answer goes to another.
 func TestReleaseGoesOn(t *testing.T) {
-	silent := script(t, func(_ net.Conn, br *bufio.Reader) {
-		for {
-			if _, ok := take(br); !ok {
-				return
-			}
-		}
-	})
+	silent := answering(t, func(net.Conn, *http.Request) {})
 	let := make(chan string, 10)
-	well := script(t, func(nc net.Conn, br *bufio.Reader) {
-		for {
-			req, ok := take(br)
-			if !ok {
-				return
-			}
-			let <- req.URL.Path
-			io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
-		}
+	well := answering(t, func(nc net.Conn, req *http.Request) {
+		let <- req.URL.Path
+		io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
 	})
 	cl := client(t, 10, silent)
 	cl.Update(false, []Worker{{ID: "v", Addr: well}})
