One guard for sends, refusals and closes; why connections close; a trace of TestManyAtOnce

Close reasons of clients' connections are counted and logged with ids.

The 99 refusals are not slowness (aims of 60 s change nothing). Each reads '4 s-2 took 150ms: well | s-3: all connections to workers are in use | s-1: ... | s-3: ...': the router's own 104 connections are used up by reads, places and what rests 50 ms; attempts fail in 10 ms each, are charged to innocent workers, and four are soon gone.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -89,24 +89,30 @@
 	c.sink.Final(a)
 }
 
-// mayHaveRun tells whether an attempt at a writer is not proven not to have run.
-func (c *Call) mayHaveRun() bool {
-	return slices.ContainsFunc(c.attempts, func(a *try) bool {
-		return !a.reads && a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed &&
-			a.outcome != gannethook.Moot
-	})
+// refuse gives a refusal as the final answer, or a failure where an attempt may
+// have run: a failure promises nothing.
+func (c *Call) refuse(retryAfter time.Duration) {
+	if c.answered {
+		return
+	}
+	if !c.mayRefuse(retryAfter) {
+		c.answer(Answer{Kind: Failed, Reason: "an attempt may have run"})
+		return
+	}
+	c.answer(Answer{Kind: Refused, RetryAfter: retryAfter})
 }
 
-// send starts an attempt. One for a request that is answered, or whose stream
-// has begun, is moot.
+// send starts an attempt. One that the guard denies is moot, as for a request
+// that is answered or whose stream has begun.
 func (c *Call) send(s gannethook.Send) gannethook.Event {
+	allowed := c.maySend()
 	a := &try{n: len(c.attempts), server: s.Server, began: time.Now(), reads: c.d.roles[s.Server] == gannethook.Reader && !c.oneStage(),
 		out: true}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	var ctx context.Context
 	ctx, a.cancel = context.WithCancel(c.d.ctx)
-	if c.answered || c.streaming {
+	if !allowed {
 		return c.end(a.n, attempt.Result{Outcome: gannethook.Moot})
 	}
 	switch {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -15,6 +15,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/guard"
 )
 
 // Config sets a driver up.
@@ -27,7 +28,8 @@
 	Inbox    int // events that may wait
 	MaxOpen  int // requests that may be open
 	Engines  Engines
-	Done     func(Summary) // called on the driver's goroutine
+	Guard    *guard.Monitor // counts what the module may not do; nil: nobody asks
+	Done     func(Summary)  // called on the driver's goroutine
 	Took     func(time.Duration)
 }
 
@@ -318,7 +320,7 @@
 		}
 	case gannethook.Refuse:
 		if c := d.calls[a.ID]; c != nil {
-			c.answer(Answer{Kind: Refused, RetryAfter: time.Duration(float64(a.RetryAfter) * 1e6)})
+			c.refuse(time.Duration(float64(a.RetryAfter) * 1e6))
 		}
 	case gannethook.Fail:
 		if c := d.calls[a.ID]; c != nil {
--- /dev/null
+++ b/internal/driver/guard.go
@@ -0,0 +1,57 @@
+package driver
+
+import (
+	"slices"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/guard"
+)
+
+// effect is what running the request twice does.
+func (c *Call) effect() guard.Effect {
+	switch c.set.Classes[c.job.Class].Effect {
+	case gannethook.Unsafe:
+		return guard.Unsafe
+	case gannethook.Keyed:
+		return guard.Keyed
+	}
+	return guard.Safe
+}
+
+// maySend asks the guard whether the module's next attempt may be made.
+func (c *Call) maySend() bool {
+	why := guard.MaySend(guard.SendFacts{Effect: c.effect(), Answered: c.answered, Streaming: c.streaming,
+		EffectOut:  slices.ContainsFunc(c.attempts, func(a *try) bool { return a.out && !a.reads }),
+		MayHaveRun: slices.ContainsFunc(c.attempts, func(a *try) bool { return !a.out && a.mayHaveRun() })})
+	return c.d.cfg.Guard.Check(guard.Send, why, c.job.Name)
+}
+
+// mayRefuse asks the guard whether a refusal may promise that nothing was done.
+func (c *Call) mayRefuse(retryAfter time.Duration) bool {
+	why := guard.MayRefuse(guard.RefuseFacts{Effect: c.effect(), MayHaveRun: c.mayHaveRun(), Remembered: c.remembered(retryAfter)})
+	return c.d.cfg.Guard.Check(guard.Refuse, why, c.job.Name)
+}
+
+// mayHaveRun tells whether an attempt at a writer is not proven not to have run.
+func (c *Call) mayHaveRun() bool { return slices.ContainsFunc(c.attempts, (*try).mayHaveRun) }
+
+func (a *try) mayHaveRun() bool {
+	return !a.reads && a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed && a.outcome != gannethook.Moot
+}
+
+// remembered tells whether any server drops a repeat of the request's key that
+// comes after the advised wait.
+func (c *Call) remembered(retryAfter time.Duration) bool {
+	class := &c.set.Classes[c.job.Class]
+	first := slices.IndexFunc(c.attempts, (*try).mayHaveRun)
+	if class.Group != gannethook.GroupAll || first < 0 {
+		return first < 0
+	}
+	ends := c.attempts[first].began.Add(time.Duration(float64(class.Window) * 1e6)).Add(clockSlack)
+	return !time.Now().Add(retryAfter).After(ends)
+}
+
+// clockSlack is by how much the module's clock, which is read once for an event,
+// may stand behind the time at which its action is carried out.
+const clockSlack = 50 * time.Millisecond
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,84 @@
+package guard
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestMayWrite(t *testing.T) {
+	gone := func() bool { return true }
+	open := WriteFacts{Listed: true, Now: now}
+	for _, c := range []struct {
+		name   string
+		change func(*WriteFacts)
+		want   Reason
+	}{
+		{"as it is", func(*WriteFacts) {}, Allowed},
+		{"called off", func(f *WriteFacts) { f.CalledOff = true }, CalledOff},
+		{"a release that was called off", func(f *WriteFacts) { f.CalledOff, f.Release = true, true }, CalledOff},
+		{"a release to a server that drains", func(f *WriteFacts) { f.Draining, f.Release = true, true }, Allowed},
+		{"not listed", func(f *WriteFacts) { f.Listed = false }, Unlisted},
+		{"draining", func(f *WriteFacts) { f.Draining = true }, Draining},
+		{"at its deadline", func(f *WriteFacts) { f.Deadline = now }, Allowed},
+		{"past its deadline", func(f *WriteFacts) { f.Deadline = now.Add(-1) }, DeadlinePassed},
+		{"past its window", func(f *WriteFacts) { f.WindowEnds = now.Add(-1) }, WindowPassed},
+		{"its client has left", func(f *WriteFacts) { f.ClientGone = gone }, ClientGone},
+	} {
+		f := open
+		c.change(&f)
+		if got := MayWrite(f); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestMaySendAndRefuse(t *testing.T) {
+	for _, c := range []struct {
+		f    SendFacts
+		want Reason
+	}{
+		{SendFacts{Effect: Unsafe}, Allowed},
+		{SendFacts{Effect: Unsafe, MayHaveRun: true}, MayHaveRun},
+		{SendFacts{Effect: Unsafe, EffectOut: true}, StillOut},
+		{SendFacts{Effect: Keyed, MayHaveRun: true}, Allowed},
+		{SendFacts{Effect: Keyed, EffectOut: true}, StillOut},
+		{SendFacts{Effect: Safe, EffectOut: true, MayHaveRun: true}, Allowed},
+		{SendFacts{Answered: true}, Answered},
+		{SendFacts{Streaming: true}, Streaming},
+	} {
+		if got := MaySend(c.f); got != c.want {
+			t.Errorf("%+v: %s, want %s", c.f, got, c.want)
+		}
+	}
+	for _, c := range []struct {
+		f    RefuseFacts
+		want Reason
+	}{
+		{RefuseFacts{Effect: Safe, MayHaveRun: true}, Allowed},
+		{RefuseFacts{Effect: Unsafe}, Allowed},
+		{RefuseFacts{Effect: Unsafe, MayHaveRun: true, Remembered: true}, MayHaveRun},
+		{RefuseFacts{Effect: Keyed, MayHaveRun: true}, MayHaveRun},
+		{RefuseFacts{Effect: Keyed, MayHaveRun: true, Remembered: true}, Allowed},
+	} {
+		if got := MayRefuse(c.f); got != c.want {
+			t.Errorf("%+v: %s, want %s", c.f, got, c.want)
+		}
+	}
+}
+
+func TestMonitorCounts(t *testing.T) {
+	var told []Denial
+	m := NewMonitor(func(d Denial) { told = append(told, d) })
+	if !m.Check(Write, Allowed, "a") || m.Check(Write, ClientGone, "a") || m.Check(Close, MayClose(CloseFacts{Taken: true}), "b") {
+		t.Error("a denial is allowed, or the other way round")
+	}
+	if m.Violations() != 1 || m.Counts()["write: client gone"] != 1 || m.Counts()["close: request unanswered"] != 1 || len(told) != 2 {
+		t.Errorf("%d violations, %v, %v", m.Violations(), m.Counts(), told)
+	}
+	var none *Monitor
+	if none.Check(Send, MayHaveRun, "c") {
+		t.Error("a monitor that does not count allows all")
+	}
+}
--- /dev/null
+++ b/internal/guard/monitor.go
@@ -0,0 +1,64 @@
+package guard
+
+import (
+	"fmt"
+	"sync/atomic"
+)
+
+// Denial is something that was denied.
+type Denial struct {
+	Action    Action
+	Reason    Reason
+	Request   string // the request's id; "" where it has none
+	Violation bool
+}
+
+func (d Denial) String() string {
+	return fmt.Sprintf("%s of %q: %s", d.Action, d.Request, d.Reason)
+}
+
+// Monitor counts what is denied. A nil Monitor counts nothing. It is safe for
+// concurrent use.
+type Monitor struct {
+	report     func(Denial) // may be called from anywhere, and must not wait
+	denied     [actions][reasons]atomic.Int64
+	violations atomic.Int64
+}
+
+// NewMonitor returns a monitor that reports each denial; report may be nil.
+func NewMonitor(report func(Denial)) *Monitor { return &Monitor{report: report} }
+
+// Check counts what the guard said of an action and tells whether it is allowed.
+func (m *Monitor) Check(a Action, r Reason, request string) bool {
+	if r == Allowed {
+		return true
+	}
+	if m == nil {
+		return false
+	}
+	d := Denial{Action: a, Reason: r, Request: request, Violation: r.Violates()}
+	m.denied[a][r].Add(1)
+	if d.Violation {
+		m.violations.Add(1)
+	}
+	if m.report != nil {
+		m.report(d)
+	}
+	return false
+}
+
+// Violations is how many denials should never have been asked for.
+func (m *Monitor) Violations() int64 { return m.violations.Load() }
+
+// Counts lists how often each action was denied, by "action: reason".
+func (m *Monitor) Counts() map[string]int64 {
+	counts := map[string]int64{}
+	for a := range m.denied {
+		for r := range m.denied[a] {
+			if n := m.denied[a][r].Load(); n > 0 {
+				counts[Action(a).String()+": "+Reason(r).String()] = n
+			}
+		}
+	}
+	return counts
+}
--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -20,6 +20,10 @@
 type clientConn struct {
 	s           *Server
 	nc          net.Conn
+	id          uint64 // in the log
+	since       time.Time
+	requests    int         // read whole on it
+	why         closeReason // once it is about to close
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	readAhead   *readAhead
@@ -74,14 +78,25 @@
 // an idle connection to close, and its request would be lost with it.
 func (l *clientConn) awaitRequest() bool {
 	err := l.awaitReadable()
-	if err != nil && l.s.closing.Load() {
+	stopping := l.s.closing.Load()
+	if err != nil && stopping {
 		l.nc.SetReadDeadline(time.Now().Add(lastByteGrace))
 		err = l.awaitReadable()
 	}
-	if !l.s.markIdle(l, false) || err != nil {
+	switch {
+	case !l.s.markIdle(l, false):
+		l.note(forRoom)
+		return false
+	case err != nil && stopping:
+		l.note(onStop)
 		return false
+	case err != nil:
+		l.note(onIdle)
+		return false
+	}
+	if _, err = l.br.Peek(1); err != nil {
+		l.note(byClient)
 	}
-	_, err = l.br.Peek(1)
 	return err == nil
 }
 
@@ -104,6 +119,9 @@
 	from := time.Now()
 	l.nc.SetReadDeadline(from.Add(l.s.limits.Load().Head))
 	req, err := http1.ReadRequest(l.br)
+	if err != nil {
+		l.note(badRequest)
+	}
 	if err != nil && l.readAhead.dropped > 0 {
 		l.refuse("503 Service Unavailable", "too much was sent behind an open request")
 		return false
@@ -127,6 +145,7 @@
 		status = "503 Service Unavailable"
 	}
 	if b, err := http1.RequestBody(l.br, req.Header); err != nil || b.Length() > 0 || b.Chunked() {
+		l.note(badRequest)
 		l.refuse("400 Bad Request", "a body has no place here")
 		return false
 	}
@@ -134,6 +153,9 @@
 		e.Write(zap.String("answer", status))
 	}
 	l.writePlain(status, "", keep)
+	if !keep {
+		l.note(asAsked)
+	}
 	return keep
 }
 
@@ -148,8 +170,9 @@
 	}
 }
 
-// writePlain writes an answer without a stream.
-func (l *clientConn) writePlain(status, text string, keep bool, more ...http1.Field) {
+// writePlain writes an answer without a stream. An error tells that its client
+// does not take it.
+func (l *clientConn) writePlain(status, text string, keep bool, more ...http1.Field) error {
 	l.nc.SetWriteDeadline(time.Now().Add(l.s.limits.Load().Write))
 	h := append(http1.Header{{Name: "Content-Length", Value: strconv.Itoa(len(text))}}, more...)
 	if !keep {
@@ -157,7 +180,7 @@
 	}
 	http1.WriteHead(l.bw, "HTTP/1.1 "+status, h)
 	l.bw.WriteString(text)
-	l.bw.Flush()
+	return l.bw.Flush()
 }
 
 // refuse writes an error, the connection's last answer, and shuts it down.
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -3,16 +3,19 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"gannethook/internal/connpool"
 	"gannethook/internal/driver"
+	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 )
 
@@ -41,7 +44,14 @@
 	final  *driver.Answer
 	done   chan struct{}
 
-	abandon func() // takes the request back; guarded by mu
+	abandon func()      // takes the request back; guarded by mu
+	cut     atomic.Bool // the router ended its stream
+
+	// Of the connection's goroutine, for the guard and the log:
+	name     string // the request's id
+	answered bool   // its answer went out as far as its client took it, or its stream's end was told by the close
+
+	left atomic.Bool // its client has left
 }
 
 // serve serves the request; it tells whether another may follow.
@@ -56,27 +66,26 @@
 		job.Body, bad = x.body()
 	}
 	if bad != nil {
+		x.conn.note(badRequest)
 		x.conn.refuse(bad.status, bad.why)
 		return false
 	}
-	if x.conn.readAhead.clientGone() { // while its request was read: no answer is owed, and nothing may begin, nor keep its id from another
-		x.conn.clientGone = true
-		return false
-	}
-	if !s.reserveID(job.Name) {
-		x.conn.refuse("409 Conflict", "a request with this id is open")
+	x.name = job.Name
+	if !x.start(job.Name) {
 		return false
 	}
 	defer s.releaseID(job.Name)
+	x.conn.requests++
+	defer x.mayClose()
 	if e := s.cfg.Log.Check(zap.DebugLevel, "came"); e != nil {
-		e.Write(zap.String("id", job.Name), zap.String("session", job.SessionID), zap.String("class", job.ClassName), zap.String("tenant", job.TenantName),
+		e.Write(zap.String("id", job.Name), zap.Uint64("conn", x.conn.id), zap.String("session", job.SessionID), zap.String("class", job.ClassName), zap.String("tenant", job.TenantName),
 			zap.Duration("give-up", job.GiveUp), zap.String("retried", x.req.Header.Get("X-Retried")),
 			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.from)))
 	}
 	job.GiveUp, job.Waited, job.Gone = s.timeLeft(job.GiveUp), time.Since(x.from), x.clientGone
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // the platform's bounds: nothing has run
-		x.conn.writePlain("503 Service Unavailable", err.Error()+"\n", x.keep)
+		x.plain("503 Service Unavailable", err.Error()+"\n")
 		return x.keep
 	}
 	a := x.wait(call.Abandon)
@@ -86,6 +95,36 @@
 	return x.keep
 }
 
+// start asks the guard whether the request may begin, and takes its id.
+func (x *exchange) start(id string) bool {
+	facts := guard.StartFacts{ClientGone: x.conn.readAhead.clientGone()}
+	facts.IDOpen = !facts.ClientGone && !x.conn.s.reserveID(id)
+	why := guard.MayStart(facts)
+	if x.conn.s.cfg.Guard.Check(guard.Start, why, id) {
+		return true
+	}
+	if why == guard.ClientGone { // while its request was read: no answer is owed, and nothing may begin, nor keep its id from another
+		x.conn.clientGone = true
+		x.conn.note(byClientWaiting)
+		return false
+	}
+	x.conn.note(badRequest)
+	x.conn.refuse("409 Conflict", "a request with this id is open")
+	return false
+}
+
+// plain writes an answer without a stream.
+func (x *exchange) plain(status, text string, more ...http1.Field) {
+	x.answered = true
+	if x.conn.writePlain(status, text, x.keep, more...) != nil {
+		x.keep = false
+		x.conn.note(writeFailed)
+	}
+	if !x.keep {
+		x.conn.note(asAsked)
+	}
+}
+
 // count counts what is kept of the request's head in the bound on all bodies.
 func (x *exchange) count(size int64) *requestError {
 	if !x.conn.s.bodies.Take(size, x.conn.s.limits.Load().Bodies) {
@@ -139,6 +178,10 @@
 	x.mu.Unlock()
 	if err := x.conn.readAhead.watch(); !errors.Is(err, os.ErrDeadlineExceeded) {
 		x.keep = false
+		if !errors.Is(err, net.ErrClosed) { // else this router closed it
+			x.left.Store(true)
+			x.conn.note(byClientWaiting)
+		}
 		abandon()
 	}
 	<-x.done
@@ -151,6 +194,7 @@
 	if !connpool.Ended(x.conn.nc) {
 		return false
 	}
+	x.left.Store(true)
 	x.mu.Lock()
 	abandon := x.abandon
 	x.mu.Unlock()
@@ -189,6 +233,7 @@
 // cutStream ends a stream before its end: its client is told at once, so that it may
 // go on elsewhere.
 func (x *exchange) cutStream() {
+	x.cut.Store(true)
 	if out, ok := x.conn.nc.(interface{ CloseWrite() error }); ok {
 		out.CloseWrite()
 	}
@@ -213,21 +258,30 @@
 func (x *exchange) answer(a driver.Answer) {
 	switch {
 	case a.Kind == driver.Served && x.begun:
+		x.answered = true
 		if x.stream.chunk(nil) != nil || x.stream.drain(time.Time{}) != nil {
 			x.keep = false
+			x.conn.note(writeFailed)
 		}
 	case x.begun && a.Kind == driver.Failed: // what came before it broke is still its client's
-		x.keep = false
+		x.keep, x.answered = false, true
+		x.conn.note(streamBroken)
 		x.stream.drain(time.Now().Add(brokenStreamGrace))
-	case x.begun || a.Kind == driver.Cancelled:
+	case x.begun: // taken back by its client, or ended by the router for its client to go on elsewhere
+		x.keep, x.answered = false, x.left.Load() || x.cut.Load()
+		x.conn.note(streamBroken)
+	case a.Kind == driver.Cancelled:
 		x.keep = false
 	case a.Kind == driver.Refused:
 		var more []http1.Field
 		if a.RetryAfter > 0 {
 			more = append(more, http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)})
 		}
-		x.conn.writePlain("503 Service Unavailable", "refused: nothing was done\n", x.keep, more...)
+		x.plain("503 Service Unavailable", "refused: nothing was done\n", more...)
 	default:
-		x.conn.writePlain("500 Internal Server Error", "failed\n", x.keep)
+		x.plain("500 Internal Server Error", "failed\n")
+	}
+	if !x.keep {
+		x.conn.note(asAsked)
 	}
 }
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -16,6 +16,7 @@
 
 	"gannethook/internal/connpool"
 	"gannethook/internal/driver"
+	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 	"gannethook/internal/streamdrain"
 )
@@ -39,6 +40,7 @@
 	Submit  func(driver.Job, driver.Sink) (*driver.Call, error)
 	Ready   func() bool
 	Log     *zap.Logger
+	Guard   *guard.Monitor // counts what may not be done; nil: nobody asks
 }
 
 // Server serves clients. Its methods may be called from anywhere.
@@ -53,6 +55,8 @@
 	refusing  atomic.Int64 // connections beyond the bound that are being told
 	closing   atomic.Bool  // no connection takes another request
 	closedAll atomic.Bool  // no connection is shut down in order any more
+	closes    closeCounts
+	conns     atomic.Uint64 // taken: numbers them in the log
 
 	mu         sync.Mutex
 	open       map[*clientConn]struct{}
@@ -107,7 +111,7 @@
 
 // accept begins a connection, in place of the one unused for longest where there are too many.
 func (s *Server) accept(nc net.Conn) {
-	l := &clientConn{s: s, nc: nc}
+	l := &clientConn{s: s, nc: nc, id: s.conns.Add(1), since: time.Now()}
 	s.mu.Lock()
 	full := len(s.open) >= s.limits.Load().Conns && !s.evictIdle()
 	if full || s.rejecting {
@@ -169,12 +173,16 @@
 func (s *Server) rejectOverLimit(l *clientConn) {
 	if s.refusing.Add(1) > int64(s.limits.Load().Rejections) {
 		s.refusing.Add(-1)
+		l.note(noRoomUntold)
+		s.noteClosed(l)
 		l.nc.Close()
 		return
 	}
+	l.note(noRoomTold)
 	s.wg.Go(func() {
 		defer s.refusing.Add(-1)
 		defer l.nc.Close()
+		defer s.noteClosed(l)
 		l.initBuffers(512)
 		l.refuse("503 Service Unavailable", "too many connections")
 	})
@@ -183,6 +191,10 @@
 // close shuts a connection down and forgets it.
 func (s *Server) close(l *clientConn) {
 	l.shutdown()
+	if s.closedAll.Load() {
+		l.note(onStopAll)
+	}
+	s.noteClosed(l)
 	l.nc.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/driver"
+	"gannethook/internal/guard"
 	"gannethook/internal/platform/workers"
 )
 
@@ -19,6 +20,22 @@
 	}
 }
 
+// denied logs what the guard denied: a violation is a fault of this program.
+func (r *Router) denied(d guard.Denial) {
+	level := zap.DebugLevel
+	if d.Violation {
+		level = zap.ErrorLevel
+	}
+	if e := r.log.Check(level, "denied"); e != nil {
+		e.Write(zap.Stringer("action", d.Action), zap.Stringer("reason", d.Reason), zap.String("id", d.Request), zap.Bool("violation", d.Violation))
+	}
+}
+
+// account logs, at the end, what was denied and why connections closed.
+func (r *Router) account() {
+	r.log.Info("stopped", zap.Any("closed", r.clients.Closes()), zap.Any("denied", r.monitor.Counts()), zap.Int64("violations", r.monitor.Violations()))
+}
+
 // believe logs, every while, each worker as the module sees it beside what passed on its sockets.
 func (r *Router) believe(ctx context.Context) {
 	tick := time.NewTicker(beliefEvery)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/driver"
+	"gannethook/internal/guard"
 	"gannethook/internal/platform/clients"
 	"gannethook/internal/platform/config"
 	"gannethook/internal/platform/discovery"
@@ -49,6 +50,7 @@
 	workers *workers.Client
 	clients *clients.Server
 	watch   *discovery.Watch
+	monitor *guard.Monitor
 	next    chan discovery.Source // discovery, as a new configuration has it
 	ready   atomic.Bool
 	listed  chan struct{} // closed with discovery's first answer
@@ -58,15 +60,16 @@
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
 func New(cfg *config.Config, env func(string) string, log *zap.Logger) (*Router, error) {
 	r := &Router{cfg: cfg, env: env, log: log, next: make(chan discovery.Source, 1), listed: make(chan struct{})}
-	r.workers = workers.New(workerLimits(cfg))
+	r.monitor = guard.NewMonitor(r.denied)
+	r.workers = workers.New(workerLimits(cfg), r.monitor)
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
-		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Done: r.done})
+		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Guard: r.monitor, Done: r.done})
 	if err != nil {
 		return nil, err
 	}
 	r.clients = clients.New(clients.Config{Classes: cfg.Profile.Classes, Submit: r.driver.Submit, Ready: r.ready.Load, Log: log,
-		Limits: clientLimits(cfg)})
+		Guard: r.monitor, Limits: clientLimits(cfg)})
 	r.watch = &discovery.Watch{Told: r.told, Log: log, Rev: -1}
 	return r, nil
 }
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -49,6 +49,7 @@
 	}()
 	r.part(plan, from, gone)
 	r.clients.CloseAll()
+	r.account()
 }
 
 // part ends streams as the plan tells until all clients are gone.
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -14,6 +14,7 @@
 	"gannethook"
 	"gannethook/internal/attempt"
 	"gannethook/internal/connpool"
+	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 )
 
@@ -93,7 +94,7 @@
 	return x, nil
 }
 
-// Reasons for which an attempt whose connection has come up does not begin.
+// Why an attempt whose connection has come up was not written.
 var (
 	errDraining   = errors.New("the worker has begun to drain, or is listed no more")
 	errTooLate    = errors.New("the connection came up when the request might no longer be sent")
@@ -101,29 +102,28 @@
 	errCalledOff  = errors.New("called off")
 )
 
-// mayBegin tells whether a request may still be written, now that its connection
-// has come up: that may have taken long, and whoever decided on it could not know
-// what has come meanwhile.
+// mayBegin asks the guard whether a request may still be written, now that its
+// connection has come up: that may have taken long, and whoever decided on it
+// could not know what has come meanwhile.
 func (c *Client) mayBegin(ctx context.Context, id, method string, call *attempt.Call) error {
-	if ctx.Err() != nil {
-		return attempt.NotSent{Err: errCalledOff}
-	}
-	if method == "DELETE" { // to let go is no new work
-		return nil
-	}
 	c.mu.Lock()
 	w := c.byID[id]
-	drains := w == nil || w.draining
+	listed, drains := w != nil, w != nil && w.draining
 	c.mu.Unlock()
-	switch {
-	case drains:
+	why := guard.MayWrite(guard.WriteFacts{CalledOff: ctx.Err() != nil, Release: method == "DELETE", Listed: listed, Draining: drains,
+		Now: time.Now(), Deadline: call.Until, WindowEnds: call.Before, ClientGone: call.Gone})
+	if c.monitor.Check(guard.Write, why, call.Key) {
+		return nil
+	}
+	switch why {
+	case guard.CalledOff:
+		return attempt.NotSent{Err: errCalledOff}
+	case guard.Unlisted, guard.Draining:
 		return attempt.NotSent{Err: errDraining}
-	case !call.Before.IsZero() && time.Now().After(call.Before), !call.Until.IsZero() && time.Now().After(call.Until):
-		return attempt.NotSent{Err: errTooLate}
-	case call.Gone != nil && call.Gone():
+	case guard.ClientGone:
 		return errClientGone
 	}
-	return nil
+	return attempt.NotSent{Err: errTooLate}
 }
 
 // head reads the answer's head. It may take its time to begin, but not to end.
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -16,6 +16,7 @@
 	"gannethook/internal/attempt"
 	"gannethook/internal/connpool"
 	"gannethook/internal/connreuse"
+	"gannethook/internal/guard"
 	"gannethook/internal/jsonscan"
 )
 
@@ -50,11 +51,13 @@
 	from  time.Time
 	stop  chan struct{}
 	wg    sync.WaitGroup
+
+	monitor *guard.Monitor // counts what may not be written
 }
 
-// New returns a client; Close ends it.
-func New(lim Limits) *Client {
-	c := &Client{lim: &atomic.Pointer[Limits]{}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
+// New returns a client; Close ends it. The monitor may be nil.
+func New(lim Limits, monitor *guard.Monitor) *Client {
+	c := &Client{monitor: monitor, lim: &atomic.Pointer[Limits]{}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
 	c.pool = pool{lim: c.lim, idle: connpool.NewIdle(lim.Idle, lim.ReuseDelay, lim.IdlePerWorker)}
 	c.lim.Store(&lim)
 	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/8, 100*time.Millisecond), c.stop) })
