--- a/router.go
+++ b/router.go
@@ -1,11 +1,11 @@
-// All decisions of a gannethook router. Its interface (Settings, events, actions, outcomes) is in api.go.
-// Order: constants, state, life of a request, the two choices, freeness, health, cold starts, membership.
+// The decisions of a gannethook router. Its interface (Settings, events, actions, outcomes) is in
+// api.go; slow start and the list of servers have files of their own.
+// Order: constants, state, life of a request, the two choices, freeness, health.
 
 package gannethook
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -967,38 +967,6 @@
 
 func (r *Router) quickOf(s *server) float64 { return s.quick.left(r.now, max(chargeFade, r.window())) }
 
-// warmth is the fraction of its capacity that a server can be counted on for.
-func (r *Router) warmth(s *server) float64 {
-	age := r.now - s.Since
-	if s.Since <= 0 || age >= r.set.WarmAfter {
-		return 1
-	}
-	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*math.Max(float64(age/r.set.WarmAfter), 0))
-}
-
-// hasCredit tells whether a server may get a request's call. Guards rule 4 for the sum over all routers: a
-// cold server gets, times its warmth, the most that this router saw a warm one get done; to count sends would
-// count a storm of retries. A router that sends a warm server too few to go by that draws a lot for each
-// request, and is ahead by one send at most: credits under one send for most of the warm-up would leave cold
-// capacity unused. Lots are fewer by what is gone, failing or full, else the rest, if cold, got it all; by
-// the request's repeats: most routers have not seen yet that the others fail; and where a request is two
-// calls, by what the settings allow. Harms where a fleet was made smaller.
-func (r *Router) hasCredit(s *server, q *request, left float64) bool {
-	w := r.warmth(s)
-	if w >= 1 {
-		return true
-	}
-	perMs := math.Min(coldPart, r.set.OverloadFactor/2) * w * r.peak[s.role] / 1000
-	s.credit, s.credAt = math.Min(1, s.credit+perMs*float64(r.now-s.credAt)), r.now
-	few := r.peak[s.role]*float64(r.set.WarmAfter) < enough*1000
-	calls := 1.0
-	if s.role == Writer && r.set.Holds {
-		calls = 2 // a place, then the state
-	}
-	lot := unit(uint64(q.ID)^r.seed, s.hash) * float64(max(q.sent, 1))
-	return s.credit >= 1 || few && s.credit >= 0 && lot < w*left*math.Min(1, r.set.OverloadFactor/2/calls)
-}
-
 // mayRepeat tells whether a request that was sent before may go to a server. Guards against storms of repeats
 // that keep servers down which have only slowed: each repeat needs enough first attempts of late. Harms where
 // few requests come and one server in two fails: some are refused.
@@ -1008,16 +976,6 @@
 		s.repeats.left(r.now, window) < 1+r.set.RepeatPart*s.firsts.left(r.now, window)
 }
 
-// spend books a call to a server. A place and the state that follows are two calls.
-func (r *Router) spend(s *server) { s.credit = math.Max(-1, s.credit-1) }
-
-// prove counts work that a server got done: a read ended or a stream begun.
-func (r *Router) prove(role Role) {
-	window, fleet := r.window(), r.sum(role, r.warmth)
-	r.done[role].count(r.now, window)
-	r.peak[role] = math.Max(r.peak[role], r.done[role].perSecond(r.now, window)/math.Max(fleet, 1))
-}
-
 // window is the span that own observations rest on: long enough, at this router's pace, for enough of them.
 // Guards against reading a rate or a trend from one event, where many routers see little each.
 func (r *Router) window() Millis {
@@ -1053,80 +1011,6 @@
 	r.all.count(r.now, longest)
 }
 
-// reconfigure takes settings for what comes from now on; requests under way keep those that they came under.
-// What was learned by the old numbers of classes and tenants goes. Where kinds change no server is known
-// until the list is told again, since roles may change.
-func (r *Router) reconfigure(set Settings) {
-	if set.AskDiscovery && !r.set.AskDiscovery {
-		r.do(Subscribe{})
-	}
-	same := slices.Equal(r.set.Kinds, set.Kinds)
-	r.set, r.tenants = &set, make([]fading, len(set.Tenants))
-	r.turned = make([]fading, len(set.Classes)*(len(set.Tenants)+1)+1)
-	for _, s := range r.list {
-		clear(s.full)
-		if !same {
-			s.State = Gone
-		}
-	}
-	if !same {
-		clear(r.servers)
-		r.list = nil
-	}
-}
-
-// membership takes news of the list.
-func (r *Router) membership(ev Membership) {
-	if ev.Failed {
-		if r.set.AskDiscovery {
-			r.do(Wake{In: askEvery, Ref: refAsk})
-		}
-		return
-	}
-	for _, s := range r.list {
-		if ev.Whole {
-			s.State = Gone // unless it is listed
-		}
-	}
-	for _, e := range ev.Servers {
-		r.update(e)
-	}
-	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
-		if s.State == Gone && r.servers[s.ID] == s {
-			delete(r.servers, s.ID)
-		}
-		return s.State == Gone
-	})
-	for role := range r.most {
-		r.most[role] = math.Max(r.most[role], r.sum(Role(role), func(*server) float64 { return 1 }))
-	}
-}
-
-// update takes one entry; a server that started again is a new one, of which nothing is known.
-func (r *Router) update(e Server) {
-	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
-		return
-	}
-	s := r.servers[e.ID]
-	if s != nil && s.Since == e.Since {
-		s.Server = e
-		return
-	}
-	if s != nil {
-		s.State = Gone
-	}
-	kind, hash := r.set.Kinds[e.Kind], fnv.New64a()
-	hash.Write([]byte(e.ID))
-	s = &server{Server: e, hash: hash.Sum64(), role: kind.Role, size: kind.Memory, credAt: r.now}
-	s.full = map[int]fading{}
-	// Guards rule 4 for the sum over all routers: each starts somewhere between two sends of its own, so that
-	// together they keep the pace at once. A whole send each would be a flood.
-	s.credit = unit(r.seed, s.hash)
-	r.servers[e.ID] = s
-	r.list = append(r.list, s)
-	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 // View shows the servers in order of id, as the router sees them now. It changes nothing.
 func (r *Router) View(now Millis) []View {
 	at := r.now
