An attempt waits for a connection; want of them is not charged to workers

Ruled out: slowness against the aim (60 s change nothing), connections closed after they were read (every client without an answer is counted as closed unread). Change: attempts wait in line for room for as long as a dial may take, places and releases first; a dial that fails for want of descriptors, buffers or ports is made again within that time. What still could not be tried ends as NotTried, which the module treats as not connected but charges to nobody. Looking at a connection: EINTR and want of buffers tell nothing, every other error is its end (ETIMEDOUT, EHOSTUNREACH were taken for bytes).

--- a/api.go
+++ b/api.go
@@ -134,6 +134,7 @@
 	Cancelled                        // called off; it may have run
 	Moot                             // never sent
 	UnknownEnd                       // not known to this version; it may have run
+	NotTried                         // not connected for a reason on the router's own machine; it did not run
 )
 
 // Event is something that a router is told.
--- a/internal/attempt/ended.go
+++ b/internal/attempt/ended.go
@@ -9,7 +9,10 @@
 )
 
 // NotSent marks that a request was not written whole, so that nothing can have run.
-type NotSent struct{ Err error }
+type NotSent struct {
+	Err   error
+	Local bool // the reason lies on this machine, and tells nothing of the server
+}
 
 func (e NotSent) Error() string { return e.Err.Error() }
 
@@ -23,6 +26,9 @@
 	switch {
 	case errors.As(err, &unsent):
 		r.Outcome = gannethook.ConnectFailed
+		if unsent.Local {
+			r.Outcome = gannethook.NotTried
+		}
 	case ctx.Err() != nil:
 		r = Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
 	case slices.ContainsFunc(spoilt, func(bad error) bool { return errors.Is(err, bad) }):
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // State is what can be read on a connection.
@@ -24,8 +25,8 @@
 	switch {
 	case err == errNoSocket || nothingYet(err):
 		return Quiet
-	case n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET):
-		return Ends
+	case n <= 0:
+		return Ends // in order, or by any error that a broken connection shows
 	}
 	return Readable
 }
@@ -44,8 +45,22 @@
 	return Look(nc) == Quiet
 }
 
+// nothingYet tells whether a look failed without saying anything of the connection:
+// nothing is there, or the system could not look just now.
 func nothingYet(err error) bool {
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+	return errors.Is(err, syscall.EAGAIN) || IsLocal(err)
+}
+
+// IsLocal tells whether a system call failed for want of something of this machine,
+// which passes and says nothing of the peer.
+func IsLocal(err error) bool {
+	for _, passing := range []syscall.Errno{syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EADDRNOTAVAIL, syscall.EAGAIN} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
 }
 
 // Await waits until something is readable, bytes or the peer's end, and takes
@@ -60,12 +75,22 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(func(fd uintptr) bool {
-		_, err := peekAt(fd)
-		return !nothingYet(err)
-	})
+	for {
+		var looked error
+		err := raw.Read(func(fd uintptr) bool {
+			_, looked = peekAt(fd)
+			return !errors.Is(looked, syscall.EAGAIN) // else it would wait for more than is there already
+		})
+		if err != nil || !nothingYet(looked) {
+			return err
+		}
+		time.Sleep(lookPause)
+	}
 }
 
+// lookPause is the wait after a look that the system could not make.
+const lookPause = time.Millisecond
+
 var errNoSocket = errors.New("not a socket")
 
 // peek looks at one byte without a wait; 0 without an error is the end.
@@ -86,6 +111,10 @@
 
 func peekAt(fd uintptr) (n int, err error) {
 	var b [1]byte
-	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
+	for {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return n, err
+		}
+	}
 }
--- a/internal/driver/guard.go
+++ b/internal/driver/guard.go
@@ -37,7 +37,14 @@
 func (c *Call) mayHaveRun() bool { return slices.ContainsFunc(c.attempts, (*try).mayHaveRun) }
 
 func (a *try) mayHaveRun() bool {
-	return !a.reads && a.outcome != gannethook.Full && a.outcome != gannethook.ConnectFailed && a.outcome != gannethook.Moot
+	if a.reads {
+		return false
+	}
+	switch a.outcome {
+	case gannethook.Full, gannethook.ConnectFailed, gannethook.NotTried, gannethook.Moot:
+		return false
+	}
+	return true
 }
 
 // remembered tells whether any server drops a repeat of the request's key that
--- a/internal/platform/clients/closing.go
+++ b/internal/platform/clients/closing.go
@@ -20,7 +20,8 @@
 	onIdle                      // nothing came on it for too long
 	onStop                      // the router stops, and no request was on its way
 	onStopAll                   // the router ended with the connection open
-	forRoom                     // it was the one unused for longest as another came
+	forRoom                     // it was the one unused for longest as another came,
+	forRoomNew                  // and nothing had come on it
 	noRoomTold                  // there was no room; its client got a 503
 	noRoomUntold                // there was no room, and too many were being told so; nothing was read
 	badRequest                  // what came is no request, or more than is taken
@@ -31,7 +32,7 @@
 )
 
 func (r closeReason) String() string {
-	return [closeReasons]string{"open", "client closed", "client left a request", "idle", "stopping", "stopped", "evicted for room",
+	return [closeReasons]string{"open", "client closed", "client left a request", "idle", "stopping", "stopped", "evicted for room", "evicted for room, new",
 		"no room, told", "no room, not told", "bad request", "as asked", "stream broken", "write failed"}[r]
 }
 
--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -84,7 +84,10 @@
 		err = l.awaitReadable()
 	}
 	switch {
-	case !l.s.markIdle(l, false):
+	case !l.s.markIdle(l, false) && l.requests == 0:
+		l.note(forRoomNew)
+		return false
+	case l.evicted:
 		l.note(forRoom)
 		return false
 	case err != nil && stopping:
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -297,6 +297,13 @@
 	return len(cut)
 }
 
+// Open is how many connections are open, those that are being told that there is no room left out.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // Wait waits until every connection has closed, or the context ends.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -62,7 +62,7 @@
 		if errors.Is(err, errDraining) {
 			cn.Close()
 		} else {
-			c.pool.idle.Put(addr, cn) // nothing was written on it
+			c.pool.put(addr, cn) // nothing was written on it
 		}
 		return nil, err
 	}
@@ -159,7 +159,7 @@
 		<-x.closed
 	}
 	if stopped && whole && x.body.Whole() && x.res.Minor == 1 && !x.res.Header.Has("Connection", "close") {
-		x.c.pool.idle.Put(x.addr, x.conn)
+		x.c.pool.put(x.addr, x.conn)
 		return
 	}
 	x.conn.Close()
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -29,66 +29,82 @@
 type pool struct {
 	lim  *atomic.Pointer[Limits]
 	idle *connpool.Idle
-	open atomic.Int64
+	room room
 }
 
-// acquire gives a connection: an unused one that still stands, else a new one; ctl
+// Pauses before a dial that failed for want of something of this machine is made again.
+const (
+	firstDialPause = 2 * time.Millisecond
+	maxDialPause   = 20 * time.Millisecond
+)
+
+// acquire gives a connection: an unused one that still stands, else a new one; control
 // tells that it is for a place or a release, fresh that a new one is wanted.
-func (p *pool) acquire(ctx context.Context, addr string, ctl, fresh bool) (*connpool.Conn, error) {
-	if !fresh {
-		if c := p.idle.Take(addr); c != nil {
+//
+// Where no connection can be had for a reason that lies on this machine, it waits
+// for as long as a connection may take to come up: every other worker would be
+// refused just so, and all attempts would soon be used up.
+func (p *pool) acquire(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.lim.Load().Dial)
+	defer cancel()
+	for pause := firstDialPause; ; pause = min(2*pause, maxDialPause) {
+		c, err := p.reserve(ctx, addr, control, fresh)
+		if err != nil {
+			return nil, attempt.NotSent{Err: err, Local: true}
+		}
+		if c != nil {
 			return c, nil
 		}
-	}
-	if err := p.reserve(ctx, ctl); err != nil {
-		return nil, attempt.NotSent{Err: err}
-	}
-	d := net.Dialer{Timeout: p.lim.Load().Dial, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		p.open.Add(-1)
-		return nil, attempt.NotSent{Err: err}
-	}
-	return connpool.New(nc, 2048, func() { p.open.Add(-1) }), nil
-}
-
-// roomPoll is how often a place or a release looks for room.
-const roomPoll = 2 * time.Millisecond
-
-// reserve counts one more connection. An attempt that finds no room goes
-// elsewhere; a place or a release waits for some, since what is held has to be
-// let go, and many requests that end at once let go at once.
-func (p *pool) reserve(ctx context.Context, ctl bool) error {
-	for !p.tryReserve(ctl) {
-		if !ctl {
-			return errNoRoom
+		d := net.Dialer{KeepAlive: -1}
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			return connpool.New(nc, 2048, p.room.release), nil
+		}
+		p.room.release()
+		if !connpool.IsLocal(err) {
+			return nil, attempt.NotSent{Err: err}
 		}
 		select {
-		case <-time.After(roomPoll):
+		case <-time.After(pause):
 		case <-ctx.Done():
-			return errNoRoom
+			return nil, attempt.NotSent{Err: err, Local: true}
 		}
 	}
-	return nil
 }
 
-// tryReserve counts one more connection, if there may be one in place of one that is
-// unused. Attempts leave a tenth to places and releases: what holds a state must
-// be able to let it go.
-func (p *pool) tryReserve(ctl bool) bool {
-	most := int64(p.lim.Load().Conns)
-	if !ctl {
-		most -= most / 10
-	}
+// reserve gives an unused connection, or counts one more: nil tells that it may be
+// made. It waits for either.
+func (p *pool) reserve(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
 	for {
-		open := p.open.Load()
-		switch {
-		case open < most:
-			if p.open.CompareAndSwap(open, open+1) {
-				return true
+		if !fresh {
+			if c := p.idle.Take(addr); c != nil {
+				return c, nil
 			}
-		case !p.idle.CloseOldest():
-			return false
+		}
+		if p.room.take(p.most(control)) {
+			return nil, nil
+		}
+		if p.idle.CloseOldest() { // which makes room
+			continue
+		}
+		if !p.room.wait(ctx, control) {
+			return nil, errNoRoom
 		}
 	}
 }
+
+// most is how many connections there may be. Attempts leave a tenth to places and
+// releases: what holds a state must be able to let it go.
+func (p *pool) most(control bool) int64 {
+	most := int64(p.lim.Load().Conns)
+	if !control {
+		most -= most / 10
+	}
+	return most
+}
+
+// put keeps a connection after a whole exchange; whoever waits for one looks again.
+func (p *pool) put(addr string, c *connpool.Conn) {
+	p.idle.Put(addr, c)
+	p.room.wake()
+}
--- a/internal/platform/workers/room.go
+++ b/internal/platform/workers/room.go
@@ -10,13 +10,15 @@
 // room counts open connections, and has those wait in order for whom there is none.
 // It is safe for concurrent use.
 type room struct {
+	lookAgain time.Duration // when whoever waits looks again although nobody told it of room
+
 	mu      sync.Mutex
 	open    int64
 	waiting [2][]chan struct{} // for places and releases first, then for attempts
 }
 
-// lookAgain is when whoever waits looks for room although nobody told it of any,
-// as when an unused connection has been closed by its worker.
+// lookAgain is a room's usual time for that: an unused connection may have been
+// closed by its worker.
 const lookAgain = 50 * time.Millisecond
 
 // take counts one more connection where fewer than most are open.
@@ -61,7 +63,7 @@
 	r.mu.Lock()
 	r.waiting[line] = append(r.waiting[line], turn)
 	r.mu.Unlock()
-	again := time.NewTimer(lookAgain)
+	again := time.NewTimer(r.lookAgain)
 	defer again.Stop()
 	select {
 	case <-turn:
--- /dev/null
+++ b/internal/platform/workers/room_test.go
@@ -0,0 +1,80 @@
+package workers
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gannethook"
+)
+
+// An attempt that finds all connections in use waits for one, and goes as soon as another attempt has ended.
+func TestAttemptWaitsForRoom(t *testing.T) {
+	const conns, attempts = 10, 9 // a tenth is left to places and releases
+	answer := make(chan struct{})
+	var begun sync.WaitGroup
+	cl := client(t, conns, answering(t, func(nc net.Conn, req *http.Request) {
+		begun.Done()
+		<-answer
+		io.WriteString(nc, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+	}))
+	begun.Add(attempts + 1)
+	outcomes := make(chan gannethook.Outcome, attempts+1)
+	for i := range attempts + 1 {
+		go func() { outcomes <- cl.Read(context.Background(), call(i)).Outcome }()
+	}
+	for range 2 { // one answer makes room for the tenth attempt, whose answer comes with the others
+		answer <- struct{}{}
+	}
+	begun.Wait()
+	close(answer)
+	for range attempts + 1 {
+		if o := <-outcomes; o != gannethook.ReadDone {
+			t.Errorf("outcome %v", o)
+		}
+	}
+}
+
+// Whoever waits goes in order, places and releases first; a turn that its owner no longer wants is passed on.
+func TestRoomInOrder(t *testing.T) {
+	r := &room{open: 1, lookAgain: time.Hour}
+	order := make(chan string, 3)
+	var waiting sync.WaitGroup
+	wait := func(ctx context.Context, name string, control bool) {
+		line := 1
+		if control {
+			line = 0
+		}
+		r.mu.Lock()
+		had := len(r.waiting[line])
+		r.mu.Unlock()
+		waiting.Go(func() {
+			if r.wait(ctx, control) {
+				order <- name
+			}
+		})
+		for queued := false; !queued; time.Sleep(time.Millisecond) {
+			r.mu.Lock()
+			queued = len(r.waiting[line]) > had
+			r.mu.Unlock()
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	wait(ctx, "gone", false)
+	wait(context.Background(), "attempt", false)
+	wait(context.Background(), "release", true)
+	r.wake()
+	if got := <-order; got != "release" {
+		t.Errorf("%s goes first", got)
+	}
+	cancel()
+	r.wake()
+	if got := <-order; got != "attempt" {
+		t.Errorf("%s goes next", got)
+	}
+	waiting.Wait()
+}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -58,7 +58,7 @@
 // New returns a client; Close ends it. The monitor may be nil.
 func New(lim Limits, monitor *guard.Monitor) *Client {
 	c := &Client{monitor: monitor, lim: &atomic.Pointer[Limits]{}, byID: map[string]*worker{}, from: time.Now(), stop: make(chan struct{})}
-	c.pool = pool{lim: c.lim, idle: connpool.NewIdle(lim.Idle, lim.ReuseDelay, lim.IdlePerWorker)}
+	c.pool = pool{lim: c.lim, room: room{lookAgain: lookAgain}, idle: connpool.NewIdle(lim.Idle, lim.ReuseDelay, lim.IdlePerWorker)}
 	c.lim.Store(&lim)
 	c.wg.Go(func() { c.pool.idle.Run(max(lim.Idle/8, 100*time.Millisecond), c.stop) })
 	return c
--- a/router.go
+++ b/router.go
@@ -522,7 +522,7 @@
 	}
 	a := q.out[q.find(ev.Attempt)]
 	q.out = slices.DeleteFunc(q.out, func(o attempt) bool { return o.n == a.n })
-	if a.reads || ev.Outcome != ConnectFailed {
+	if a.reads || !ev.Outcome.unconnected() {
 		q.idle = r.now
 	}
 	r.settle(q, a, ev)
@@ -598,9 +598,13 @@
 	}
 }
 
+// unconnected tells whether nothing of an attempt reached its server. Of NotTried the server is not to blame:
+// charged to servers that were never called, a router's own want of connections would make all look bad.
+func (o Outcome) unconnected() bool { return o == ConnectFailed || o == NotTried }
+
 // again decides what follows an attempt that gave no answer.
 func (r *Router) again(q *request, a attempt, ev Ended) {
-	if (!a.reads || r.oneStage(q)) && ev.Outcome != Full && ev.Outcome != ConnectFailed {
+	if (!a.reads || r.oneStage(q)) && ev.Outcome != Full && !ev.Outcome.unconnected() {
 		if q.ranOn == nil {
 			q.ranOn, q.ranAt = a.on, a.sent
 		}
@@ -612,10 +616,10 @@
 	q.tried, q.repeat = append(q.tried, a.on), true
 	// A writer that failed or fell silent may have fetched the state. Guards against giving up with the last
 	// attempt spent on a state that is gone: where a miss leaves no other read, the prompt is read anew.
-	taken := !a.reads && ev.Outcome != Full && ev.Outcome != ConnectFailed && !r.attemptsLeft(q, 3)
+	taken := !a.reads && ev.Outcome != Full && !ev.Outcome.unconnected() && !r.attemptsLeft(q, 3)
 	// Rule 5, where whole zones fall silent: writers that are not reached leave the state where it is, and
 	// its time goes on. Harms where a third writer would have been reached: it is read anew, or refused.
-	pinned := ev.Outcome == ConnectFailed && r.now-q.idle > q.set.PinLimit
+	pinned := ev.Outcome.unconnected() && r.now-q.idle > q.set.PinLimit
 	if a.reads || ev.NoState || taken || pinned {
 		// Rule 5: a held place may have the state although its reader has not.
 		q.unplace()
