Errors of accept that pass end no router

Cause: Serve went on only after errors that Go calls temporary (EINTR, EMFILE, ENFILE, ETIMEDOUT). Ruled out: ECONNABORTED itself, which the runtime takes up (the test's listener gives it from outside). Change: only a listener that can't be used any more (EBADF, EINVAL, ENOTSOCK, EFAULT) ends it; pauses of 1 to 50 ms as before. Measured: TestAcceptErrorsPass failed before, passes twice with the race detector.

--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,27 +89,42 @@
 
 var expired = time.Unix(1, 0)
 
-// Serve takes connections until the listener closes or breaks.
+// Pauses after a failed accept.
+const (
+	firstAcceptPause = time.Millisecond
+	maxAcceptPause   = 50 * time.Millisecond
+)
+
+// Serve takes connections until the listener closes or is of no more use.
 func (s *Server) Serve(ln net.Listener) error {
-	pause := time.Duration(0)
+	pause := firstAcceptPause
 	for {
 		nc, err := ln.Accept()
-		var soon interface{ Temporary() bool }
 		switch {
 		case err == nil:
-			pause = 0
+			pause = firstAcceptPause
 			s.accept(nc)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case errors.As(err, &soon) && soon.Temporary(): // as without descriptors: what is open goes on
-			pause = min(max(2*pause, time.Millisecond), 50*time.Millisecond)
-			time.Sleep(pause)
-		default:
+		case isBrokenListener(err):
 			return err
+		default: // what is open goes on
+			if e := s.cfg.Log.Check(zap.WarnLevel, "no connection could be accepted"); e != nil && pause == firstAcceptPause {
+				e.Write(zap.Error(err))
+			}
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
 		}
 	}
 }
 
+// isBrokenListener tells whether no later accept can go well. Every other error of
+// accept passes: want of descriptors or memory, and what Linux reports of the
+// network or of the connection that would have been accepted.
+func isBrokenListener(err error) bool {
+	return errors.Is(err, syscall.EBADF) || errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.ENOTSOCK) || errors.Is(err, syscall.EFAULT)
+}
+
 // accept begins a connection, in place of the one unused for longest where there are too many.
 func (s *Server) accept(nc net.Conn) {
 	l := &clientConn{s: s, nc: nc, id: s.conns.Add(1), since: time.Now()}
