A release goes on until a worker has taken it

Cause: Release asked five workers, each once and one after the other, and gave up. Change: tries go on for 2 s, each worker as seldom as the others; the next is asked beside one that has not answered in 60 ms (an eighth later each time), and one that failed lately is asked last, also by other requests' releases. Ruled out: more time for each try, since a silent worker costs all of it.

--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -1,9 +1,12 @@
 package workers
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"gannethook/internal/attempt"
@@ -36,11 +39,20 @@
 	return attempt.Unknown
 }
 
-const maxReleaseTries = 5 // workers asked, one after the other
+// How a release goes on until a worker has taken it.
+const (
+	releaseWithin   = 2 * time.Second       // then the servers' own limits let go of what is held
+	releaseHedge    = 60 * time.Millisecond // a worker that has not answered by then is probably silent: the next is asked beside it,
+	hedgeGrowth     = 8                     // and the one after that an eighth later, so that lost workers cost few calls
+	releasePause    = 5 * time.Millisecond  // after a try that failed at once,
+	maxReleasePause = 50 * time.Millisecond // doubled up to this
+)
 
 // Release lets go of everything held for the requests. Any worker takes it, so
 // those that may hold something are asked first, then those heard last.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) {
+	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+	defer cancel()
 	var names []string
 	var first []string
 	for _, h := range list {
@@ -49,22 +61,77 @@
 		}
 		first = append(first, h.Addr)
 	}
-	order := c.releaseOrder(first)
 	for _, name := range names {
-		for _, id := range order[:min(len(order), maxReleaseTries)] {
-			if c.release(ctx, id, name) {
-				break
+		c.releaseOne(ctx, name, first)
+	}
+}
+
+// releaseOne asks one worker after another until one has let go of all that a
+// request holds, or the time is over. Whoever has failed lately is asked last.
+func (c *Client) releaseOne(ctx context.Context, name string, first []string) {
+	ctx, cancel := context.WithCancel(ctx) // ends the tries that are still out
+	var tries sync.WaitGroup
+	defer tries.Wait()
+	defer cancel()
+	results := make(chan bool)
+	asked := map[string]int{}
+	hedge := releaseHedge
+	for pause := releasePause; ctx.Err() == nil; {
+		id, ok := c.nextToRelease(first, asked)
+		if !ok { // no worker is listed just now
+			pause = sleep(ctx, pause)
+			continue
+		}
+		asked[id]++
+		tries.Go(func() {
+			released := c.release(ctx, id, name)
+			select {
+			case results <- released:
+			case <-ctx.Done():
 			}
+		})
+		select {
+		case released := <-results:
+			if released {
+				return
+			}
+			pause = sleep(ctx, pause)
+		case <-time.After(hedge):
+			hedge += hedge / hedgeGrowth
+		case <-ctx.Done():
 		}
 	}
 }
 
+// sleep pauses, and returns the next pause.
+func sleep(ctx context.Context, pause time.Duration) time.Duration {
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+	return min(2*pause, maxReleasePause)
+}
+
+// nextToRelease is the worker to ask next: among those asked least often so far, the first in order.
+func (c *Client) nextToRelease(first []string, asked map[string]int) (id string, ok bool) {
+	least := math.MaxInt
+	for _, candidate := range c.releaseOrder(first) {
+		if n := asked[candidate]; n < least {
+			id, least, ok = candidate, n, true
+		}
+	}
+	return id, ok
+}
+
 // release asks one worker.
 func (c *Client) release(ctx context.Context, id, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
 	defer cancel()
 	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, &attempt.Call{Key: name})
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) { // else another worker was quicker
+			c.missed(id)
+		}
 		return false
 	}
 	ok := x.res.Status/100 == 2
@@ -72,36 +139,45 @@
 	return ok
 }
 
-// releaseOrder lists the workers by how likely they answer at once: those with an
-// unused connection that were heard last, those asked for among them first.
+// missed notes that a worker did not take a release.
+func (c *Client) missed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		w.missed = time.Now()
+	}
+}
+
+// missedLately is for how long a worker that did not take a release is asked after the others.
+const missedLately = time.Second
+
+// releaseOrder lists the workers by how likely they answer at once: those that have
+// not failed lately, of these those with an unused connection that were heard
+// last, those asked for among them first.
 func (c *Client) releaseOrder(first []string) []string {
 	type choice struct {
 		id     string
 		heard  time.Time
+		missed bool
 		unused bool
 	}
+	now := time.Now()
 	c.mu.Lock()
 	all := make([]choice, 0, len(c.byID))
 	addrs := make([]string, 0, len(c.byID))
 	for id, w := range c.byID {
-		all = append(all, choice{id: id, heard: w.heard})
+		all = append(all, choice{id: id, heard: w.heard, missed: !w.missed.IsZero() && now.Sub(w.missed) < missedLately && w.heard.Before(w.missed)})
 		addrs = append(addrs, w.addr)
 	}
 	c.mu.Unlock()
 	for i := range all {
 		all[i].unused = c.pool.idle.Count(addrs[i]) > 0
-		if slices.Contains(first, all[i].id) && time.Since(all[i].heard) < time.Second {
-			all[i].heard = time.Now()
+		if slices.Contains(first, all[i].id) && now.Sub(all[i].heard) < time.Second {
+			all[i].heard = now
 		}
 	}
 	slices.SortFunc(all, func(a, b choice) int {
-		if a.unused != b.unused {
-			if a.unused {
-				return -1
-			}
-			return 1
-		}
-		return b.heard.Compare(a.heard)
+		return cmp.Or(falseFirst(a.missed, b.missed), falseFirst(!a.unused, !b.unused), b.heard.Compare(a.heard))
 	})
 	ids := make([]string, len(all))
 	for i, a := range all {
@@ -109,3 +185,13 @@
 	}
 	return ids
 }
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -38,6 +38,7 @@
 	boot     float64
 	draining bool      // nothing new may begin
 	heard    time.Time // when it last answered anything
+	missed   time.Time // when it last failed to take a release
 	stats    Stats
 }
 
