A server's start is bounded by the lists that its router was told

Cause: a server's age was this machine's wall clock at the router's start, plus monotonic time, less boot_ms. With the clock stepped forward by an hour a server that has just started counted as warm ('1.00 of a server that has just started, 0.26 expected') and got its full share from every such router (rule 4); stepped back it stayed in slow start for an hour. Change: it has started by now, and not before the router was last told a list without it; of the first list after the one known from the start, what seems long up but was not in it may have just started. Starts are remembered while a server is off the list. Ruled out: reading the wall clock again at each list, since either reading may be the wrong one. TestLostTextIsBelieved listed a restart of 20 s ago that the list of a moment before did not have, which the rule now takes for a late word: the restart is told at once and the warm-up waited for, the claim is unchanged. Left open: a list known at the start that holds a server then in slow start, on a machine whose clock was stepped while it was down.

--- a/membership.go
+++ b/membership.go
@@ -47,6 +47,8 @@
 	for _, e := range ev.Servers {
 		r.update(e)
 	}
+	r.listed = r.now
+	r.lists++
 	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
 		if s.State == Gone && r.servers[s.ID] == s {
 			delete(r.servers, s.ID)
@@ -74,6 +76,8 @@
 	kind, hash := r.set.Kinds[e.Kind], fnv.New64a()
 	hash.Write([]byte(e.ID))
 	s = &server{Server: e, hash: hash.Sum64(), role: kind.Role, size: kind.Memory, credAt: r.now}
+	s.began = r.startOf(e)
+	r.rememberStart(s)
 	s.full = map[int]fading{}
 	// Guards rule 4 for the sum over all routers: each starts somewhere between two sends of its own, so that
 	// together they keep the pace at once. A whole send each would be a flood.
--- a/router.go
+++ b/router.go
@@ -94,6 +94,7 @@
 	credit  float64        // sends that a cold server may still get, as of credAt
 	credAt  Millis
 	lost    Millis // what was sent before is not counted on as kept
+	began   Millis // when it started, on this router's clock; 0: long ago
 }
 
 // tally sums up timed reads, older ones fading: their prices, and the ms that they took.
@@ -160,7 +161,10 @@
 	begun            Millis  // first event; 0: none yet
 	arrived          float64 // requests taken
 	servers          map[ServerID]*server
-	list             []*server // in order of id
+	starts           map[ServerID]start // also of those that are listed no more
+	listed           Millis             // when the last list or change was told
+	lists            int                // lists and changes told
+	list             []*server          // in order of id
 	requests         map[RequestID]*request
 	waiting          []*request
 	visits           map[Key]visit   // last read of a session
@@ -189,6 +193,7 @@
 	r := &Router{
 		set: &set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		visits: map[Key]visit{}, begins: map[Key]fading{}, texts: map[text]Millis{},
+		starts: map[ServerID]start{},
 	}
 	r.reconfigure(set)
 	return r, nil
--- a/slowstart.go
+++ b/slowstart.go
@@ -5,10 +5,49 @@
 // Slow start: how much a server that started a short while ago is counted on for,
 // and how many calls it may get from this router. router.go has the rest.
 
+// start is when a server started, on this router's clock.
+type start struct {
+	told  Millis // as it was told, by wall clocks
+	began Millis // 0: long ago
+}
+
+// startOf is when a server that is listed anew started. Guards rule 4 against a wall clock of this machine
+// that was stepped, before this router began or since: what is told counts by others' clocks. It has started
+// by now, and not before this router was last told a list without it, whatever the clock says. How old the
+// list is that was known at the start is not known: what seems to have been up for long, but was not in it,
+// may have started just now. Harms where that list is older than a warm-up: what came since is used late.
+func (r *Router) startOf(e Server) Millis {
+	if s, ok := r.starts[e.ID]; ok && s.told == e.Since {
+		return s.began
+	}
+	if e.Since <= 0 {
+		return 0
+	}
+	began := min(e.Since, r.now)
+	switch {
+	case r.lists == 1 && r.now-began >= r.set.WarmAfter && len(r.starts) > 0:
+		began = r.now
+	case r.lists > 1:
+		began = max(began, r.listed)
+	}
+	return began
+}
+
+// rememberStart keeps when a server started, though it leaves the list for a while.
+func (r *Router) rememberStart(s *server) {
+	if len(r.starts) >= keyCap {
+		clear(r.starts)
+		for _, s := range r.list {
+			r.starts[s.ID] = start{s.Since, s.began}
+		}
+	}
+	r.starts[s.ID] = start{s.Since, s.began}
+}
+
 // warmth is the fraction of its capacity that a server can be counted on for.
 func (r *Router) warmth(s *server) float64 {
-	age := r.now - s.Since
-	if s.Since <= 0 || age >= r.set.WarmAfter {
+	age := r.now - s.began
+	if s.began <= 0 || age >= r.set.WarmAfter {
 		return 1
 	}
 	return math.Min(1, r.set.ColdFrom+(1-r.set.ColdFrom)*math.Max(float64(age/r.set.WarmAfter), 0))
