Three failing tests: a silent writer, half a configuration, SIGTERM behind reloads

Each fails on the present text: 'the state was held for 2.99 s' where 0.8 s are allowed (an attempt that was written counts as out, also where its writer's open connection is silent; the terms say that it does not stop the clock); 'the whole one is taken up: not within 5 s' after a SIGHUP that met half a file; 'SIGTERM is not obeyed' in 30 s behind 40 SIGHUPs, since signal.Notify drops what does not fit into the channel of four.

--- a/cmd/gannethook/platform_test.go
+++ b/cmd/gannethook/platform_test.go
@@ -147,6 +147,38 @@
 	}
 }
 
+// A stop behind many signals for new configurations, which take a while to be taken up, is obeyed.
+func TestStopBehindManyReloads(t *testing.T) {
+	const reloads = 40
+	f := standin.New()
+	defer f.Close()
+	f.Add(standin.Prompt, nil)
+	f.Add(standin.Answer, nil)
+	p := startOnPlatform(t, f, func(c map[string]any) {
+		c["unused"] = strings.Repeat("x", 16<<20) // a large file takes long to read
+	})
+	if status, text := p.first(t, "a"); status != 200 {
+		t.Fatalf("%d %q\n%s", status, text, p.log.String())
+	}
+	for range reloads {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(2 * time.Millisecond)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- p.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("SIGTERM is not obeyed")
+		p.cmd.Process.Kill()
+		<-ended
+	}
+}
+
 // A configuration that can't be used ends the start with one line that names the field.
 func TestPlatformBadConfiguration(t *testing.T) {
 	f := standin.New()
--- /dev/null
+++ b/internal/platform/hunt_test.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gannethook/internal/platform/standin"
+)
+
+// A send that has not arrived does not stop the clock for the state that waits at the reader: where a writer's open
+// connection has fallen silent, the state is let go in time, although the attempt is not given up.
+func TestStateOutlivesNoSilentWriter(t *testing.T) {
+	var reader *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		reader = f.Add(standin.Prompt, nil)
+		f.AddSilent(standin.Answer)
+	})
+	answered := make(chan answer, 1)
+	go func() { answered <- s.ask(standin.Unsafe+"1", "adjustment", 3000) }()
+	s.until("it is read", func() bool { n, _, _ := reader.Count(); return n == 1 })
+	s.until("its state waits", func() bool { return len(s.fleet.Left()) > 0 })
+	from, late := time.Now(), s.fleet.Late()
+	s.until("its state is let go", func() bool { return len(s.fleet.Left()) == 0 })
+	if held := time.Since(from) - (s.fleet.Late() - late); held > 800*ms {
+		t.Errorf("the state was held for %v", held)
+	}
+	if a := <-answered; a.status != 500 || a.took > 3*time.Second {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A configuration that can't be read as SIGHUP comes, because it is still being written or for a fault that passes, is
+// taken up as soon as it can be.
+func TestReloadIsTriedAgain(t *testing.T) {
+	s := open(t, two)
+	agent := s.fleet.Agent()
+	defer func() {
+		agent.CloseClientConnections()
+		agent.Close()
+	}()
+	whole := s.fleet.Config(s.addr, func(c map[string]any) { c["discovery"] = agent.Listener.Addr().String() })
+	if err := os.WriteFile(s.file, whole[:len(whole)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.signals <- syscall.SIGHUP
+	s.until("half a file is told", func() bool { return s.logs.FilterMessage("the new configuration is not taken up").Len() > 0 })
+	if err := os.WriteFile(s.file, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.until("the whole one is taken up", func() bool { return s.logs.FilterMessage("discovery has another address").Len() > 0 })
+	if n := s.logs.FilterMessage("the new configuration is not taken up").Len(); n != 1 {
+		t.Errorf("it was told %d times", n)
+	}
+}
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -136,6 +136,47 @@
 	return w
 }
 
+// AddSilent starts a worker whose machine is cut off: connections come up, and
+// what is written to them goes nowhere.
+func (f *Fleet) AddSilent(kind string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Worker{UID: fmt.Sprintf("s-%d", len(f.workers)), Kind: kind, f: f}
+	w.server = httptest.NewUnstartedServer(w)
+	w.server.Listener = &silentListener{w.server.Listener}
+	w.server.Start()
+	f.workers = append(f.workers, w)
+	f.set(w, "SERVING")
+	return w
+}
+
+// silentListener takes connections and reads nothing from them.
+type silentListener struct{ net.Listener }
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: nc, closed: make(chan struct{})}, nil
+}
+
+type silentConn struct {
+	net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *silentConn) Read([]byte) (int, error) {
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // Set changes a worker's state in the list.
 func (f *Fleet) Set(w *Worker, state string) {
 	f.mu.Lock()
@@ -298,7 +339,7 @@
 	defer f.mu.Unlock()
 	f.reading[id] = false
 	if f.out[id]--; f.out[id] == 0 {
-		f.idle[id] = idleFrom{time.Now(), f.lateness()}
+		f.idle[id] = idleFrom{time.Now(), f.Late()}
 	}
 }
 
@@ -321,14 +362,14 @@
 	}
 }
 
-// lateness is how late this process was in all, up to now.
-func (f *Fleet) lateness() time.Duration { return time.Duration(f.late.Load()) }
+// Late is by how much this process ran late in all, up to now.
+func (f *Fleet) Late() time.Duration { return time.Duration(f.late.Load()) }
 
 func (f *Fleet) unpin(id string) {
 	held := f.states[id] != "" || f.places[id] != ""
 	if idle, ok := f.idle[id]; ok && held && f.out[id] == 0 {
 		// On a machine that is busy with other work this process is late, and so is the router in it.
-		if late := f.lateness() - idle.late; time.Since(idle.since)-late > pinMost {
+		if late := f.Late() - idle.late; time.Since(idle.since)-late > pinMost {
 			f.breaks = append(f.breaks, fmt.Sprintf("%s was pinned for %v, of which the process was late %v", id, time.Since(idle.since), late))
 		}
 	}
