Signals wait apart; a configuration that can't be read is read again

Cause 1: cmd/gannethook gave signal.Notify one channel of four, and obey read the file between two signals: behind four SIGHUPs a SIGTERM was dropped, and the router went on until SIGKILL. Cause 2: reload tried once; half a file, or one that could not be opened just then, left the router at an address that discovery closes after 1.5 s, deaf to drains until the next SIGHUP. Change: it is read again after 20 to 250 ms for 30 s, told once. Ruled out: the runtime's own queue of signals, which keeps one of each kind.

--- a/cmd/gannethook/platform.go
+++ b/cmd/gannethook/platform.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -24,9 +22,8 @@
 SIGTERM answers all that was taken and stops. SIGHUP reads the configuration again.`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			signals := make(chan os.Signal, 4) // from the first moment on
-			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
-			defer signal.Stop(signals)
+			signals, end := platform.Notify() // from the first moment on
+			defer end()
 			cfg, err := config.Load(os.Getenv)
 			if err != nil {
 				return err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -53,13 +53,15 @@
 	monitor *guard.Monitor
 	next    chan discovery.Source // discovery, as a new configuration has it
 	ready   atomic.Bool
+	reloads chan struct{} // the configuration is to be read again
 	listed  chan struct{} // closed with discovery's first answer
 	once    sync.Once
 }
 
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
 func New(cfg *config.Config, env func(string) string, log *zap.Logger) (*Router, error) {
-	r := &Router{cfg: cfg, env: env, log: log, next: make(chan discovery.Source, 1), listed: make(chan struct{})}
+	r := &Router{cfg: cfg, env: env, log: log, next: make(chan discovery.Source, 1), reloads: make(chan struct{}, 1),
+		listed: make(chan struct{})}
 	r.monitor = guard.NewMonitor(r.denied)
 	r.workers = workers.New(workerLimits(cfg), r.monitor)
 	var err error
@@ -121,6 +123,7 @@
 		r.watch.Rev = known.Rev
 	}
 	parts.Go(func() { r.watch.Run(ctx, source(cfg), r.next) })
+	parts.Go(func() { r.reloadLoop(ctx) })
 	parts.Go(func() {
 		if cfg.Known == nil || len(cfg.Known.Targets) == 0 { // without any list it could only refuse
 			select {
--- a/internal/platform/reload.go
+++ b/internal/platform/reload.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"math"
 	"reflect"
 	"runtime"
@@ -68,12 +69,57 @@
 	return time.Duration(idleMS * 0.8 * 1e6)
 }
 
-// reload takes up a new configuration; one that can't be used changes nothing.
+// A configuration that can't be taken up is read again: it may still be being
+// written, or the fault may pass. What discovery tells at another address counts
+// as told 4 s after the signal.
+const (
+	firstReloadPause = 20 * time.Millisecond
+	maxReloadPause   = 250 * time.Millisecond
+	reloadFor        = 30 * time.Second // after which it is left until the next signal
+)
+
+// reload asks for the configuration to be read again; it does not wait.
 func (r *Router) reload() {
+	select {
+	case r.reloads <- struct{}{}:
+	default: // it is about to be read
+	}
+}
+
+// reloadLoop reads the configuration whenever that is asked for.
+func (r *Router) reloadLoop(ctx context.Context) {
+	var again <-chan time.Time
+	var from time.Time // of the last signal
+	pause := firstReloadPause
+	for {
+		select {
+		case <-r.reloads:
+			from, pause = time.Now(), firstReloadPause
+		case <-again:
+			pause = min(2*pause, maxReloadPause)
+		case <-ctx.Done():
+			return
+		}
+		again = nil
+		err := r.takeUp()
+		switch {
+		case err == nil:
+		case time.Since(from) < reloadFor:
+			if pause == firstReloadPause {
+				r.log.Error("the new configuration is not taken up", zap.Error(err))
+			}
+			again = time.After(pause)
+		default:
+			r.log.Error("the new configuration is given up", zap.Error(err))
+		}
+	}
+}
+
+// takeUp reads the configuration; one that can't be used changes nothing.
+func (r *Router) takeUp() error {
 	next, err := config.Load(r.env)
 	if err != nil {
-		r.log.Error("the new configuration is not taken up", zap.Error(err))
-		return
+		return err
 	}
 	r.reconfigure(next)
 	r.log.Info("new configuration", zap.String("discovery", next.Discovery))
@@ -82,6 +128,7 @@
 	default:
 	}
 	r.next <- source(next)
+	return nil
 }
 
 // reconfigure has requests that come from now on go by another configuration;
