What a silent writer was sent is let go in time

Cause: an attempt counted as out once it was written. Change: where the settings tell that a release spares what an attempt waits for (the users' wire and platform do), the module lets go at 0.9 of the pin limit of what a writer was sent that has not begun to answer. If the call has arrived nothing is lost; if it arrives later the writer has no state, and the prompt is read anew. Ruled out: cancelling the attempt (an unsafe one would fail that may be served), asking the kernel for unacknowledged bytes (a proxy or a hung machine acknowledges). The golden trace is unchanged; its text leaves the new setting out where it is false.

--- a/api.go
+++ b/api.go
@@ -98,6 +98,7 @@
 	Cancel       bool // Cancel actions are allowed
 	Holds        bool // Hold actions are allowed
 	WritersRead  bool // a writer without a state reads the prompt itself
+	SparesWaited bool // a Release spares what an attempt that has arrived waits for
 }
 
 // ServerState is a server's state in the list.
--- a/golden_amd64_test.go
+++ b/golden_amd64_test.go
@@ -23,12 +23,21 @@
 
 func (g *goldenTrace) add(at Millis, event Event, actions []Action) {
 	g.events, g.actions = g.events+1, g.actions+len(actions)
-	fmt.Fprintf(g.sum, "%v %s%v\n", at, goldenKind(event), event)
+	fmt.Fprintf(g.sum, "%v %s%v\n", at, goldenKind(event), goldenText(event))
 	for _, a := range actions {
 		fmt.Fprintf(g.sum, "  %s%v\n", goldenKind(a), a)
 	}
 }
 
+// goldenText is an event's text without settings that came later than the file and that its settings leave out.
+func goldenText(event Event) string {
+	text := fmt.Sprint(event)
+	if ev, ok := event.(Reconfigure); ok && !ev.Settings.SparesWaited {
+		return strings.TrimSuffix(text, " false}}") + "}}"
+	}
+	return text
+}
+
 // goldenKind names an event or action in the file's words, which stay as names in the code change.
 func goldenKind(v any) string {
 	switch v.(type) {
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -99,6 +99,7 @@
 		Quantum:      gannethook.Millis(p.Quantum),
 		AskDiscovery: p.Discovery == "subscribe",
 		Cancel:       p.Ceilings.Cancel, Holds: p.Domain.Holds, WritersRead: p.Domain.WritersRead,
+		SparesWaited: true,
 	}
 	if p.Ceilings.RetryAfter {
 		s.MaxRetryAfter = gannethook.Millis(p.Ceilings.MaxRetryAfter)
--- a/router.go
+++ b/router.go
@@ -29,6 +29,7 @@
 	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
+	arrivePart = 0.9  // ours: part of the pin limit in which a writer that was sent a state is to be heard
 
 	paceLoss   = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
 	partGain   = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
@@ -63,13 +64,14 @@
 	longest    = 60000 // ours: ms over which beginnings are counted, and tenants at the most
 )
 
-// References of timers; a request's timer is its id times refStep plus refDeadline.
+// References of timers. A request's are its id times refStep plus the timer's; no request has the id 0.
 const (
-	refSweep = iota
+	refSweep = iota // of the router, as refAsk
 	refAsk
-	refDeadline
+	refDeadline // of a request, as the others
 	refPatience
-	refStep = 4
+	refStep
+	refArrival = refSweep
 )
 
 // server is what the router knows of one server.
@@ -231,7 +233,11 @@
 	case Wakeup:
 		switch q := r.requests[RequestID(ev.Ref/refStep)]; ev.Ref % refStep {
 		case refSweep:
-			r.sweep()
+			if ev.Ref >= refStep {
+				r.checkArrival(q)
+			} else {
+				r.sweep()
+			}
 		case refAsk:
 			r.do(Subscribe{})
 		case refDeadline: // guards rule 1: whatever became of the attempts, the last answer goes out in time
@@ -456,6 +462,23 @@
 		timeout = r.span(q, w.role, r.opening.v)
 	}
 	r.send(q, attempt{on: w}, timeout)
+	if q.set.SparesWaited && q.set.PinLimit > 0 {
+		due := max(q.idle+arrivePart*q.set.PinLimit-r.now, 0)
+		r.do(Wake{In: due, Ref: uint64(q.ID)*refStep + refArrival})
+	}
+}
+
+// checkArrival lets go of a state whose writer was not heard in time. Guards rule 5 against open connections
+// that fall silent: what was written to one has not arrived, and the state waits on. Where it has arrived the
+// release spares what it waits for; where it arrives later the writer finds no state, and the prompt is read
+// anew. Harms by a call for each answer that is slow to begin.
+func (r *Router) checkArrival(q *request) {
+	if q == nil || q.ended || q.stream || q.state == nil || len(q.out) != 1 || q.out[0].reads ||
+		r.now < q.idle+arrivePart*q.set.PinLimit {
+		return
+	}
+	q.state = nil
+	r.do(Release{ID: q.ID})
 }
 
 // span is how long an attempt may take that usually takes so many ms, or 0 to let it be: where all are slow,
--- a/unreached_test.go
+++ b/unreached_test.go
@@ -26,3 +26,36 @@
 		}
 	}
 }
+
+// Where an answer has not begun when the pin limit is nearly over, all that no attempt waits for is let go, once, and the
+// attempt goes on; not where releases would take away what it waits for, and not once it streams.
+func TestStateOfUnheardWriterIsLetGo(t *testing.T) {
+	for name, c := range map[string]struct {
+		spares, streams, released bool
+	}{"silent": {true, false, true}, "silent, nothing is spared": {false, false, false}, "streaming": {true, true, false}} {
+		s := newScript(t, fleet(func(set *Settings) { set.SparesWaited, set.Holds = c.spares, false }), at("r1", 0, 0, 0), at("w1", 1, 0, 0))
+		s.on(1, Request{ID: 1, Class: 1, Budget: 5000, Prompt: 100})
+		s.on(50, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+		if c.streams {
+			s.on(100, Streaming{ID: 1, Attempt: 1, Server: "w1"})
+		}
+		released, canceled := 0, false
+		for range 2 {
+			for _, a := range s.on(arrivePart*fleet().PinLimit, Wakeup{Ref: refStep + refArrival}) {
+				switch a.(type) {
+				case Release:
+					released++
+				case Cancel:
+					canceled = true
+				}
+			}
+		}
+		if released > 1 || released == 1 != c.released || canceled {
+			t.Errorf("%s: %d releases, canceled %v", name, released, canceled)
+		}
+		if c.released { // the call arrives late, and finds no state: the prompt is read anew
+			s.on(10, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: Full, NoState: true})
+			s.want("release 1", "send 1 r1")
+		}
+	}
+}
