A seam for system calls, files and the wall clock, empty in the shipped build

Go calls the kernel without the C library, so that a preloaded library sees nothing of it. internal/faults stands at accept, dial, read, peek, write, the configuration's file and the wall clock; under the build tag 'faults' it fails them by an environment variable, and leaves out one guard by another, to try the soak's oracle.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"gannethook/internal/faults"
 )
 
 // State is what can be read on a connection.
@@ -112,7 +114,7 @@
 func peekAt(fd uintptr) (n int, err error) {
 	var b [1]byte
 	for {
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err = faults.Peek(int(fd), b[:])
 		if err != syscall.EINTR {
 			return n, err
 		}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -15,6 +15,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 )
 
@@ -70,9 +71,10 @@
 		router = module
 	}
 	now := time.Now()
+	wall := faults.WallClock()
 	d := &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
-		start: now, startMS: float64(now.UnixMicro()) / 1000,
-		boot: cfg.Name + "-" + strconv.FormatInt(now.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
+		start: now, startMS: float64(wall.UnixMicro()) / 1000,
+		boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
 		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -15,6 +15,7 @@
 
 	"gannethook/internal/connpool"
 	"gannethook/internal/driver"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 )
@@ -176,7 +177,7 @@
 		x.conn.nc.SetReadDeadline(time.Time{})
 	}
 	x.mu.Unlock()
-	if err := x.conn.readAhead.watch(); !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err := x.conn.readAhead.watch(); !errors.Is(err, os.ErrDeadlineExceeded) && !faults.Broken(faults.BreakGone) {
 		x.keep = false
 		if !errors.Is(err, net.ErrClosed) { // else this router closed it
 			x.left.Store(true)
@@ -191,7 +192,7 @@
 // clientGone tells whether the client has left, at the instant at which an attempt is
 // about to begin: the connection's goroutine may not have run since.
 func (x *exchange) clientGone() bool {
-	if !connpool.Ended(x.conn.nc) {
+	if faults.Broken(faults.BreakGone) || !connpool.Ended(x.conn.nc) {
 		return false
 	}
 	x.left.Store(true)
@@ -256,6 +257,10 @@
 // answer writes what is left to say. A stream that is not whole ends with its
 // connection, without the last chunk.
 func (x *exchange) answer(a driver.Answer) {
+	if faults.Broken(faults.BreakAnswer) && x.conn.id%10 == 0 {
+		x.keep = false
+		return
+	}
 	switch {
 	case a.Kind == driver.Served && x.begun:
 		x.answered = true
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -17,6 +17,7 @@
 
 	"gannethook/internal/connpool"
 	"gannethook/internal/driver"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 	"gannethook/internal/streamdrain"
@@ -128,6 +129,9 @@
 // accept begins a connection, in place of the one unused for longest where there are too many.
 func (s *Server) accept(nc net.Conn) {
 	l := &clientConn{s: s, nc: nc, id: s.conns.Add(1), since: time.Now()}
+	if l.id == 100 && faults.Broken(faults.BreakCrash) {
+		panic("a fault that was asked for")
+	}
 	s.mu.Lock()
 	full := len(s.open) >= s.limits.Load().Conns && !s.evictIdle()
 	if full || s.rejecting {
--- a/internal/platform/clients/streamwriter.go
+++ b/internal/platform/clients/streamwriter.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"gannethook/internal/faults"
 	"gannethook/internal/http1"
 )
 
@@ -95,7 +96,7 @@
 	s.nc.SetWriteDeadline(time.Now().Add(s.limits().Write))
 	n, wrote := 0, error(nil)
 	err = raw.Write(func(fd uintptr) bool {
-		n, wrote = syscall.Write(int(fd), p)
+		n, wrote = faults.Write(int(fd), p)
 		return true
 	})
 	switch {
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 
+	"gannethook/internal/faults"
 	"gannethook/internal/platform/discovery"
 	"gannethook/internal/profile"
 )
@@ -63,7 +64,7 @@
 	if info.Size() > mostFile {
 		return nil, fmt.Errorf("EDGE_CONFIG: %s has more than %d bytes", path, mostFile)
 	}
-	text, err := os.ReadFile(path)
+	text, err := faults.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
@@ -93,6 +94,9 @@
 	if c.Profile, err = profile.Parse(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if faults.Broken(faults.BreakStart) {
+		c.Profile.Settings.WarmAfter = 0
+	}
 	if err := c.Profile.Settings.Validate(); err != nil {
 		return nil, err
 	}
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"gannethook/internal/faults"
 	"gannethook/internal/http1"
 )
 
@@ -183,7 +184,7 @@
 func (c *caller) call(ctx context.Context, target string, wait time.Duration) (*List, error) {
 	if c.nc == nil {
 		d := net.Dialer{Timeout: dial, KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", c.addr)
+		nc, err := faults.Dial(ctx, &d, c.addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/driver"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/platform/clients"
 	"gannethook/internal/platform/config"
@@ -83,6 +84,9 @@
 }
 
 func (r *Router) take(l *discovery.List) {
+	if faults.Broken(faults.BreakDrain) && r.monitor != nil && len(r.list.Targets) > 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Merge(l)
@@ -105,7 +109,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return r.Serve(ctx, ln, signals)
+	return r.Serve(ctx, faults.Listener(ln), signals)
 }
 
 // Serve is Run on a listener.
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -14,6 +14,7 @@
 	"gannethook"
 	"gannethook/internal/attempt"
 	"gannethook/internal/connpool"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/http1"
 )
@@ -186,7 +187,11 @@
 	if errors.Is(err, errClientGone) {
 		return attempt.Result{Outcome: gannethook.Cancelled, Detail: err.Error()}
 	}
-	return attempt.Ended(ctx, err, http1.ErrMalformed, http1.ErrTooLarge, os.ErrDeadlineExceeded)
+	r := attempt.Ended(ctx, err, http1.ErrMalformed, http1.ErrTooLarge, os.ErrDeadlineExceeded)
+	if r.Outcome == gannethook.Broken && faults.Broken(faults.BreakRepeat) {
+		r.Outcome = gannethook.ConnectFailed
+	}
+	return r
 }
 
 // statusResult maps an answer that is neither a state nor a stream to an outcome.
@@ -221,8 +226,12 @@
 	b = append(b, "X-Request-ID: "...)
 	b = append(b, call.Key...)
 	if !call.Until.IsZero() { // as of now: a connection may have taken its time, or a release that went first
+		left := time.Until(call.Until)
+		if faults.Broken(faults.BreakTold) {
+			left += 2 * time.Second
+		}
 		b = append(b, "\r\nX-Timeout-Ms: "...)
-		b = strconv.AppendInt(b, max(time.Until(call.Until).Milliseconds(), 1), 10)
+		b = strconv.AppendInt(b, max(left.Milliseconds(), 1), 10)
 	}
 	if method == "POST" {
 		b = append(b, "\r\nContent-Length: "...)
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gannethook/internal/attempt"
+	"gannethook/internal/faults"
 )
 
 // ReservationTimeout asks a writer for a place, once the read's last byte is on its way:
@@ -51,6 +52,9 @@
 // Release lets go of everything held for the requests. Any worker takes it, so
 // those that may hold something are asked first, then those heard last.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) {
+	if faults.Broken(faults.BreakRelease) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
 	defer cancel()
 	var names []string
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -9,6 +9,7 @@
 
 	"gannethook/internal/attempt"
 	"gannethook/internal/connpool"
+	"gannethook/internal/faults"
 )
 
 // Limits bound the connections to all workers.
@@ -56,7 +57,7 @@
 			return c, nil
 		}
 		d := net.Dialer{KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", addr)
+		nc, err := faults.Dial(ctx, &d, addr)
 		if err == nil {
 			return connpool.New(nc, 2048, p.room.release), nil
 		}
