gannethook soak: random overlapping troubles on router processes; three finds as tests

System calls, files and the clock fail by the build tag. A run whose own timers were over 150 ms late is played again. Faults of the oracle found on the way and mended: a read counted as over after its answer was written; the state of a read whose answer is stuck in a cut counted as idle.

--- a/cmd/gannethook/main.go
+++ b/cmd/gannethook/main.go
@@ -42,7 +42,7 @@
 		SilenceErrors: true,
 	}
 	cmd.AddCommand(demoCommand(), serveCommand(), checkCommand(), chatCommand(), dayCommand(), idleCommand(), engineCommand(), rosterCommand(),
-		fleetCommand(), certCommand(), keyCommand(), loadCommand(), platformCommand())
+		fleetCommand(), certCommand(), keyCommand(), loadCommand(), platformCommand(), soakCommand())
 	return cmd
 }
 
--- a/cmd/gannethook/platform.go
+++ b/cmd/gannethook/platform.go
@@ -24,7 +24,7 @@
 		RunE: func(*cobra.Command, []string) error {
 			signals, end := platform.Notify() // from the first moment on
 			defer end()
-			cfg, err := config.Load(os.Getenv)
+			cfg, err := config.LoadAtStart(os.Getenv)
 			if err != nil {
 				return err
 			}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -29,6 +29,7 @@
 	stall              bool          // the stream never goes on after its first token
 	leaving            time.Duration // what was called off takes so long to leave its connection,
 	left               time.Time     // and has left it
+	lateState          time.Duration // a read that was called off hears of it so late, and has ended well by then; 0: it is dropped
 	mu                 sync.Mutex
 	writes, reads      int
 	params             []bool // whether each write came with a state
@@ -73,6 +74,9 @@
 		f.mu.Lock()
 		f.left = time.Now()
 		f.mu.Unlock()
+		if f.lateState > 0 {
+			time.AfterFunc(f.lateState, func() { f.count(f.held, call.Addr, call.Key) })
+		}
 		return calledOff
 	}
 	if f.failFirst && n == 1 {
@@ -717,6 +721,28 @@
 	})
 }
 
+// A connection that was closed is closed at the server only once that has arrived, which the release may overtake: what a
+// read that was called off leaves behind is let go all the same, within the pin limit.
+func TestReleaseBehindLateClose(t *testing.T) {
+	f := newFake()
+	f.read, f.lateState, f.holdOK = 300*ms, 60*ms, false
+	run(t, f, func(d *Driver) {
+		s, j := newSink(t), job(0)
+		j.Name = "a"
+		c, err := d.Submit(j, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * ms)
+		c.Abandon()
+		<-s.done
+		time.Sleep(500 * ms)
+		if left := f.leftOver(); len(left) != 0 {
+			t.Errorf("still held: %v", left)
+		}
+	})
+}
+
 // A place of a named request that is granted after its read failed is kept while the next read is out: by the name
 // all would be let go, that read's state too. It is let go with the rest.
 func TestLateGrantOfANamedRequest(t *testing.T) {
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -50,6 +50,11 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
+var readFile = faults.ReadFile
+
+// LoadAtStart is Load as the program starts.
+func LoadAtStart(env func(string) string) (*Config, error) { return Load(env) }
+
 // Load reads the file that the environment names. Where the file lacks the
 // name or an address, the environment has it. Errors name the field.
 func Load(env func(string) string) (*Config, error) {
@@ -64,7 +69,7 @@
 	if info.Size() > mostFile {
 		return nil, fmt.Errorf("EDGE_CONFIG: %s has more than %d bytes", path, mostFile)
 	}
-	text, err := faults.ReadFile(path)
+	text, err := readFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"gannethook/internal/platform/standin"
 )
@@ -94,3 +96,32 @@
 		}
 	})
 }
+
+// A file that can't be read for a while as the program starts is read once it can be; one that makes no sense is told at once.
+func TestLoadOutlastsFaults(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] }
+	fails := []error{syscall.EIO, syscall.EINTR, syscall.ENFILE, syscall.ENOMEM, syscall.EAGAIN}
+	defer func(was func(string) ([]byte, error)) { readFile = was }(readFile)
+	readFile = func(path string) ([]byte, error) {
+		if len(fails) > 0 {
+			err := fails[0]
+			fails = fails[1:]
+			return nil, &os.PathError{Op: "open", Path: path, Err: err}
+		}
+		return os.ReadFile(path)
+	}
+	if c, err := LoadAtStart(env); err != nil || c.Name != "n3" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if err := os.WriteFile(path, []byte(good[:100]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	from := time.Now()
+	if _, err := LoadAtStart(env); err == nil || time.Since(from) > time.Second {
+		t.Errorf("half a file: %v after %v", err, time.Since(from))
+	}
+}
--- /dev/null
+++ b/internal/soak/discovery.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// target is one worker in a list.
+type target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+type list struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []target `json:"targets"`
+}
+
+// agent is discovery as one router reaches it, at one address after another.
+type agent struct {
+	p      *platform
+	router int
+
+	mu      sync.Mutex
+	servers []*http.Server
+	lns     []*trackedListener
+	current string
+
+	mute, slow atomic.Bool
+}
+
+// trackedListener knows its connections, so that they can be reset.
+type trackedListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *trackedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, nc)
+		l.mu.Unlock()
+	}
+	return nc, err
+}
+
+func (l *trackedListener) reset() {
+	l.mu.Lock()
+	conns := l.conns
+	l.conns = nil
+	l.mu.Unlock()
+	for _, nc := range conns {
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}
+}
+
+// move has the agent listen at another address; the former one closes after a while.
+func (a *agent) move() error {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ln := &trackedListener{Listener: inner}
+	server := &http.Server{Handler: a}
+	a.mu.Lock()
+	old, oldLn := a.servers, a.lns
+	a.servers, a.lns, a.current = []*http.Server{server}, []*trackedListener{ln}, inner.Addr().String()
+	a.mu.Unlock()
+	go server.Serve(ln)
+	for i := range old {
+		oldLn[i].Listener.Close()
+		time.AfterFunc(1500*time.Millisecond, func() { old[i].Close() })
+	}
+	return nil
+}
+
+func (a *agent) addr() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.current
+}
+
+func (a *agent) reset() {
+	a.mu.Lock()
+	lns := a.lns
+	a.mu.Unlock()
+	for _, ln := range lns {
+		ln.reset()
+	}
+}
+
+func (a *agent) close() {
+	a.mu.Lock()
+	servers := a.servers
+	a.mu.Unlock()
+	for _, s := range servers {
+		s.Close()
+	}
+}
+
+// ServeHTTP answers as the agent does.
+func (a *agent) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	since, err := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		since = -1
+	}
+	waitMS, _ := strconv.Atoi(req.URL.Query().Get("timeout_ms"))
+	until := time.Now().Add(time.Duration(waitMS) * time.Millisecond)
+	for a.mute.Load() || since >= a.p.revision() && time.Now().Before(until) {
+		if !wait(req, 5*time.Millisecond) {
+			return
+		}
+	}
+	if a.slow.Load() && !wait(req, 300*time.Millisecond) {
+		return
+	}
+	told := a.p.list(a.router, since)
+	text, _ := json.Marshal(told)
+	if half := len(text) / 2; a.slow.Load() {
+		rw.Write(text[:half])
+		rw.(http.Flusher).Flush()
+		if !wait(req, 200*time.Millisecond) {
+			return
+		}
+		rw.Write(text[half:])
+	} else {
+		rw.Write(text)
+	}
+	rw.(http.Flusher).Flush()
+	if req.Context().Err() == nil && !a.mute.Load() {
+		a.p.noteTold(a.router, told)
+	}
+}
--- /dev/null
+++ b/internal/soak/ledger.go
@@ -0,0 +1,329 @@
+package soak
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Ledger keeps what clients, workers and discovery saw, by monotonic times since
+// the run's start. Its methods may be called from anywhere.
+type Ledger struct {
+	start time.Time
+
+	mu       sync.Mutex
+	requests map[string]*request
+	served   map[string]*serverLife // by worker and life
+	told     map[toldKey]time.Duration
+	lives    []*routerLife
+	cuts     []*cut
+	late     time.Duration // sum by which this process's timers went off late
+	latest   time.Duration // the most at once
+	breaks   []Break
+}
+
+// Break is a promise that was not kept.
+type Break struct {
+	Invariant string
+	Detail    string
+	At        time.Duration
+}
+
+// Effect is what running a request twice does.
+type Effect int
+
+// The effects.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// request is one request's story.
+type request struct {
+	id       string
+	effect   Effect
+	router   int
+	life     int // of the router, as the request was written
+	sentAt   time.Duration
+	deadline time.Duration // from sentAt
+	leftAt   time.Duration // 0: its client stayed
+	first    bool          // on its connection
+	end      ending
+	endAt    time.Duration
+	status   int
+	arrived  []arrival
+	heldAt   time.Duration // since when something is held with no attempt out; 0: nothing is
+	held     bool
+	out      int
+}
+
+// ending is how a request ended for its client.
+type ending int
+
+const (
+	open       ending = iota
+	answered          // an answer without a stream, whole
+	streamed          // a stream to its last chunk
+	streamCut         // a stream that ended without it
+	closedOn          // the connection ended before any byte of an answer
+	garbled           // what came can't be an answer
+	timedOut          // nothing came for long after the deadline
+	notTaken          // the connection was refused, or closed before the request was written
+	clientLeft        // its client left
+)
+
+// arrival is an attempt that reached a worker.
+type arrival struct {
+	worker    string
+	reads     bool
+	at        time.Duration
+	over      time.Duration // 0: it is out
+	toldMS    int64
+	ran       bool // it may have had its effect
+	neverRan  bool // the worker said so
+	wroteLast bool // its stream was written to its end
+}
+
+// serverLife is a worker from one start to the next.
+type serverLife struct {
+	worker string
+	reads  bool
+	bootAt time.Duration // negative: long ago
+	calls  []time.Duration
+}
+
+type toldKey struct {
+	router, life int
+	worker       string
+}
+
+// routerLife is a router's process from its start to its end.
+type routerLife struct {
+	router, life int
+	startedAt    time.Duration
+	readyAt      time.Duration // 0: it never was
+	termAt       time.Duration // 0: none
+	killAt       time.Duration // 0: none
+	endedAt      time.Duration
+	crashed      string
+	violations   []string // told in its own log
+}
+
+// NewLedger returns a ledger whose times start now.
+func NewLedger() *Ledger {
+	return &Ledger{start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{}}
+}
+
+// Now is the time since the run's start.
+func (l *Ledger) Now() time.Duration { return time.Since(l.start) }
+
+// Break notes a promise that was seen not to be kept.
+func (l *Ledger) Break(invariant, detail string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breakLocked(invariant, detail)
+}
+
+func (l *Ledger) breakLocked(invariant, detail string) {
+	l.breaks = append(l.breaks, Break{invariant, detail, l.Now()})
+}
+
+// lateTick is how often this process looks whether it is late.
+const lateTick = 5 * time.Millisecond
+
+// measure sums up by how much timers go off late until stop closes: the measure
+// of a machine that is too busy to judge by.
+func (l *Ledger) measure(stop <-chan struct{}) {
+	for {
+		due := time.Now().Add(lateTick)
+		select {
+		case <-time.After(lateTick):
+		case <-stop:
+			return
+		}
+		by := max(time.Since(due), 0)
+		l.mu.Lock()
+		l.late += by
+		l.latest = max(l.latest, by)
+		l.mu.Unlock()
+	}
+}
+
+// mostLate is a lateness at once above which a run judges nothing: it is played again.
+const mostLate = 150 * time.Millisecond
+
+// Starved tells whether the machine was too busy to judge by.
+func (l *Ledger) Starved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latest > mostLate
+}
+
+// slack is what the machine's lateness allows to every bound.
+func (l *Ledger) slack() time.Duration { return 2 * l.latest }
+
+// written notes that a client has written a request whole.
+func (l *Ledger) written(q *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q.sentAt = l.Now()
+	l.requests[q.id] = q
+}
+
+// ended notes how a request ended for its client.
+func (l *Ledger) ended(q *request, how ending, status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q.end, q.endAt, q.status = how, l.Now(), status
+}
+
+// left notes that a client is about to close its connection.
+func (l *Ledger) left(q *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q.leftAt, q.end = l.Now(), clientLeft
+}
+
+// begin notes an attempt that has arrived whole, and returns its number.
+func (l *Ledger) begin(id string, a arrival, life *serverLife) (n int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.requests[id]
+	if q == nil {
+		l.breakLocked("unknown", "an attempt for "+id+", which no client sent")
+		return 0, false
+	}
+	a.at = l.Now()
+	life.calls = append(life.calls, a.at)
+	l.unpin(q, "an attempt at "+a.worker)
+	l.judgeDrain(q, a)
+	q.arrived = append(q.arrived, a)
+	q.out++
+	return len(q.arrived) - 1, true
+}
+
+// over notes how an attempt ended, as its worker sees it, and whether something waits for the request since.
+func (l *Ledger) over(id string, n int, change func(*arrival), holds bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.requests[id]
+	a := &q.arrived[n]
+	change(a)
+	a.over = l.Now()
+	q.out--
+	q.held = q.held || holds
+	if q.out == 0 && q.held {
+		q.heldAt = a.over
+	}
+}
+
+// ran notes that an attempt may have had its effect.
+func (l *Ledger) ran(id string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[id].arrived[n].ran = true
+}
+
+// hold notes a place that is held for a request.
+func (l *Ledger) hold(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if q := l.requests[id]; q != nil && q.out > 0 {
+		q.held = true
+	}
+}
+
+// taken notes that an attempt took what was held, release that all was let go.
+func (l *Ledger) taken(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if q := l.requests[id]; q != nil {
+		q.held, q.heldAt = false, 0
+	}
+}
+
+func (l *Ledger) release(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if q := l.requests[id]; q != nil {
+		l.unpin(q, "a release")
+		if q.out == 0 {
+			q.held, q.heldAt = false, 0
+		}
+	}
+}
+
+// pinMost is the settings' pin limit and what the platform adds to it.
+const pinMost = pinLimit + 300*time.Millisecond
+
+// unpin judges for how long something was held with no attempt out.
+func (l *Ledger) unpin(q *request, by string) {
+	if !q.held || q.heldAt == 0 {
+		return
+	}
+	if since := l.Now() - q.heldAt; since > pinMost+l.slack() && !l.routerDied(q, q.heldAt) && !l.answerLost(q) {
+		l.breakLocked("pinned", q.id+" was held for "+since.Round(time.Millisecond).String()+", then came "+by)
+	}
+	q.heldAt = 0
+}
+
+// cut is a time in which a worker was cut off.
+type cut struct {
+	worker      string
+	from, until time.Duration
+}
+
+// cutOff notes that a worker is cut off from now on, and joined that it no longer is.
+func (l *Ledger) cutOff(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts = append(l.cuts, &cut{worker: worker, from: l.Now(), until: math.MaxInt64})
+}
+
+func (l *Ledger) joined(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.cuts {
+		if c.worker == worker && c.until == math.MaxInt64 {
+			c.until = l.Now()
+		}
+	}
+}
+
+// answerLost tells whether the last attempt that arrived was at a worker that was cut off as it ended: its answer
+// has not come, and on its open connection the attempt is still out.
+func (l *Ledger) answerLost(q *request) bool {
+	if len(q.arrived) == 0 {
+		return false
+	}
+	last := q.arrived[len(q.arrived)-1]
+	for _, c := range l.cuts {
+		if c.worker == last.worker && q.heldAt >= c.from && q.heldAt < c.until {
+			return true
+		}
+	}
+	return false
+}
+
+// routerDied tells whether the process that took a request was killed after it was
+// sent: what it held is then its workers' to let go.
+func (l *Ledger) routerDied(q *request, _ time.Duration) bool {
+	for _, life := range l.lives {
+		if life.router == q.router && life.life == q.life {
+			return life.killAt != 0 || life.crashed != ""
+		}
+	}
+	return true
+}
+
+// notify notes that a router has been told that a worker takes nothing new. The
+// first time counts.
+func (l *Ledger) notify(router, life int, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := toldKey{router, life, worker}
+	if _, ok := l.told[key]; !ok {
+		l.told[key] = l.Now()
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// proxy is the network between one router and one worker.
+type proxy struct {
+	ln     net.Listener
+	target string
+
+	mu     sync.Mutex
+	links  map[*link]bool
+	closed bool
+
+	silent, refuses, trickles atomic.Bool
+}
+
+// link is one connection through a proxy.
+type link struct{ near, far net.Conn }
+
+func (k *link) close() {
+	k.near.Close()
+	k.far.Close()
+}
+
+// reset ends both sides with a reset.
+func (k *link) reset() {
+	for _, nc := range []net.Conn{k.near, k.far} {
+		if tc, ok := nc.(*net.TCPConn); ok {
+			tc.SetLinger(0)
+		}
+	}
+	k.close()
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, links: map[*link]bool{}}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+func (p *proxy) run() {
+	for {
+		near, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		if p.refuses.Load() {
+			near.(*net.TCPConn).SetLinger(0)
+			near.Close()
+			continue
+		}
+		far, err := net.Dial("tcp", p.target)
+		if err != nil {
+			near.Close()
+			continue
+		}
+		k := &link{near, far}
+		if !p.add(k) {
+			k.close()
+			return
+		}
+		go p.pump(k, k.far, k.near)
+		go p.pump(k, k.near, k.far)
+	}
+}
+
+func (p *proxy) add(k *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.links[k] = true
+	return true
+}
+
+// How the proxy spoils what passes.
+const (
+	silentLook  = 5 * time.Millisecond
+	trickleGap  = 3 * time.Millisecond
+	trickleMost = 48 // bytes at once, so that a head takes some 30 ms
+)
+
+// pump passes bytes from one side to the other until either ends.
+func (p *proxy) pump(k *link, to, from net.Conn) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		for p.silent.Load() && p.alive(k) { // what was read goes nowhere: the link is reset once the cut is over
+			time.Sleep(silentLook)
+		}
+		if n > 0 && p.alive(k) {
+			if p.pass(to, buf[:n]) != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	k.close()
+	p.mu.Lock()
+	delete(p.links, k)
+	p.mu.Unlock()
+}
+
+func (p *proxy) pass(to net.Conn, text []byte) error {
+	for len(text) > 0 {
+		part := text
+		if p.trickles.Load() {
+			part = text[:min(len(text), trickleMost)]
+			time.Sleep(trickleGap)
+		}
+		if _, err := to.Write(part); err != nil {
+			return err
+		}
+		text = text[len(part):]
+	}
+	return nil
+}
+
+func (p *proxy) alive(k *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.links[k]
+}
+
+// resetAll resets every open connection.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	links := p.links
+	p.links = map[*link]bool{}
+	p.mu.Unlock()
+	for k := range links {
+		k.reset()
+	}
+}
+
+func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.ln.Close()
+	p.resetAll()
+}
