Want of buffers on a write ends no answer

Ruled out: the client's leaving (its ledger has none), the worker's stream. Measured: TestAnswerOutlastsWantOfBuffers failed before.

--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -36,7 +36,7 @@
 
 func (l *clientConn) initBuffers(size int) {
 	l.readAhead = &readAhead{nc: l.nc, budget: &l.s.bodies, limit: l.s.limits.Load().Bodies}
-	l.br, l.bw = bufio.NewReaderSize(l.readAhead, size), bufio.NewWriterSize(l.nc, size)
+	l.br, l.bw = bufio.NewReaderSize(l.readAhead, size), bufio.NewWriterSize(connpool.Writer{Conn: l.nc}, size)
 }
 
 // shutdown ends a connection in order: its end is told, and what still comes is read
--- a/internal/platform/clients/streamwriter.go
+++ b/internal/platform/clients/streamwriter.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"gannethook/internal/connpool"
 	"gannethook/internal/faults"
 	"gannethook/internal/http1"
 )
@@ -87,7 +88,7 @@
 func (s *streamWriter) writeNow(p []byte) (int, error) {
 	conn, ok := s.nc.(syscall.Conn)
 	if !ok {
-		return s.nc.Write(p)
+		return connpool.Writer{Conn: s.nc}.Write(p)
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -104,7 +105,7 @@
 		return 0, err
 	case wrote == nil:
 		return n, nil
-	case wrote == syscall.EAGAIN || wrote == syscall.EINTR:
+	case connpool.IsLocal(wrote): // what is left is written by flush
 		return 0, nil
 	}
 	return 0, wrote
@@ -118,7 +119,7 @@
 		part := slices.Clone(s.pending[:min(len(s.pending), flushSize)])
 		s.nc.SetWriteDeadline(s.deadline())
 		s.mu.Unlock()
-		_, err := s.nc.Write(part)
+		_, err := connpool.Writer{Conn: s.nc}.Write(part)
 		s.mu.Lock()
 		s.pending = slices.Delete(s.pending, 0, len(part))
 		s.budget.Give(int64(len(part)))
