The configuration is read until it can be as the program starts

Change: LoadAtStart goes on for five seconds after errors that pass; a file that makes no sense is told at once, as before.

--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -9,7 +9,10 @@
 	"net"
 	"os"
 	"strconv"
+	"syscall"
+	"time"
 
+	"gannethook/internal/connpool"
 	"gannethook/internal/faults"
 	"gannethook/internal/platform/discovery"
 	"gannethook/internal/profile"
@@ -52,8 +55,23 @@
 
 var readFile = faults.ReadFile
 
-// LoadAtStart is Load as the program starts.
-func LoadAtStart(env func(string) string) (*Config, error) { return Load(env) }
+// Reading at the start, while the file can't be read for a fault that passes.
+const (
+	startTries = 100
+	startPause = 50 * time.Millisecond
+)
+
+// LoadAtStart is Load as the program starts. It goes on for five seconds while the
+// file can't be read for a fault that passes; one that makes no sense is told at once.
+func LoadAtStart(env func(string) string) (*Config, error) {
+	for try := 1; ; try++ {
+		c, err := Load(env)
+		if err == nil || try == startTries || !connpool.IsLocal(err) && !errors.Is(err, syscall.EIO) {
+			return c, err
+		}
+		time.Sleep(startPause)
+	}
+}
 
 // Load reads the file that the environment names. Where the file lacks the
 // name or an address, the environment has it. Errors name the field.
