What a called-off read leaves is let go once its close has arrived

Cause: a release waits for the router's own close of the read's connection, not for its arrival. A place that was on its way was granted after that, since the read was still out there. Change: for a request that is over, and whose read was called off, timed out or broke, the driver lets go once more at half the pin limit. Ruled out: waiting before the first release (most closes have arrived).

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -360,15 +360,44 @@
 		c.letting = gone
 	}
 	c.lets = append(c.lets, time.Now())
+	again := c.closesLate()
 	c.d.work.Go(func() {
 		defer close(gone)
 		for _, over := range ended {
 			<-over
 		}
 		c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) // which bounds its time
+		if again > 0 {
+			select {
+			case <-time.After(again):
+			case <-c.d.ctx.Done():
+			}
+			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list)
+		}
 	})
 }
 
+// closesLate is when all is to be let go once more, 0 where it is not. A server
+// hears that a read was called off, or broke, only once the close has arrived; the
+// release may overtake it, and the read end well in between. It is for requests
+// that are over: what goes on takes or lets go of what was left itself.
+func (c *Call) closesLate() time.Duration {
+	if c.job.Name == "" || !c.answered || c.streaming {
+		return 0
+	}
+	closed := slices.ContainsFunc(c.attempts, func(a *try) bool {
+		return a.reads && !a.out && (a.outcome == gannethook.Cancelled || a.outcome == gannethook.TimedOut || a.outcome == gannethook.Broken)
+	})
+	if !closed {
+		return 0
+	}
+	return time.Duration(closePart * float64(c.set.PinLimit) * 1e6)
+}
+
+// closePart is the part of the pin limit after which a close has surely arrived,
+// with time left for what is let go then.
+const closePart = 0.5
+
 func (c *Call) summary() Summary {
 	s := Summary{ID: uint64(c.id), Name: c.job.Name, Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
 		Writer: string(c.writer), Attempts: len(c.attempts), Tokens: c.final.Tokens, Outcome: c.final.Kind,
