Choices and lists in large fleets cost a fraction of what they did

Cause, by a profile of 3,200 servers: every server's freeness was reckoned three times a choice, with three exponentials each where nothing had failed; homes were found by sorting all near servers with two hashes a comparison; the reader was picked once for admission and again for the request; every new entry of a list sorted the whole list, and every word of discovery summed up all servers three times. Change: freeness once a choice, nothing reckoned where nothing faded is left, homes by one pass, the picked reader passed on, lists sorted once. Decisions are the same: the golden trace of events and actions is unchanged.

--- a/membership.go
+++ b/membership.go
@@ -28,6 +28,7 @@
 	if !same {
 		clear(r.servers)
 		r.list = nil
+		r.relist()
 	}
 }
 
@@ -39,8 +40,8 @@
 		}
 		return
 	}
-	for _, s := range r.list {
-		if ev.Whole {
+	if ev.Whole {
+		for _, s := range r.list {
 			s.State = Gone // unless it is listed
 		}
 	}
@@ -49,14 +50,39 @@
 	}
 	r.listed = r.now
 	r.lists++
+	if ev.Whole || len(ev.Servers) > 0 {
+		r.relist()
+	}
+}
+
+// relist brings the lists of servers into line with their states.
+func (r *Router) relist() {
 	r.list = slices.DeleteFunc(r.list, func(s *server) bool {
 		if s.State == Gone && r.servers[s.ID] == s {
 			delete(r.servers, s.ID)
 		}
 		return s.State == Gone
 	})
+	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(r.list, byID) {
+		slices.SortFunc(r.list, byID)
+	}
+	for role := range r.without {
+		r.without[role] = r.without[role][:0]
+	}
+	var ready [Mixed + 1]float64
+	for _, s := range r.list {
+		if s.State == Ready {
+			ready[s.role]++
+		}
+		for role := range r.without {
+			if Role(role) != s.role {
+				r.without[role] = append(r.without[role], s)
+			}
+		}
+	}
 	for role := range r.most {
-		r.most[role] = math.Max(r.most[role], r.sum(Role(role), func(*server) float64 { return 1 }))
+		r.most[role] = math.Max(r.most[role], ready[role])
 	}
 }
 
@@ -84,5 +110,4 @@
 	s.credit = unit(r.seed, s.hash)
 	r.servers[e.ID] = s
 	r.list = append(r.list, s)
-	slices.SortFunc(r.list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/router.go
+++ b/router.go
@@ -16,7 +16,7 @@
 	beta        = 6.80e-3 // paper, same table: price of a prompt token
 	modelFactor = 1.0     // design page: the paper's P_m
 	far         = 100     // design page: cell and zone go before freeness among near writers
-	near        = 0.1     // design page: freeness within which preferences decide
+	nearBand    = 0.1     // design page: freeness within which preferences decide
 
 	firstSpeed = 0.5  // ours: price read per ms before any reader was heard
 	speedKeep  = 0.9  // ours: what a read leaves of the older reads' weight in a reader's speed
@@ -163,10 +163,12 @@
 	begun            Millis  // first event; 0: none yet
 	arrived          float64 // requests taken
 	servers          map[ServerID]*server
-	starts           map[ServerID]start // also of those that are listed no more
-	listed           Millis             // when the last list or change was told
-	lists            int                // lists and changes told
-	list             []*server          // in order of id
+	starts           map[ServerID]start   // also of those that are listed no more
+	listed           Millis               // when the last list or change was told
+	lists            int                  // lists and changes told
+	list             []*server            // in order of id
+	without          [Mixed + 1][]*server // the same, without those of one role
+	scratch          []candidate          // of the last choice
 	requests         map[RequestID]*request
 	waiting          []*request
 	visits           map[Key]visit   // last read of a session
@@ -265,21 +267,22 @@
 		ranAt: Millis(math.Inf(1))}
 	r.requests[ev.ID] = q
 	r.do(Wake{In: max(ev.Budget-lastCall*r.set.Quantum-1, 0), Ref: uint64(ev.ID)*refStep + refDeadline})
-	if r.admits(q) {
-		r.route(q)
+	if s, ok := r.admits(q); ok {
+		r.routeTo(q, s)
 	} else {
 		r.finish(q)
 	}
 }
 
-// admits tells whether a request is taken on. Its freeness is the best reader's or, as other routers' load is
-// unseen, that of the times to read and to the first token seen of late, or that of the best writer's memory,
-// whichever is least. What is worth more is refused later, what a tenant asks beyond its share sooner. What
-// reads of late would have taken alone is no load, and left out of their time and of the aim: the aim may not
-// be much longer than a read. Harms where all readers are slow from the first read on. Charges for what
-// failed at once are left out: where all servers fail a part, they refused what had room. Refusals rise as
-// freeness falls, so that routers that see the same do not swing between all and nothing.
-func (r *Router) admits(q *request) bool {
+// admits tells whether a request is taken on, and which reader was picked for it, if any. Its freeness is
+// the best reader's or, as other routers' load is unseen, that of the times to read and to the first token
+// seen of late, or that of the best writer's memory, whichever is least. What is worth more is refused
+// later, what a tenant asks beyond its share sooner. What reads of late would have taken alone is no load,
+// and left out of their time and of the aim: the aim may not be much longer than a read. Harms where all
+// readers are slow from the first read on. Charges for what failed at once are left out: where all servers
+// fail a part, they refused what had room. Refusals rise as freeness falls, so that routers that see the
+// same do not swing between all and nothing.
+func (r *Router) admits(q *request) (s *server, ok bool) {
 	floor := 1 - (1-admitFloor)/r.overShare(q.Tenant)
 	low := slices.MinFunc(r.set.Classes, func(a, b Class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
 	if worth := r.set.Classes[q.Class].Worth; worth > 0 {
@@ -292,13 +295,13 @@
 	}
 	alone := math.Min(r.alone.left(r.now, span), usual)
 	free := 1 - (usual-alone)/math.Max(float64(min(q.aim, q.Budget))-alone, 1)
-	if s := r.pickReader(q); s != nil {
+	if s = r.pickReader(q); s != nil {
 		free = math.Min(free, r.freeness(s, q)+r.quickOf(s))
 		if w := r.pickWriter(q, s); w != nil && !r.oneStage(q) {
-			free = math.Min(free, (r.memory(w, q)+r.quickOf(w))/(2*near))
+			free = math.Min(free, (r.memory(w, q)+r.quickOf(w))/(2*nearBand))
 		}
 	}
-	return (floor-free)/admitRamp <= unit(uint64(q.ID), r.seed)
+	return s, (floor-free)/admitRamp <= unit(uint64(q.ID), r.seed)
 }
 
 // overShare counts a tenant's request and tells how many times its share here the tenant asks for, 1 at the
@@ -319,7 +322,11 @@
 		r.toWriter(q)
 		return
 	}
-	s := r.pickReader(q)
+	r.routeTo(q, r.pickReader(q))
+}
+
+// routeTo has a request read by the reader that was picked for it, if there is one.
+func (r *Router) routeTo(q *request, s *server) {
 	if s == nil && q.set.WritersRead && !r.oneStage(q) {
 		s = r.pickWriter(q, nil)
 	}
@@ -537,7 +544,12 @@
 }
 
 // left is less the longer nothing came in: a router that refuses all must try again.
-func (m fading) left(now, span Millis) float64 { return m.v * math.Exp(-float64((now-m.at)/span)) }
+func (m fading) left(now, span Millis) float64 {
+	if m.v == 0 { // as for most servers of a large fleet
+		return 0
+	}
+	return m.v * math.Exp(-float64((now-m.at)/span))
+}
 
 // attemptEnded takes the outcome of an attempt.
 func (r *Router) attemptEnded(ev Ended) {
@@ -725,30 +737,60 @@
 	}
 }
 
-// best is the candidate of highest freeness, with it.
-func best(list []*server, free func(*server) float64) (top *server, high float64) {
+// best is the server of highest rank, with it; the first of equal ones.
+func best(list []*server, rank func(*server) float64) (top *server, high float64) {
 	high = math.Inf(-1)
 	for _, s := range list {
-		if f := free(s); f > high {
+		if f := rank(s); f > high {
 			top, high = s, f
 		}
 	}
 	return top, high
 }
 
-// candidates are the servers, but those of one role, that the rules and a request's past let it go to.
-func (r *Router) candidates(q *request, not Role) []*server {
+// candidate is a server that may get a request, with the freeness that it is chosen by.
+type candidate struct {
+	s    *server
+	free float64
+}
+
+// candidates are the servers, but those of one role, that the rules and a request's past let it go to, and
+// the first of highest freeness. They are valid until it is called again.
+func (r *Router) candidates(q *request, not Role, free func(*server, *request) float64) (list []candidate,
+	top candidate) {
 	var left [Mixed + 1]float64 // by role, sought where a cold server asks for it
-	return slices.DeleteFunc(slices.Clone(r.list), func(s *server) bool {
-		if s.role == not || s.State != Ready || slices.Contains(q.tried, s) ||
-			!r.inGroup(s, q) || !r.mayRepeat(s, q) {
-			return true
+	list, top = r.scratch[:0], candidate{nil, math.Inf(-1)}
+	for _, s := range r.without[not] {
+		if s.State != Ready || slices.Contains(q.tried, s) || !r.inGroup(s, q) || !r.mayRepeat(s, q) {
+			continue
 		}
-		if left[s.role] == 0 && r.warmth(s) < 1 {
-			left[s.role] = r.partLeft(q, s.role)
+		if r.warmth(s) < 1 {
+			if left[s.role] == 0 {
+				left[s.role] = r.partLeft(q, s.role)
+			}
+			if !r.hasCredit(s, q, left[s.role]) {
+				continue
+			}
 		}
-		return !r.hasCredit(s, q, left[s.role])
-	})
+		c := candidate{s, free(s, q)}
+		if c.free > top.free {
+			top = c
+		}
+		list = append(list, c)
+	}
+	r.scratch = list
+	return list, top
+}
+
+// near are the servers whose freeness is not under a bound.
+func near(list []candidate, least float64) []*server {
+	within := make([]*server, 0, len(list))
+	for _, c := range list {
+		if !(c.free < least) {
+			within = append(within, c.s)
+		}
+	}
+	return within
 }
 
 // partLeft is the part of a role's servers, of the most that this router knew, that can take a request, each
@@ -770,18 +812,18 @@
 
 // pickReader chooses the reader of highest freeness; among those near it the session's last, else a home.
 func (r *Router) pickReader(q *request) *server {
-	list := r.candidates(q, Writer)
-	top, high := best(list, func(s *server) float64 { return r.freeness(s, q) })
-	if top == nil {
+	list, top := r.candidates(q, Writer, r.freeness)
+	if top.s == nil {
 		return nil
 	}
 	last := r.visits[q.Session]
-	home := high - near - r.saved(top, q, q.PrefixLen)
-	if slices.Contains(list, last.on) && r.freeness(last.on, q) >= high-near-r.saved(top, q, last.prompt) {
-		return last.on
+	home := top.free - nearBand - r.saved(top.s, q, q.PrefixLen)
+	for _, c := range list {
+		if c.s == last.on && c.free >= top.free-nearBand-r.saved(top.s, q, last.prompt) {
+			return last.on
+		}
 	}
-	list = slices.DeleteFunc(list, func(s *server) bool { return r.freeness(s, q) < home })
-	return r.home(q, list)
+	return r.home(q, near(list, home))
 }
 
 // saved is the freeness that kept text is worth; it widens the band of the preferences. Guards against a loop
@@ -818,10 +860,36 @@
 		all := float64(homes)
 		homes = min(homes, leastHomes+int(fleetPart*all)+int(homesPart*part*all))
 	}
-	slices.SortFunc(list, func(a, b *server) int {
-		return cmp.Compare(unit(uint64(q.Prefix), a.hash), unit(uint64(q.Prefix), b.hash))
-	})
-	top, _ := best(list[:homes], func(s *server) float64 { return unit(uint64(q.Session), s.hash) })
+	list = firstBy(list, homes, func(s *server) float64 { return unit(uint64(q.Prefix), s.hash) })
+	top, _ := best(list, func(s *server) float64 { return unit(uint64(q.Session), s.hash) })
+	return top
+}
+
+// firstBy is the n servers of the lowest rank, in its order. Where n is all of them the order is of no use,
+// and is left as it is.
+func firstBy(list []*server, n int, rank func(*server) float64) []*server {
+	type ranked struct {
+		s    *server
+		rank float64
+	}
+	if n >= len(list) {
+		return list
+	}
+	first := make([]ranked, 0, n+1)
+	for _, s := range list {
+		x := ranked{s, rank(s)}
+		if len(first) == n && x.rank >= first[n-1].rank {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, x, func(a, b ranked) int {
+			return cmp.Compare(a.rank, b.rank)
+		})
+		first = slices.Insert(first, at, x)[:min(len(first)+1, n)]
+	}
+	top := make([]*server, len(first))
+	for i, x := range first {
+		top[i] = x.s
+	}
 	return top
 }
 
@@ -830,16 +898,14 @@
 
 // pickWriter chooses the writer of highest memory freeness; those near it go by the reader's cell, then zone.
 func (r *Router) pickWriter(q *request, reader *server) *server {
-	list := r.candidates(q, Reader)
-	top, high := best(list, func(s *server) float64 { return r.memory(s, q) })
-	if top == nil || reader == nil {
-		return top
+	list, top := r.candidates(q, Reader, r.memory)
+	if top.s == nil || reader == nil {
+		return top.s
 	}
-	list = slices.DeleteFunc(list, func(s *server) bool { return r.memory(s, q) < high-near })
-	top, _ = best(list, func(s *server) float64 {
+	chosen, _ := best(near(list, top.free-nearBand), func(s *server) float64 {
 		return unit(uint64(q.ID)^r.seed, s.hash) - far*distance(s, reader)
 	})
-	return top
+	return chosen
 }
 
 // distance is 0 within a cell, 1 within a zone, else 2.
@@ -878,13 +944,21 @@
 
 // takenOff is the freeness that a server loses to its charge and to having turned this flow away.
 func (r *Router) takenOff(s *server, q *request) float64 {
-	off := r.chargeOf(s) + s.full[r.flow(q)].left(r.now, fullFade*r.window())
-	if r.dials.left(r.now, fullFade*r.window()) > dialsBad && r.now-s.linked > r.set.ConnIdle {
+	off := r.chargeOf(s)
+	if len(s.full) > 0 {
+		off += s.full[r.flow(q)].left(r.now, fullFade*r.window())
+	}
+	if r.now-s.linked > r.set.ConnIdle && r.dialsFail() {
 		off += dialCost
 	}
 	return off
 }
 
+// dialsFail tells whether most new connections have failed of late.
+func (r *Router) dialsFail() bool {
+	return r.dials.v > dialsBad && r.dials.left(r.now, fullFade*r.window()) > dialsBad
+}
+
 // budget is the price that a reader works off within the request's aim.
 func (r *Router) budget(s *server, q *request) float64 {
 	return math.Max(r.speed(s)*float64(q.aim), 1e-9)
@@ -904,7 +978,10 @@
 // Unreported writers count average; without reports own streams alone decide.
 func (r *Router) memory(s *server, q *request) float64 {
 	since := 0.0
-	share := r.share + (s.share-r.share)*math.Exp(-float64((r.now-s.heard)/r.window()))
+	share := r.share
+	if s.share != r.share {
+		share += (s.share - r.share) * math.Exp(-float64((r.now-s.heard)/r.window()))
+	}
 	for _, o := range s.streams {
 		if s.heard == 0 || o.bookedAt > s.heard-reportLag {
 			since += o.tokens()
@@ -960,7 +1037,7 @@
 	for _, q := range s.streams {
 		own += q.tokens()
 	}
-	if size := own * float64(r.set.Routers) / ev.Memory; ev.Memory > near && own > 0 {
+	if size := own * float64(r.set.Routers) / ev.Memory; ev.Memory > nearBand && own > 0 {
 		s.size += sizeGain / float64(r.set.Routers) * (size - s.size)
 	}
 	r.share += meanGain * (ev.Memory - r.share)
@@ -994,6 +1071,9 @@
 
 // chargeOf is a server's charge, faded to now.
 func (r *Router) chargeOf(s *server) float64 {
+	if s.charge.v == 0 {
+		return 0
+	}
 	return s.charge.left(r.now, max(chargeFade, r.window()))
 }
 
@@ -1003,9 +1083,11 @@
 // that keep servers down which have only slowed: each repeat needs enough first attempts of late. Harms where
 // few requests come and one server in two fails: some are refused.
 func (r *Router) mayRepeat(s *server, q *request) bool {
+	if r.set.RepeatPart <= 0 || !q.repeat {
+		return true
+	}
 	window := r.window()
-	return r.set.RepeatPart <= 0 || !q.repeat ||
-		s.repeats.left(r.now, window) < 1+r.set.RepeatPart*s.firsts.left(r.now, window)
+	return s.repeats.left(r.now, window) < 1+r.set.RepeatPart*s.firsts.left(r.now, window)
 }
 
 // window is the span that own observations rest on: long enough, at this router's pace, for enough of them.
