A failing test: a port that is taken for a moment ends the start

'listen tcp: bind: address already in use' within 1 ms, and the process ends: a failed start where a former process, killed outright, is not gone yet, or socket fails with ENFILE.

--- a/internal/platform/hunt_test.go
+++ b/internal/platform/hunt_test.go
@@ -1,11 +1,16 @@
 package platform
 
 import (
+	"context"
+	"net"
 	"os"
 	"syscall"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"gannethook/internal/platform/config"
 	"gannethook/internal/platform/standin"
 )
 
@@ -54,3 +59,34 @@
 		t.Errorf("it was told %d times", n)
 	}
 }
+
+// A router whose port is still taken as it starts, as by its former process, waits for it.
+func TestListenWaitsForItsPort(t *testing.T) {
+	f := standin.New()
+	defer f.Close()
+	two(f)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	cfg, err := config.Parse(f.Config(taken.Addr().String(), nil), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(cfg, func(string) string { return "" }, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- r.Run(context.Background(), signals) }()
+	time.Sleep(200 * ms)
+	taken.Close()
+	for from := time.Now(); !r.ready.Load() && time.Since(from) < 5*time.Second && len(ended) == 0; {
+		time.Sleep(10 * ms)
+	}
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
