A start waits for its port

Cause: Run listened once. Change: while the port is taken, or sockets can't be had for a reason that passes, it tries again for five seconds; the error is told then. Measured: TestListenWaitsForItsPort failed before, passes with the race detector.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"gannethook/internal/connpool"
 	"gannethook/internal/driver"
 	"gannethook/internal/faults"
 	"gannethook/internal/guard"
@@ -105,13 +107,35 @@
 
 // Run serves until a signal stops it, and returns once all that it had taken is answered.
 func (r *Router) Run(ctx context.Context, signals <-chan os.Signal) error {
-	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", r.cfg.Listen)
+	ln, err := listen(ctx, r.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return r.Serve(ctx, faults.Listener(ln), signals)
 }
 
+// Listening at the start, while the port is taken or this machine lacks something.
+const (
+	listenTries = 100
+	listenPause = 50 * time.Millisecond
+)
+
+// listen listens; where that fails for a reason that passes, as while a former process is
+// not gone yet, it tries again for five seconds.
+func listen(ctx context.Context, addr string) (net.Listener, error) {
+	for try := 1; ; try++ {
+		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr)
+		if err == nil || try == listenTries || !connpool.IsLocal(err) && !errors.Is(err, syscall.EADDRINUSE) {
+			return ln, err
+		}
+		select {
+		case <-time.After(listenPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // Serve is Run on a listener.
 func (r *Router) Serve(ctx context.Context, ln net.Listener, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
