A long list is heard out for longer; releases at engines are tried apart; stops wait apart

Cause 1: an answer of discovery had 3 s from its first byte, and one that takes longer was begun anew each time: the router stayed deaf. Change: an answer that was broken off while it came has twice the time at the next call, up to 24 s. Cause 2: the four tries of a release at an engine were made at once. Change: 20, 40, 80 ms apart. The same mistakes elsewhere: a dial for want of descriptors was charged to the engine (now NotTried, as on the platform); serve's stop shared a channel of four with reloads during the start (now apart).

--- a/cmd/gannethook/serve.go
+++ b/cmd/gannethook/serve.go
@@ -30,8 +30,11 @@
 the settings again. SIGUSR2 starts a successor that takes the ports over.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			signals := make(chan os.Signal, 4) // from the first moment on: a stop during the start is kept
-			signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR2, syscall.SIGTERM, os.Interrupt)
+			// From the first moment on: a stop during the start is kept, however many others come.
+			stops, signals := make(chan os.Signal, 2), make(chan os.Signal, 2)
+			signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR2)
+			defer signal.Stop(stops)
 			defer signal.Stop(signals)
 			link, err := handover.Take()
 			if err != nil {
@@ -44,7 +47,7 @@
 				}
 				return err
 			}
-			obey(d, signals)
+			obey(d, stops, signals)
 			d.Stop(context.Background())
 			if d.Code() != 0 {
 				return errors.New("the router failed")
@@ -107,23 +110,21 @@
 }
 
 // obey turns signals into commands until the router's life has ended.
-func obey(d *daemon.Daemon, signals <-chan os.Signal) {
+func obey(d *daemon.Daemon, stops, signals <-chan os.Signal) {
 	for n := 1; ; n++ {
 		c := life.Command{ID: fmt.Sprintf("signal %d of process %d", n, os.Getpid())}
 		select {
+		case <-stops:
+			c.Op = life.Stop
 		case s := <-signals:
-			switch s {
-			case syscall.SIGHUP:
-				c.Op = life.Reload
-			case syscall.SIGUSR2:
+			c.Op = life.Reload
+			if s == syscall.SIGUSR2 {
 				c.Op = life.Restart
-			default:
-				c.Op = life.Stop
 			}
-			go d.Command(context.Background(), c)
 		case <-d.Ended():
 			return
 		}
+		go d.Command(context.Background(), c)
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -313,7 +313,10 @@
 	return attempt.Denied
 }
 
-const releaseTries = 4 // each bounded by Extension
+const (
+	releaseTries = 4                     // each bounded by Extension
+	releasePause = 20 * time.Millisecond // after the first, then doubled: a dial may fail at once
+)
 
 // Release tells the servers to let go, several times if need be: an engine that
 // can't be reached at all lets go by itself, when it dies or by its own limit.
@@ -321,10 +324,11 @@
 	var wg sync.WaitGroup
 	for _, h := range list {
 		wg.Go(func() {
-			for range releaseTries {
+			for try := range releaseTries {
 				if c.release(ctx, h) == nil {
 					return
 				}
+				time.Sleep(releasePause << try)
 			}
 		})
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -118,7 +118,7 @@
 	var d net.Dialer
 	nc, err := d.DialContext(dialCtx, "tcp", addr)
 	if err != nil {
-		return nil, attempt.NotSent{Err: err}
+		return nil, attempt.NotSent{Err: err, Local: connpool.IsLocal(err)}
 	}
 	return connpool.New(nc, 4096, nil), nil
 }
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -72,6 +72,8 @@
 const (
 	dial     = 500 * time.Millisecond
 	mostBody = 32 << 20
+
+	longestAnswer = 8 // times Whole: for so long an answer that goes on coming is heard out at the most
 )
 
 // Run follows the agent at the address until another comes or the context ends.
@@ -102,7 +104,7 @@
 
 // follow calls one agent over and over, for the first time within first.
 func (w *Watch) follow(ctx context.Context, from Source, first time.Duration) {
-	c := &caller{addr: from.Addr, times: from.Times}
+	c := &caller{addr: from.Addr, times: from.Times, whole: from.Whole}
 	defer c.close()
 	whole, pause, failed := first == 0 || w.Rev < 0, from.Retry, false
 	if !whole {
@@ -125,11 +127,14 @@
 			if failed {
 				w.Log.Info("discovery answers again", zap.Int64("rev", list.Rev))
 			}
-			whole, failed, pause = false, false, from.Retry
+			whole, failed, pause, c.whole = false, false, from.Retry, from.Whole
 			w.Rev = list.Rev
 			w.Told(list)
 			continue
 		}
+		if c.ranOut() { // it would again: it is heard out for longer
+			c.whole = min(2*c.whole, longestAnswer*from.Whole)
+		}
 		c.close()
 		if ctx.Err() == nil && !failed {
 			w.Log.Warn("discovery does not answer", zap.Error(err))
@@ -153,7 +158,8 @@
 	times Times
 	nc    net.Conn
 	br    *bufio.Reader
-	until time.Time // the answer under way has to be whole by then
+	whole time.Duration // for which an answer is heard out
+	until time.Time     // the answer under way has to be whole by then
 }
 
 // Read reads for br: an answer that goes on coming is heard out in bounded time.
@@ -161,7 +167,7 @@
 	n, err := c.nc.Read(p)
 	if n > 0 {
 		if c.until.IsZero() {
-			c.until = time.Now().Add(c.times.Whole)
+			c.until = time.Now().Add(c.whole)
 		}
 		soon := time.Now().Add(c.times.Grace)
 		if soon.After(c.until) {
@@ -172,6 +178,9 @@
 	return n, err
 }
 
+// ranOut tells whether the last answer was broken off while it was still coming.
+func (c *caller) ranOut() bool { return !c.until.IsZero() && !time.Now().Before(c.until) }
+
 func (c *caller) close() {
 	if c.nc != nil {
 		c.nc.Close()
