--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -204,7 +204,7 @@
 			go io.WriteString(nc, strings.Repeat(noise[rnd.IntN(len(noise))], 1+rnd.IntN(20)))
 		}
 		nc.SetReadDeadline(from.Add(badWithin + 2*time.Second))
-		_, err = io.ReadAll(nc)
+		io.Copy(io.Discard, nc)
 		nc.Close()
 		took := time.Since(from)
 		if now, ok := r.ready(); ok && now == life && took > badWithin+c.ledger.slackNow() {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -49,7 +49,6 @@
 	sentAt   time.Duration
 	deadline time.Duration // from sentAt
 	leftAt   time.Duration // 0: its client stayed
-	first    bool          // on its connection
 	end      ending
 	endAt    time.Duration
 	status   int
