An attempt's connection is told in the log; no summaries where none is logged

Each connection to a worker has a number; a request's line tells for every attempt by which it went, and for how long that had been unused: 'w4 after 0s by conn 17, unused for 230ms, took 28ms: its client left'. Where the level is above debug no summary is made any more (six formatted strings a request, seen in the code).

--- a/internal/connpool/idle.go
+++ b/internal/connpool/idle.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +16,7 @@
 	BR     *bufio.Reader
 	BW     *bufio.Writer
 	Unused time.Duration // before it was taken; 0: it is new
+	ID     uint64        // in the log, of all connections of this process
 	name   string
 	since  time.Time // when it was put back
 	once   sync.Once
@@ -22,7 +25,18 @@
 
 // New wraps a connection; closed, if not nil, is called once it is closed.
 func New(nc net.Conn, size int, closed func()) *Conn {
-	return &Conn{Conn: nc, BR: bufio.NewReaderSize(nc, size), BW: bufio.NewWriterSize(nc, size), closed: closed}
+	return &Conn{Conn: nc, ID: made.Add(1), BR: bufio.NewReaderSize(nc, size), BW: bufio.NewWriterSize(nc, size), closed: closed}
+}
+
+// made counts the connections of this process.
+var made atomic.Uint64
+
+// String tells which connection it is, and how it was come by.
+func (c *Conn) String() string {
+	if c.Unused > 0 {
+		return fmt.Sprintf("conn %d, unused for %v", c.ID, c.Unused.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("conn %d, new", c.ID)
 }
 
 // Close closes it, from anywhere and any number of times.
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -58,6 +58,7 @@
 	outcome gannethook.Outcome
 	detail  string
 	took    time.Duration
+	via     string // the connection that it went by
 }
 
 // Abandon tells that the client took the request back or left. The final answer
@@ -131,7 +132,7 @@
 		c.writer = s.Server
 	}
 	a.sent, a.over = attempt.NewMark(), make(chan struct{})
-	call := &attempt.Call{Sent: a.sent, Left: c.left(a.n),
+	call := &attempt.Call{Sent: a.sent, Left: c.left(a.n), Traced: c.d.cfg.Traced,
 		Unsafe: !a.reads && c.set.Classes[c.job.Class].Effect == gannethook.Unsafe, Until: c.until(s.Timeout),
 		Addr: string(s.Server), Key: c.key, Model: c.job.Model, Class: c.job.ClassName,
 		Tenant: c.job.TenantName, Idempotency: c.job.Idempotency, Prompt: c.job.Prompt, MaxTokens: c.job.MaxTokens,
@@ -195,6 +196,7 @@
 	a.sent.Set(false)
 	close(a.over)
 	c.d.post(func() {
+		a.via = call.Via
 		if a.off != nil && r.Outcome == gannethook.Cancelled {
 			r = *a.off
 		}
@@ -407,8 +409,8 @@
 		s.FirstToken = c.first.Sub(c.came)
 	}
 	for _, a := range c.attempts {
-		s.Ends = append(s.Ends, fmt.Sprintf("%s after %v, took %v: %s", a.server, a.began.Sub(c.came).Round(time.Millisecond),
-			a.took.Round(time.Millisecond), cmp.Or(a.detail, "well")))
+		s.Ends = append(s.Ends, fmt.Sprintf("%s after %v by %s, took %v: %s", a.server, a.began.Sub(c.came).Round(time.Millisecond),
+			cmp.Or(a.via, "no conn"), a.took.Round(time.Millisecond), cmp.Or(a.detail, "well")))
 	}
 	for _, at := range c.lets {
 		s.Lets = append(s.Lets, at.Sub(c.came).Round(time.Millisecond))
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -29,6 +29,7 @@
 	Inbox    int // events that may wait
 	MaxOpen  int // requests that may be open
 	Engines  Engines
+	Traced   bool           // summaries are logged: they tell of connections too
 	Guard    *guard.Monitor // counts what the module may not do; nil: nobody asks
 	Done     func(Summary)  // called on the driver's goroutine
 	Took     func(time.Duration)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -67,9 +67,14 @@
 		listed: make(chan struct{})}
 	r.monitor = guard.NewMonitor(r.denied)
 	r.workers = workers.New(workerLimits(cfg), r.monitor)
+	traced, done := log.Core().Enabled(zap.DebugLevel), r.done
+	if !traced { // a summary costs as much as some decisions
+		done = nil
+	}
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
-		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Guard: r.monitor, Done: r.done})
+		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Guard: r.monitor,
+		Traced: traced, Done: done})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -67,6 +67,9 @@
 		}
 		return nil, err
 	}
+	if call.Traced {
+		call.Via = cn.String()
+	}
 	x := &exchange{c: c, addr: addr, conn: cn}
 	x.closed = make(chan struct{})
 	x.stop = context.AfterFunc(ctx, func() { // closing calls the work off
