--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// set begins or ends a trouble; others that are under way go on.
+func (a *agent) set(kind Kind, on bool) {
+	switch kind {
+	case AgentMute:
+		a.mute.Store(on)
+	case AgentSlow:
+		a.slow.Store(on)
+	}
+}
+
 func (a *agent) addr() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -37,6 +37,18 @@
 	k.close()
 }
 
+// set begins or ends a trouble; others that are under way go on.
+func (p *proxy) set(kind Kind, on bool) {
+	switch kind {
+	case Silent:
+		p.silent.Store(on)
+	case Refuse:
+		p.refuses.Store(on)
+	case Trickle:
+		p.trickles.Store(on)
+	}
+}
+
 func newProxy(target string) (*proxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -184,9 +184,7 @@
 		}
 	case AgentMute, AgentSlow, AgentReset:
 		for _, r := range routers {
-			a := p.agents[r.router]
-			a.mute.Store(t.Kind == AgentMute)
-			a.slow.Store(t.Kind == AgentSlow)
+			p.agents[r.router].set(t.Kind, true)
 		}
 		for !over() {
 			if t.Kind == AgentReset {
@@ -197,8 +195,7 @@
 			pause(ctx, 400*time.Millisecond)
 		}
 		for _, r := range routers {
-			p.agents[r.router].mute.Store(false)
-			p.agents[r.router].slow.Store(false)
+			p.agents[r.router].set(t.Kind, false)
 		}
 	case Drain:
 		for _, w := range workers {
@@ -216,27 +213,23 @@
 		}
 	case Hang, Spoil:
 		for _, w := range workers {
-			w.hangs.Store(t.Kind == Hang)
-			w.spoils.Store(t.Kind == Spoil)
+			w.set(t.Kind, true)
 		}
 		rest()
 		for _, w := range workers {
-			w.hangs.Store(false)
-			w.spoils.Store(false)
+			w.set(t.Kind, false)
 		}
 	case Silent, Refuse, Trickle:
 		set := func(on bool) {
 			for _, px := range p.proxiesOf(workers) {
-				px.silent.Store(on && t.Kind == Silent)
-				px.refuses.Store(on && t.Kind == Refuse)
-				px.trickles.Store(on && t.Kind == Trickle)
+				px.set(t.Kind, on)
 				if t.Kind == Refuse && on || t.Kind == Silent && !on {
 					px.resetAll()
 				}
 			}
 		}
 		for _, w := range workers {
-			w.trickles.Store(t.Kind == Trickle)
+			w.set(t.Kind, true)
 			if t.Kind == Silent {
 				p.ledger.cutOff(w.uid)
 			}
@@ -246,7 +239,7 @@
 		set(false)
 		for _, w := range workers {
 			p.ledger.joined(w.uid)
-			w.trickles.Store(false)
+			w.set(t.Kind, false)
 		}
 	case Resets:
 		for !over() {
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -79,6 +79,18 @@
 	w.ledger.served[fmt.Sprintf("%s from %.1fs", w.uid, at.Seconds())] = w.life
 }
 
+// set begins or ends a trouble; others that are under way go on.
+func (w *worker) set(kind Kind, on bool) {
+	switch kind {
+	case Hang:
+		w.hangs.Store(on)
+	case Spoil:
+		w.spoils.Store(on)
+	case Trickle:
+		w.trickles.Store(on)
+	}
+}
+
 func (w *worker) close() { w.server.Close() }
 
 func (w *worker) pause(least, most time.Duration) time.Duration {
