Soak: each seed draws its customer's settings

Two seeds in three draw holds, cancels, resumption, lists that are asked for, 2 to 7 attempts or no bound, 64 to 256 descriptors and windows of 250 ms to 1.5 s. Where clients don't ask for the rest, a cut stream is lost unless a trouble of the plan breaks streams.

--- a/cmd/gannethook/soak.go
+++ b/cmd/gannethook/soak.go
@@ -226,7 +226,7 @@
 	case len(r.Breaks) > 0:
 		verdict = fmt.Sprintf("FAILED %d: %s: %.300s", len(r.Breaks), r.Breaks[0].Invariant, r.Breaks[0].Detail)
 	}
-	fmt.Fprintf(t.out, "seed %d: %s: %d requests, %d served, %d refused, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Requests, r.Served,
+	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
 		r.Refused, r.Latest.Round(time.Millisecond), r.tries, verdict)
 	if !r.ok() {
 		t.failed++
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -102,7 +102,10 @@
 		if !slices.ContainsFunc(q.arrived, func(a arrival) bool { return !a.reads && a.wroteLast }) {
 			l.say(q, "bad-answer", "served with what no worker wrote whole")
 		}
-	case streamCut: // it broke: for its client to go on elsewhere
+	case streamCut: // it broke, for its client to go on elsewhere where clients do
+		if !l.terms.Resume && !l.breaksStreams {
+			l.say(q, "lost", "its stream was cut, and no trouble breaks streams")
+		}
 	}
 }
 
@@ -117,7 +120,7 @@
 	if q.effect == Unsafe && len(runs) > 1 {
 		l.say(q, "duplicate", "it ran %d times", len(runs))
 	}
-	if q.effect == Keyed && len(runs) > 1 && runs[len(runs)-1].at-runs[0].at > keyWindow+toldSlack+l.slack() {
+	if q.effect == Keyed && len(runs) > 1 && runs[len(runs)-1].at-runs[0].at > l.terms.KeyWindow+toldSlack+l.slack() {
 		l.say(q, "duplicate", "it ran again %v after the first time", runs[len(runs)-1].at-runs[0].at)
 	}
 	refused := q.end == answered && (q.status == 429 || q.status == 503)
@@ -129,7 +132,7 @@
 	switch {
 	case q.effect == Unsafe && mayHaveRun:
 		l.say(q, "refusal", "refused although it may have run")
-	case q.effect == Keyed && mayHaveRun && q.endAt > q.arrived[first].at+keyWindow+toldSlack+l.slack():
+	case q.effect == Keyed && mayHaveRun && q.endAt > q.arrived[first].at+l.terms.KeyWindow+toldSlack+l.slack():
 		l.say(q, "refusal", "refused although it may have run and its key is forgotten")
 	}
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -11,6 +11,9 @@
 // the run's start. Its methods may be called from anywhere.
 type Ledger struct {
 	start time.Time
+	terms Terms
+
+	breaksStreams bool // a trouble of the plan may break streams
 
 	mu       sync.Mutex
 	requests map[string]*request
@@ -111,11 +114,15 @@
 	violations   []string // told in its own log
 }
 
-// NewLedger returns a ledger whose times start now.
-func NewLedger() *Ledger {
-	return &Ledger{start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{}}
+// NewLedger returns a ledger whose times start now, for a run by a plan.
+func NewLedger(plan Plan) *Ledger {
+	breaks := slices.ContainsFunc(plan.Troubles, func(t Trouble) bool { return !slices.Contains(harmless, t.Kind) })
+	return &Ledger{terms: NewTerms(plan.Seed), breaksStreams: breaks, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{}}
 }
 
+// harmless are the kinds of trouble that break no stream.
+var harmless = []Kind{Reload, HalfFile, AgentMute, AgentReset, AgentSlow, Drain, Leave, Flood, Idle, Freeze, Clock, Files, Stop}
+
 // Now is the time since the run's start.
 func (l *Ledger) Now() time.Duration { return time.Since(l.start) }
 
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -3,16 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
 	"time"
 )
 
-// Settings of the platform's routers, in the form of the configuration file.
+// Times of the platform that no seed changes.
 const (
 	pinLimit   = 500 * time.Millisecond
-	keyWindow  = 1500 * time.Millisecond
 	warmAfter  = 6 * time.Second
 	coldFrom   = 0.1
 	overload   = 1.5
@@ -20,17 +21,60 @@
 	stopGrace  = 3700 * time.Millisecond
 )
 
-var settings = fmt.Sprintf(`{"ceilings":{"cancel":true,"connIdleMs":4000,"dialTimeoutMs":250,"maxAttempts":7,"maxRetryAfterMs":500,"retryAfter":true},
-"classes":[{"aimMs":1200,"effect":"pure","importance":3,"name":"question","streamed":true,"deadlineMs":%[1]d},
-{"aimMs":1500,"effect":"side_effect","importance":2,"name":"adjustment","streamed":true,"deadlineMs":%[1]d},
-{"aimMs":1500,"effect":"token","group":"all","windowMs":%[2]d,"importance":2,"name":"note","streamed":true,"deadlineMs":%[1]d}],
-"discovery":"automatic","domain":{"holdsAllowed":true,"kindRole":["read","write"],"pinLimitMs":%[3]d,"resume":true,"tokensByKind":[200000,200000]},
-"guarantees":{"coldFrom":%[4]v,"overloadFactor":%[5]v,"warmAfterMs":%[6]d},"kinds":["prompt","answer"],"peersTotal":%%d,"quantumMs":4,
-"report":{"fields":[]},"tenants":[],"zones":["a","b"]}`, maxTimeout.Milliseconds(), keyWindow.Milliseconds(), pinLimit.Milliseconds(), coldFrom, overload,
-	warmAfter.Milliseconds())
+// Terms are the settings of a run's customer that its seed draws.
+type Terms struct {
+	Holds, Cancel, Resume, Asked bool
+	MaxAttempts                  int
+	Sockets                      int
+	KeyWindow                    time.Duration
+}
+
+// NewTerms draws terms; one seed in three has the usual ones.
+func NewTerms(seed uint64) Terms {
+	t := Terms{Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond}
+	if seed%3 == 0 {
+		return t
+	}
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	t.Holds, t.Cancel, t.Resume, t.Asked = rnd.IntN(3) > 0, rnd.IntN(4) > 0, rnd.IntN(2) > 0, rnd.IntN(6) == 0
+	t.MaxAttempts = []int{2, 3, 4, 7, 0}[rnd.IntN(5)]
+	t.Sockets = []int{64, 128, 256}[rnd.IntN(3)]
+	t.KeyWindow = []time.Duration{250 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond}[rnd.IntN(3)]
+	return t
+}
+
+func (t Terms) String() string {
+	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v", t.Holds, t.Cancel, t.Resume, t.Asked,
+		t.MaxAttempts, t.Sockets, t.KeyWindow)
+}
+
+// settings is the settings object of a router's configuration.
+func (t Terms) settings(routers int) json.RawMessage {
+	class := func(name, effect string, worth int, more map[string]any) map[string]any {
+		c := map[string]any{"aimMs": 1500, "effect": effect, "importance": worth, "name": name, "streamed": true, "deadlineMs": maxTimeout.Milliseconds()}
+		maps.Copy(c, more)
+		return c
+	}
+	discovery := "automatic"
+	if t.Asked {
+		discovery = "subscribe"
+	}
+	text, _ := json.Marshal(map[string]any{
+		"ceilings": map[string]any{"cancel": t.Cancel, "connIdleMs": 4000, "dialTimeoutMs": 250, "maxAttempts": t.MaxAttempts, "maxRetryAfterMs": 500, "retryAfter": true},
+		"classes": []any{class("question", "pure", 3, nil), class("adjustment", "side_effect", 2, nil),
+			class("note", "token", 2, map[string]any{"group": "all", "windowMs": t.KeyWindow.Milliseconds()})},
+		"discovery": discovery,
+		"domain": map[string]any{"holdsAllowed": t.Holds, "kindRole": []string{"read", "write"}, "pinLimitMs": pinLimit.Milliseconds(), "resume": t.Resume,
+			"tokensByKind": []int{200000, 200000}},
+		"guarantees": map[string]any{"coldFrom": coldFrom, "overloadFactor": overload, "warmAfterMs": warmAfter.Milliseconds()},
+		"kinds":      []string{"prompt", "answer"}, "peersTotal": routers, "quantumMs": 4,
+		"report": map[string]any{"fields": []string{}}, "tenants": []any{}, "zones": []string{"a", "b"}})
+	return text
+}
 
 // platform is all that routers reach, in this process.
 type platform struct {
+	terms   Terms
 	ledger  *Ledger
 	states  *states
 	dir     string
@@ -44,7 +88,7 @@
 }
 
 func newPlatform(dir string, seed uint64, routers, workers int, l *Ledger) (*platform, error) {
-	p := &platform{ledger: l, states: &states{at: map[string]string{}}, dir: dir, rev: 1}
+	p := &platform{terms: NewTerms(seed), ledger: l, states: &states{at: map[string]string{}}, dir: dir, rev: 1}
 	for i := range workers {
 		w, err := newWorker(fmt.Sprintf("w%d", i), i%2 == 0, seed+uint64(i), l, p.states)
 		if err != nil {
@@ -136,8 +180,8 @@
 // configuration is a router's file as it stands.
 func (p *platform) configuration(router int, listen string) []byte {
 	text, _ := json.Marshal(map[string]any{"name": fmt.Sprintf("n%d", router), "listen": listen, "discovery": p.agents[router].addr(),
-		"seed": fmt.Sprintf("%016x", router+1), "limits": map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 256},
-		"known": p.list(router, -1), "settings": json.RawMessage(fmt.Sprintf(settings, len(p.proxies)))})
+		"seed": fmt.Sprintf("%016x", router+1), "limits": map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": p.terms.Sockets},
+		"known": p.list(router, -1), "settings": p.terms.settings(len(p.proxies))})
 	return text
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,6 +28,7 @@
 // Result is what a run showed.
 type Result struct {
 	Plan     Plan
+	Terms    Terms
 	Requests int
 	Served   int
 	Refused  int
@@ -42,7 +43,7 @@
 	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
 		return Result{}, err
 	}
-	l := NewLedger()
+	l := NewLedger(plan)
 	stop := make(chan struct{})
 	defer close(stop)
 	go l.measure(stop)
@@ -313,7 +314,7 @@
 	breaks := l.Judge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Plan: plan, Requests: len(l.requests), Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
+	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
 	for _, q := range l.requests {
 		switch {
 		case q.end == streamed:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,7 +53,7 @@
 		{"a key run again in its window", func(_ *Ledger, q *request) { q.effect, q.arrived = Keyed, append(q.arrived, write) }, ""},
 		{"a key run again behind its window", func(_ *Ledger, q *request) {
 			late := write
-			late.at += keyWindow + sec
+			late.at += NewTerms(0).KeyWindow + sec
 			late.toldMS = 0
 			q.effect, q.arrived = Keyed, append(q.arrived, late)
 		}, "duplicate"},
@@ -72,7 +72,7 @@
 			q.held, q.heldAt = true, 2*sec
 		}, "pinned"},
 	} {
-		l := NewLedger()
+		l := NewLedger(Plan{})
 		l.lives = []*routerLife{{readyAt: time.Millisecond, termAt: 20 * sec, endedAt: 21 * sec}}
 		q := &request{id: "a", effect: Unsafe, sentAt: sec - 10*time.Millisecond, deadline: sec, end: streamed, status: 200, endAt: sec + 210*time.Millisecond,
 			arrived: []arrival{read, write}}
@@ -87,7 +87,7 @@
 			t.Errorf("%s: %v, want %q", c.name, got, c.want)
 		}
 	}
-	l := NewLedger()
+	l := NewLedger(Plan{})
 	if _, ok := l.begin("nobody's", arrival{worker: "w"}, &serverLife{}); ok || len(l.breaks) != 1 || l.breaks[0].Invariant != "unknown" {
 		t.Errorf("an attempt that no client sent: %v", l.breaks)
 	}
