--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -83,6 +83,9 @@
 		return attempt.Result{Outcome: gannethook.Failed}
 	}
 	if f.readEnds.Outcome != 0 {
+		if f.lateState > 0 {
+			time.AfterFunc(f.lateState, func() { f.count(f.held, call.Addr, call.Key) })
+		}
 		return f.readEnds
 	}
 	f.count(f.held, call.Addr, call.Key)
@@ -722,10 +725,40 @@
 }
 
 // A connection that was closed is closed at the server only once that has arrived, which the release may overtake: what a
-// read that was called off leaves behind is let go all the same, within the pin limit.
+// read that was called off or broke leaves behind is let go all the same, within the pin limit, also where its request was
+// refused for it.
 func TestReleaseBehindLateClose(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		f := newFake()
+		f.read, f.lateState, f.holdOK = 300*ms, 60*ms, false
+		if broken {
+			f.read, f.readEnds = 10*ms, attempt.Result{Outcome: gannethook.Broken}
+		}
+		run(t, f, func(d *Driver) {
+			s, j := newSink(t), job(0)
+			j.Name = "a"
+			c, err := d.Submit(j, s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * ms)
+			if !broken {
+				c.Abandon()
+			}
+			<-s.done
+			time.Sleep(500 * ms)
+			if left := f.leftOver(); len(left) != 0 {
+				t.Errorf("broken %v: still held: %v", broken, left)
+			}
+		})
+	}
+}
+
+// A release waits a moment for the close of a read that was called off to have arrived: it would spare a place that
+// the read, as far as its server knows, still waits for.
+func TestReleaseWaitsForTheClose(t *testing.T) {
 	f := newFake()
-	f.read, f.lateState, f.holdOK = 300*ms, 60*ms, false
+	f.read, f.hold = 300*ms, ms
 	run(t, f, func(d *Driver) {
 		s, j := newSink(t), job(0)
 		j.Name = "a"
@@ -736,9 +769,13 @@
 		time.Sleep(20 * ms)
 		c.Abandon()
 		<-s.done
-		time.Sleep(500 * ms)
-		if left := f.leftOver(); len(left) != 0 {
-			t.Errorf("still held: %v", left)
+		time.Sleep(10 * ms)
+		f.mu.Lock()
+		early := f.releases
+		f.mu.Unlock()
+		time.Sleep(100 * ms)
+		if left := f.leftOver(); early != 0 || len(left) != 0 {
+			t.Errorf("%d releases within 10 ms of the close; still held: %v", early, left)
 		}
 	})
 }
