A release allows for a close that arrives late, also where its request goes on or is refused

Change: behind a read that this router called off a release waits 25 ms for the close to arrive; whether all is let go once more is looked at when that is due, and no more as the first release is decided, since a refusal follows it. Ruled out: a second release for a request that goes on (it would let go of what the next read left).

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -362,43 +362,68 @@
 		c.letting = gone
 	}
 	c.lets = append(c.lets, time.Now())
-	again := c.closesLate()
+	outcomes := c.closedReads()
 	c.d.work.Go(func() {
-		defer close(gone)
 		for _, over := range ended {
 			<-over
 		}
+		if outcomes.calledOff {
+			c.d.pause(closeGrace)
+		}
 		c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) // which bounds its time
-		if again > 0 {
-			select {
-			case <-time.After(again):
-			case <-c.d.ctx.Done():
-			}
-			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list)
+		close(gone)
+		if outcomes.any {
+			c.d.pause(time.Duration(closePart * float64(c.set.PinLimit) * 1e6))
+			c.releaseAgain(list)
 		}
 	})
 }
 
-// closesLate is when all is to be let go once more, 0 where it is not. A server
-// hears that a read was called off, or broke, only once the close has arrived; the
-// release may overtake it, and the read end well in between. It is for requests
-// that are over: what goes on takes or lets go of what was left itself.
-func (c *Call) closesLate() time.Duration {
-	if c.job.Name == "" || !c.answered || c.streaming {
-		return 0
-	}
-	closed := slices.ContainsFunc(c.attempts, func(a *try) bool {
-		return a.reads && !a.out && (a.outcome == gannethook.Cancelled || a.outcome == gannethook.TimedOut || a.outcome == gannethook.Broken)
-	})
-	if !closed {
-		return 0
+// How a release allows for a close that arrives late: a server hears that a read was
+// called off, or broke, only once the close has arrived. The release goes by another
+// connection and may overtake it; it then spares what the read waits for, or comes
+// before the read has ended well.
+const (
+	closeGrace = 25 * time.Millisecond // for which a release waits behind a close of this router's
+	closePart  = 0.5                   // part of the pin limit after which the close has surely arrived, with time left to let go
+)
+
+// closedReads are reads of a named request whose connections ended before their answers.
+type closedReads struct{ any, calledOff bool }
+
+func (c *Call) closedReads() (r closedReads) {
+	if c.job.Name == "" {
+		return r
 	}
-	return time.Duration(closePart * float64(c.set.PinLimit) * 1e6)
+	for _, a := range c.attempts {
+		if !a.reads || a.out {
+			continue
+		}
+		switch a.outcome {
+		case gannethook.Cancelled, gannethook.TimedOut:
+			r = closedReads{any: true, calledOff: true}
+		case gannethook.Broken:
+			r.any = true
+		}
+	}
+	return r
 }
 
-// closePart is the part of the pin limit after which a close has surely arrived,
-// with time left for what is let go then.
-const closePart = 0.5
+// releaseAgain lets go once more if the request is over. One that goes on takes or
+// lets go of what was left itself, and what it holds by now may be needed.
+func (c *Call) releaseAgain(list []attempt.Held) {
+	again := func() {
+		c.d.work.Go(func() { c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) })
+	}
+	posted := c.d.post(func() {
+		if c.answered && !c.streaming && c.out == 0 {
+			again()
+		}
+	})
+	if !posted { // the router has stopped: the request is over
+		again()
+	}
+}
 
 func (c *Call) summary() Summary {
 	s := Summary{ID: uint64(c.id), Name: c.job.Name, Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -160,6 +160,14 @@
 	}
 }
 
+// pause waits, but not beyond the driver's end.
+func (d *Driver) pause(span time.Duration) {
+	select {
+	case <-time.After(span):
+	case <-d.ctx.Done():
+	}
+}
+
 // Open is how many requests are open.
 func (d *Driver) Open() int { return int(d.open.Load()) }
 
