Soak: a busy machine is told sooner, and allowed for at every hop

Change: a run is played again from 60 ms of lateness on (150 before), and each bound allows four times the lateness (twice before). Ruled out: the router, whose write and told time agree to the millisecond in its log.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -159,7 +159,7 @@
 }
 
 // mostLate is a lateness at once above which a run judges nothing: it is played again.
-const mostLate = 150 * time.Millisecond
+const mostLate = 60 * time.Millisecond
 
 // Starved tells whether the machine was too busy to judge by.
 func (l *Ledger) Starved() bool {
@@ -168,8 +168,12 @@
 	return l.latest > mostLate
 }
 
+// hops are the times that what passes between a router and a worker waits for this
+// process: at the proxy, at the worker, and the same way back.
+const hops = 4
+
 // slack is what the machine's lateness allows to every bound.
-func (l *Ledger) slack() time.Duration { return 2 * l.latest }
+func (l *Ledger) slack() time.Duration { return hops * l.latest }
 
 // written notes that a client has written a request whole.
 func (l *Ledger) written(q *request) {
