A connection that is at hand costs no timer

Cause: since attempts wait for connections each one made a context with a deadline, also where a connection was kept. Change: the wait alone has one; dials have the deadline as a field.

--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -46,17 +46,16 @@
 // for as long as a connection may take to come up: every other worker would be
 // refused just so, and all attempts would soon be used up.
 func (p *pool) acquire(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.lim.Load().Dial)
-	defer cancel()
+	until := time.Now().Add(p.lim.Load().Dial)
 	for pause := firstDialPause; ; pause = min(2*pause, maxDialPause) {
-		c, err := p.reserve(ctx, addr, control, fresh)
+		c, err := p.reserve(ctx, until, addr, control, fresh)
 		if err != nil {
 			return nil, attempt.NotSent{Err: err, Local: true}
 		}
 		if c != nil {
 			return c, nil
 		}
-		d := net.Dialer{KeepAlive: -1}
+		d := net.Dialer{Deadline: until, KeepAlive: -1}
 		nc, err := faults.Dial(ctx, &d, addr)
 		if err == nil {
 			return connpool.New(nc, 2048, p.room.release), nil
@@ -65,31 +64,42 @@
 		if !connpool.IsLocal(err) {
 			return nil, attempt.NotSent{Err: err}
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if ctx.Err() != nil || time.Until(until) < pause {
 			return nil, attempt.NotSent{Err: err, Local: true}
 		}
+		time.Sleep(pause)
 	}
 }
 
 // reserve gives an unused connection, or counts one more: nil tells that it may be
-// made. It waits for either.
-func (p *pool) reserve(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
+// made. It waits for either until a time.
+func (p *pool) reserve(ctx context.Context, until time.Time, addr string, control, fresh bool) (*connpool.Conn, error) {
+	if c, ok := p.tryReserve(addr, control, fresh); ok {
+		return c, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for p.room.wait(ctx, control) {
+		if c, ok := p.tryReserve(addr, control, fresh); ok {
+			return c, nil
+		}
+	}
+	return nil, errNoRoom
+}
+
+// tryReserve is reserve without a wait. It closes what is unused to make room.
+func (p *pool) tryReserve(addr string, control, fresh bool) (c *connpool.Conn, ok bool) {
 	for {
 		if !fresh {
 			if c := p.idle.Take(addr); c != nil {
-				return c, nil
+				return c, true
 			}
 		}
 		if p.room.take(p.most(control)) {
-			return nil, nil
-		}
-		if p.idle.CloseOldest() { // which makes room
-			continue
+			return nil, true
 		}
-		if !p.room.wait(ctx, control) {
-			return nil, errNoRoom
+		if !p.idle.CloseOldest() {
+			return nil, false
 		}
 	}
 }
