--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -11,7 +11,7 @@
 	"gannethook/internal/faults"
 )
 
-// ReservationTimeout asks a writer for a place, once the read's last byte is on its way:
+// Hold asks a writer for a place, once the read's last byte is on its way:
 // a worker that knows of no read can't hold one.
 func (c *Client) Hold(ctx context.Context, call *attempt.Call, _ string) attempt.Place {
 	if !call.Sent.Came(ctx) {
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -168,7 +168,7 @@
 	return attempt.Result{Outcome: gannethook.ReadDone, Kept: cachedTokens(text)}
 }
 
-// reuse reads how many tokens of a prompt a reader had kept. What is no such number counts as none.
+// cachedTokens reads how many tokens of a prompt a reader had kept. What is no such number counts as none.
 func cachedTokens(text []byte) float64 {
 	raw, found, err := jsonscan.Find(text, "cached_tokens")
 	if err != nil || !found {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -76,7 +76,7 @@
 	return b.String()
 }
 
-// judgeAnswer: every request that was taken gets one final answer before its client gives up.
+// judgeAnswer judges by the rule: every request that was taken gets one final answer before its client gives up.
 func (l *Ledger) judgeAnswer(q *request) {
 	if q.end == clientLeft || q.end == notTaken || l.routerDied(q, q.sentAt) {
 		return
@@ -109,7 +109,7 @@
 	}
 }
 
-// judgeEffect: no effect twice, and no refusal of what may have run.
+// judgeEffect judges by the rule: no effect twice, and no refusal of what may have run.
 func (l *Ledger) judgeEffect(q *request) {
 	var runs []arrival
 	for _, a := range q.arrived {
@@ -137,7 +137,7 @@
 	}
 }
 
-// judgeDrain: no attempt to a server that the router was told to send nothing. It
+// judgeDrain judges by the rule: no attempt to a server that the router was told to send nothing. It
 // is judged as the attempt arrives: the server may start anew later.
 func (l *Ledger) judgeDrain(q *request, a arrival) {
 	if told, ok := l.told[toldKey{q.router, q.life, a.worker}]; ok && a.at > told+drainSlack+l.slack() {
@@ -145,7 +145,7 @@
 	}
 }
 
-// judgeAttempts: none for clients that have gone, none that is told more than is left.
+// judgeAttempts judges by the rule: none for clients that have gone, none that is told more than is left.
 func (l *Ledger) judgeAttempts(q *request) {
 	for _, a := range q.arrived {
 		if q.leftAt != 0 && a.at > q.leftAt+goneSlack+toldSlack+l.slack() {
@@ -157,7 +157,7 @@
 	}
 }
 
-// judgeSlowStart: a cold server gets at most N + 3 root of N + 3 calls from all routers together, N being what the
+// judgeSlowStart judges by the rule: a cold server gets at most N + 3 root of N + 3 calls from all routers together, N being what the
 // settings allow of a warm one's pace.
 func (l *Ledger) judgeSlowStart(s *serverLife) {
 	if s.bootAt < 0 {
@@ -196,7 +196,7 @@
 	return pace
 }
 
-// judgeLife: a router comes up, and ends only as it is told to.
+// judgeLife judges by the rule: a router comes up, and ends only as it is told to.
 func (l *Ledger) judgeLife(life *routerLife) {
 	name := fmt.Sprintf("router %d.%d", life.router, life.life)
 	if life.crashed != "" {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -169,23 +169,24 @@
 	r.stop()
 }
 
-// stop sends SIGTERM, and SIGKILL when the grace is over.
-func (r *process) stop() {
+// order notes that the present process is told to end, and returns its life and what
+// closes once it has ended.
+func (r *process) order() (life *routerLife, done <-chan struct{}) {
 	r.mu.Lock()
-	life, done := r.life, r.done
+	defer r.mu.Unlock()
 	r.ordered = true
-	r.mu.Unlock()
-	l := r.p.ledger
-	l.mu.Lock()
-	life.termAt = l.Now()
-	l.mu.Unlock()
+	return r.life, r.done
+}
+
+// stop sends SIGTERM, and SIGKILL when the grace is over.
+func (r *process) stop() {
+	life, done := r.order()
+	r.noteSignal(&life.termAt)
 	r.signal(syscall.SIGTERM)
 	select {
 	case <-done:
 	case <-time.After(stopGrace):
-		l.mu.Lock()
-		life.killAt = l.Now()
-		l.mu.Unlock()
+		r.noteSignal(&life.killAt)
 		r.signal(syscall.SIGKILL)
 		<-done
 	}
@@ -193,14 +194,16 @@
 
 // kill sends SIGKILL.
 func (r *process) kill() {
-	r.mu.Lock()
-	life, done := r.life, r.done
-	r.ordered = true
-	r.mu.Unlock()
-	l := r.p.ledger
-	l.mu.Lock()
-	life.killAt = l.Now()
-	l.mu.Unlock()
+	life, done := r.order()
+	r.noteSignal(&life.killAt)
 	r.signal(syscall.SIGKILL)
 	<-done
 }
+
+// noteSignal notes that a signal is about to be sent.
+func (r *process) noteSignal(at *time.Duration) {
+	l := r.p.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*at = l.Now()
+}
