A clock that is ahead is told by the newcomers that were listed soonest

Change: the least age at which any newcomer was first told is taken off each one's, so that one prompt word shows that the clock is right. Ruled out: a fixed slack of some seconds (steps by seconds pass it). The tests for stepped clocks stand; TestStartToldLate is new, and fails with the former text.

--- a/membership.go
+++ b/membership.go
@@ -45,10 +45,10 @@
 			s.State = Gone // unless it is listed
 		}
 	}
+	r.learnClock(ev.Servers)
 	for _, e := range ev.Servers {
 		r.update(e)
 	}
-	r.listed = r.now
 	r.lists++
 	if ev.Whole || len(ev.Servers) > 0 {
 		r.relist()
--- a/router.go
+++ b/router.go
@@ -164,8 +164,8 @@
 	arrived          float64 // requests taken
 	servers          map[ServerID]*server
 	starts           map[ServerID]start   // also of those that are listed no more
-	listed           Millis               // when the last list or change was told
 	lists            int                  // lists and changes told
+	ahead            Millis               // by which this clock may be ahead of those that tell start times
 	list             []*server            // in order of id
 	without          [Mixed + 1][]*server // the same, without those of one role
 	scratch          []candidate          // of the last choice
@@ -197,7 +197,7 @@
 	r := &Router{
 		set: &set, seed: seed, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		visits: map[Key]visit{}, begins: map[Key]fading{}, texts: map[text]Millis{},
-		starts: map[ServerID]start{},
+		starts: map[ServerID]start{}, ahead: Millis(math.Inf(1)),
 	}
 	r.reconfigure(set)
 	return r, nil
--- a/slowstart.go
+++ b/slowstart.go
@@ -13,9 +13,10 @@
 
 // startOf is when a server that is listed anew started. Guards rule 4 against a wall clock of this machine
 // that was stepped, before this router began or since: what is told counts by others' clocks. It has started
-// by now, and not before this router was last told a list without it, whatever the clock says. How old the
-// list is that was known at the start is not known: what seems to have been up for long, but was not in it,
-// may have started just now. Harms where that list is older than a warm-up: what came since is used late.
+// by now; and this clock is ahead by no more than the least age at which any newcomer was first told, so that
+// this much is taken off each one's age. How old the list is that was known at the start is not known: what
+// seems to have been up for long, but was not in it, may have started just now. Harms where all newcomers are
+// told late, and where the list known at the start is older than a warm-up: they are used late.
 func (r *Router) startOf(e Server) Millis {
 	if s, ok := r.starts[e.ID]; ok && s.told == e.Since {
 		return s.began
@@ -28,11 +29,23 @@
 	case r.lists == 1 && r.now-began >= r.set.WarmAfter && len(r.starts) > 0:
 		began = r.now
 	case r.lists > 1:
-		began = max(began, r.listed)
+		began = min(e.Since+r.ahead, r.now)
 	}
 	return began
 }
 
+// learnClock takes in how old the newcomers of a list seem.
+func (r *Router) learnClock(list []Server) {
+	if r.lists <= 1 {
+		return
+	}
+	for _, e := range list {
+		if s, ok := r.starts[e.ID]; e.Since > 0 && e.State == Ready && !(ok && s.told == e.Since) {
+			r.ahead = max(min(r.ahead, r.now-e.Since), 0)
+		}
+	}
+}
+
 // rememberStart keeps when a server started, though it leaves the list for a while.
 func (r *Router) rememberStart(s *server) {
 	if len(r.starts) >= keyCap {
--- a/starttime_test.go
+++ b/starttime_test.go
@@ -1,6 +1,9 @@
 package gannethook
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 const hour = Millis(3600e3)
 
@@ -33,7 +36,7 @@
 }
 
 // A step of this machine's wall clock, before the start or after it, neither makes a server that has just started look warm
-// nor keeps one in slow start for good: how long ago it started is bounded by when its router was last told without it.
+// nor keeps one in slow start for good: this clock is ahead by no more than the least age at which a newcomer was first told.
 func TestStartUnderStepOfClock(t *testing.T) {
 	t.Run("while the router was down", startBeforeFirstList)
 	want, _ := started(t, 0)
@@ -74,3 +77,17 @@
 		t.Errorf("in slow start again: %.2f", got)
 	}
 }
+
+// Once a newcomer that was told at once has shown that this clock is right, one that is told late counts from its start.
+func TestStartToldLate(t *testing.T) {
+	s := newScriptAt(t, 1e9, at("r1", 0, 0, 0), at("w1", 1, 0, 0))
+	s.on(100, Membership{Whole: true, Servers: []Server{at("r1", 0, 0, 0), at("w1", 1, 0, 0)}})
+	quick, late := at("w2", 1, 0, 0), at("w3", 1, 0, 0)
+	quick.Since = s.now + 1000
+	s.on(1100, Membership{Servers: []Server{quick}})
+	late.Since = s.now + 1000
+	s.on(5000, Membership{Servers: []Server{late}}) // 4 s late
+	if got, want := s.r.warmth(s.r.servers["w3"]), 0.25+0.75*0.39; math.Abs(got-want) > 0.01 {
+		t.Errorf("told 4 s late: %.2f, want %.2f", got, want)
+	}
+}
