A failing test: an answered request whose state waits for a silent writer

Failed at 416 ms by its deadline, and its attempt, which may not be called off there, stayed out at a silent writer until it was reset.

--- a/unreached_test.go
+++ b/unreached_test.go
@@ -59,3 +59,15 @@
 		}
 	}
 }
+
+// The same where the request has had its answer and its attempt may not be called off.
+func TestStateOfUnheardWriterIsLetGoOnceAnswered(t *testing.T) {
+	set := fleet(func(set *Settings) { set.SparesWaited, set.Cancel, set.Holds = true, false, false })
+	s := newScript(t, set, at("r1", 0, 0, 0), at("w1", 1, 0, 0))
+	s.on(1, Request{ID: 1, Class: 1, Budget: 400, Prompt: 100})
+	s.on(50, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	s.on(341, Wakeup{Ref: refStep + refDeadline})
+	s.want("fail 1")
+	s.on(110, Wakeup{Ref: refStep + refArrival})
+	s.want("release 1")
+}
