An answered request's state is let go under a silent writer too

Cause: checkArrival left requests alone that had their answer, whose attempt is normally called off; where the settings allow no cancels it is not. Change: it asks for the attempt alone. Measured: TestStateOfUnheardWriterIsLetGoOnceAnswered failed before; golden trace unchanged.

--- a/router.go
+++ b/router.go
@@ -480,8 +480,8 @@
 // release spares what it waits for; where it arrives later the writer finds no state, and the prompt is read
 // anew. Harms by a call for each answer that is slow to begin.
 func (r *Router) checkArrival(q *request) {
-	if q == nil || !q.set.SparesWaited || q.ended || q.stream || q.state == nil || len(q.out) != 1 ||
-		q.out[0].reads || r.now < q.idle+arrivePart*q.set.PinLimit {
+	if q == nil || !q.set.SparesWaited || q.stream || q.state == nil || len(q.out) != 1 || q.out[0].reads ||
+		r.now < q.idle+arrivePart*q.set.PinLimit {
 		return
 	}
 	q.state = nil
