Soak: a release between an attempt's arrival and its state's leaves nothing

The fault was the oracle's. Change: an attempt at a decode worker leaves nothing held, whichever came first. Ruled out: the router, whose one release is in its log and had arrived.

--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -170,13 +170,14 @@
 func (w *worker) write(rw http.ResponseWriter, req *http.Request, id string, n int) {
 	end := func(*arrival) {}
 	defer func() { w.ledger.over(id, n, end, false) }()
-	if !w.states.take(id) {
+	took := w.states.take(id)
+	w.ledger.taken(id) // also where a release came between the attempt's arrival and now: nothing is left
+	if !took {
 		end = func(a *arrival) { a.neverRan = true }
 		rw.Header().Set("X-Not-Processed", "1")
 		rw.WriteHeader(http.StatusGone)
 		return
 	}
-	w.ledger.taken(id)
 	w.ledger.ran(id, n)
 	if w.hangs.Load() {
 		hang(req)
