--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -19,6 +19,7 @@
 	requests map[string]*request
 	served   map[string]*serverLife // by worker and life
 	told     map[toldKey]time.Duration
+	starts   map[startKey]time.Duration
 	lives    []*routerLife
 	cuts     []*cut
 	late     time.Duration // sum by which this process's timers went off late
@@ -57,7 +58,8 @@
 	status   int
 	arrived  []arrival
 	heldAt   time.Duration // since when something is held with no attempt out; 0: nothing is
-	held     bool
+	state    bool          // a prompt that was read waits for it
+	place    bool          // a place is held for it
 	out      int
 }
 
@@ -94,7 +96,20 @@
 	worker string
 	reads  bool
 	bootAt time.Duration // negative: long ago
-	calls  []time.Duration
+	boot   int64         // as it is told; 0: long ago
+	calls  []call
+}
+
+// call is an attempt that reached a server.
+type call struct {
+	at           time.Duration
+	router, life int
+}
+
+// startKey is a server's start as a router's process was told it.
+type startKey struct {
+	toldKey
+	boot int64
 }
 
 type toldKey struct {
@@ -117,7 +132,8 @@
 // NewLedger returns a ledger whose times start now, for a run by a plan.
 func NewLedger(plan Plan) *Ledger {
 	breaks := slices.ContainsFunc(plan.Troubles, func(t Trouble) bool { return !slices.Contains(harmless, t.Kind) })
-	return &Ledger{terms: NewTerms(plan.Seed), breaksStreams: breaks, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{}}
+	return &Ledger{terms: NewTerms(plan.Seed), breaksStreams: breaks, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{},
+		starts: map[startKey]time.Duration{}}
 }
 
 // harmless are the kinds of trouble that break no stream.
@@ -207,7 +223,7 @@
 		return 0, false
 	}
 	a.at = l.Now()
-	life.calls = append(life.calls, a.at)
+	life.calls = append(life.calls, call{a.at, q.router, q.life})
 	l.unpin(q, "an attempt at "+a.worker)
 	l.judgeDrain(q, a)
 	q.arrived = append(q.arrived, a)
@@ -224,8 +240,8 @@
 	change(a)
 	a.over = l.Now()
 	q.out--
-	q.held = q.held || holds
-	if q.out == 0 && q.held {
+	q.state = q.state || holds
+	if q.out == 0 && q.held() {
 		q.heldAt = a.over
 	}
 }
@@ -242,10 +258,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
-	if q == nil || !slices.ContainsFunc(q.arrived, func(a arrival) bool { return a.reads && a.over == 0 }) {
+	if q == nil || !q.readOut() {
 		return false
 	}
-	q.held = true
+	q.place = true
 	return true
 }
 
@@ -254,17 +270,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if q := l.requests[id]; q != nil {
-		q.held, q.heldAt = false, 0
+		q.state, q.place, q.heldAt = false, false, 0
 	}
 }
 
+// held tells whether something is held for a request, readOut whether a read of it is out.
+func (q *request) held() bool { return q.state || q.place }
+
+func (q *request) readOut() bool {
+	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return a.reads && a.over == 0 })
+}
+
+// release notes that all is let go but a place that a read which is out waits for.
 func (l *Ledger) release(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if q := l.requests[id]; q != nil {
 		l.unpin(q, "a release")
-		if q.out == 0 {
-			q.held, q.heldAt = false, 0
+		q.state = false
+		q.place = q.place && q.readOut()
+		if !q.held() {
+			q.heldAt = 0
 		}
 	}
 }
@@ -274,7 +300,7 @@
 
 // unpin judges for how long something was held with no attempt out.
 func (l *Ledger) unpin(q *request, by string) {
-	if !q.held || q.heldAt == 0 {
+	if !q.held() || q.heldAt == 0 {
 		return
 	}
 	if since := l.Now() - q.heldAt; since > pinMost+l.slack() && !l.routerDied(q, q.heldAt) && !l.answerLost(q) {
@@ -332,6 +358,16 @@
 	return true
 }
 
+// notifyStart notes that a router's process has been told a server's start. The first time counts.
+func (l *Ledger) notifyStart(router, life int, worker string, boot int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := startKey{toldKey{router, life, worker}, boot}
+	if _, ok := l.starts[key]; !ok {
+		l.starts[key] = l.Now()
+	}
+}
+
 // notify notes that a router has been told whether a worker takes new work. Of
 // several words in a row that it does not, the first counts.
 func (l *Ledger) notify(router, life int, worker string, serving bool) {
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -174,6 +174,7 @@
 	p.mu.Unlock()
 	for _, t := range l.Targets {
 		p.ledger.notify(router, r.current(), t.UID, t.State == "SERVING")
+		p.ledger.notifyStart(router, r.current(), t.UID, t.Boot)
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// reload sends SIGHUP; as on the platform, not before the process is ready.
+func (r *process) reload() {
+	if _, ok := r.ready(); ok {
+		r.signal(syscall.SIGHUP)
+	}
+}
+
 // again ends the process and starts the next life.
 func (r *process) again(end func()) {
 	r.cycle.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -146,7 +146,7 @@
 			r.again(func() {
 				if t.Kind == Signals {
 					for range manySignals {
-						r.signal(syscall.SIGHUP)
+						r.reload()
 						time.Sleep(time.Millisecond)
 					}
 				}
@@ -165,7 +165,7 @@
 			for _, r := range routers {
 				p.agents[r.router].move()
 				p.write(r.router, r.listen, t.Kind == HalfFile)
-				r.signal(syscall.SIGHUP)
+				r.reload()
 				if t.Kind == HalfFile {
 					time.AfterFunc(100*time.Millisecond, func() { p.write(r.router, r.listen, false) })
 				}
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -69,11 +69,11 @@
 func (w *worker) start(at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.life = &serverLife{worker: w.uid, reads: w.reads, bootAt: at}
 	w.boot = 0
 	if at >= 0 {
 		w.boot = time.Now().UnixMilli()
 	}
+	w.life = &serverLife{worker: w.uid, reads: w.reads, bootAt: at, boot: w.boot}
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
 	w.ledger.served[fmt.Sprintf("%s from %.1fs", w.uid, at.Seconds())] = w.life
