--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -10,6 +10,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/guard"
 )
 
 // Call is one request until its last attempt has ended. All but Abandon is the
@@ -195,6 +196,11 @@
 	a.cancel()
 	a.sent.Set(false)
 	close(a.over)
+	if r.Outcome == gannethook.Cancelled && c.effect() != guard.Safe {
+		// A refusal goes by another connection and may overtake the close: as far as the server knows the
+		// attempt is out until that has arrived.
+		c.d.pause(closeGrace)
+	}
 	c.d.post(func() {
 		a.via = call.Via
 		if a.off != nil && r.Outcome == gannethook.Cancelled {
