--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -804,3 +804,40 @@
 		t.Errorf("still held: %v", left)
 	}
 }
+
+// The same while another read of the answered request is out, as at a server that fell silent where nothing is called off.
+func TestReleaseBehindLateCloseWithAReadOut(t *testing.T) {
+	f := newFake()
+	f.read, f.lateState, f.holdOK = 10*ms, 60*ms, false
+	f.readEnds = attempt.Result{Outcome: gannethook.Broken}
+	synctest.Test(t, func(t *testing.T) {
+		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+			Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
+				switch ev := ev.(type) {
+				case gannethook.Request:
+					acts = append(acts, gannethook.Send{ID: ev.ID, Server: "s0"})
+				case gannethook.Ended:
+					if ev.Attempt == 0 {
+						f.mu.Lock()
+						f.read, f.lateState = 5*time.Second, 0
+						f.mu.Unlock()
+						acts = append(acts, gannethook.Release{ID: ev.ID}, gannethook.Send{ID: ev.ID, Server: "s0"}, gannethook.Refuse{ID: ev.ID})
+					}
+				}
+				return acts
+			})})
+		stop := drive(t, d, err)
+		d.Update(gannethook.Membership{Servers: []gannethook.Server{{ID: "s0", State: gannethook.Ready}}})
+		s, j := newSink(t), job(0)
+		j.Name = "a"
+		if _, err := d.Submit(j, s); err != nil {
+			t.Fatal(err)
+		}
+		<-s.done
+		time.Sleep(500 * ms)
+		if left := f.leftOver(); len(left) != 0 {
+			t.Errorf("still held: %v", left)
+		}
+		stop()
+	})
+}
