What an answered request left is let go once more, whatever else of it is out

Cause: the second release asked that nothing of the request be out; where the settings allow no cancels a read at a silent worker stays out. Change: that the request has its answer and no stream.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -422,7 +422,7 @@
 		c.d.work.Go(func() { c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) })
 	}
 	posted := c.d.post(func() {
-		if c.answered && !c.streaming && c.out == 0 {
+		if c.answered && !c.streaming { // nobody waits for what is still out
 			again()
 		}
 	})
