--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -18,14 +18,12 @@
 
 // Times that the platform's pages allow.
 const (
-	answerSlack  = 500 * time.Millisecond // after its time an answer only earns nothing; later it is lost
-	goneSlack    = 100 * time.Millisecond // an attempt may begin so long after its client left
-	toldSlack    = 150 * time.Millisecond // by which a worker may be told more time than is left
-	trickled     = 600 * time.Millisecond // for which a request may be on its way where bytes trickle
-	drainSlack   = 350 * time.Millisecond // for what was on its way as the list came: 150 ms held up, 200 on sockets
-	readyWithin  = 10 * time.Second
-	startLatest  = 30 * time.Second
-	silentStream = 5 * time.Second
+	answerSlack = 500 * time.Millisecond // after its time an answer only earns nothing; later it is lost
+	goneSlack   = 100 * time.Millisecond // an attempt may begin so long after its client left
+	toldSlack   = 150 * time.Millisecond // by which a worker may be told more time than is left
+	trickled    = 600 * time.Millisecond // for which a request may be on its way where bytes trickle
+	drainSlack  = 350 * time.Millisecond // for what was on its way as the list came: 150 ms held up, 200 on sockets
+	readyWithin = 10 * time.Second
 )
 
 // Judge judges a run that has ended, and returns every promise that was not kept.
@@ -78,7 +76,7 @@
 
 // judgeAnswer judges by the rule: every request that was taken gets one final answer before its client gives up.
 func (l *Ledger) judgeAnswer(q *request) {
-	if q.end == clientLeft || q.end == notTaken || l.routerDied(q, q.sentAt) {
+	if q.end == clientLeft || q.end == notTaken || l.routerDied(q) {
 		return
 	}
 	late := q.endAt - q.sentAt - q.deadline - answerSlack - l.slack()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -177,13 +177,6 @@
 // mostLate is a lateness at once above which a run judges nothing: it is played again.
 const mostLate = 60 * time.Millisecond
 
-// Starved tells whether the machine was too busy to judge by.
-func (l *Ledger) Starved() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.latest > mostLate
-}
-
 // hops are the times that what passes between a router and a worker waits for this
 // process: at the proxy, at the worker, and the same way back.
 const hops = 4
@@ -303,7 +296,7 @@
 	if !q.held() || q.heldAt == 0 {
 		return
 	}
-	if since := l.Now() - q.heldAt; since > pinMost+l.slack() && !l.routerDied(q, q.heldAt) && !l.answerLost(q) {
+	if since := l.Now() - q.heldAt; since > pinMost+l.slack() && !l.routerDied(q) && !l.answerLost(q) {
 		l.breakLocked("pinned", q.id+" was held for "+since.Round(time.Millisecond).String()+", then came "+by)
 	}
 	q.heldAt = 0
@@ -349,7 +342,7 @@
 
 // routerDied tells whether the process that took a request was killed after it was
 // sent: what it held is then its workers' to let go.
-func (l *Ledger) routerDied(q *request, _ time.Duration) bool {
+func (l *Ledger) routerDied(q *request) bool {
 	for _, life := range l.lives {
 		if life.router == q.router && life.life == q.life {
 			return life.killAt != 0 || life.crashed != ""
