Failing tests: states behind writes that were called off, and behind workers that hung

A first form of the tests ran in parallel and failed the goroutine check of its neighbours; it is one router for many requests now.

--- /dev/null
+++ b/internal/platform/held_test.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gannethook/internal/platform/standin"
+)
+
+// heldMost is for how long something may be held with no attempt out: the stand-in's pin limit and 300 ms.
+const heldMost = 800 * ms
+
+// letGoInTime fails the test if anything of a request is still held when the limit, counted from now, is over.
+func (s *site) letGoInTime(id string) {
+	s.t.Helper()
+	from, late := time.Now(), s.fleet.Late()
+	for s.holds(id) {
+		if held := time.Since(from) - (s.fleet.Late() - late); held > heldMost {
+			s.t.Errorf("after %v still held: %v", held, s.fleet.Left())
+			return
+		}
+		time.Sleep(5 * ms)
+	}
+}
+
+// holds tells whether anything is held for a request.
+func (s *site) holds(id string) bool {
+	return slices.ContainsFunc(s.fleet.Left(), func(held string) bool { return strings.HasSuffix(held, " of "+id) })
+}
+
+// queued has a writer's queue not move: what arrives there waits until its router gives up.
+func queued(int, string) standin.Script { return standin.Script{Wait: time.Minute} }
+
+// leave sends a request and closes the connection after a time.
+func (s *site) leave(id, class string, after time.Duration) {
+	nc := s.dial()
+	io.WriteString(nc, request(id, class, 5000, body))
+	time.Sleep(after)
+	nc.Close()
+}
+
+// A write that waits in its writer's queue leaves the state at the reader. Once it is called off the state is let
+// go, however long the write was out, whatever called it off, and however late the writer notices.
+func TestStateOfAWriteCalledOff(t *testing.T) {
+	for _, closeDelay := range []time.Duration{0, 10 * ms, 25 * ms} {
+		t.Run(fmt.Sprintf("close noticed after %v", closeDelay), func(t *testing.T) {
+			s := open(t, func(f *standin.Fleet) {
+				f.DelayClose(closeDelay)
+				f.Add(standin.Prompt, nil)
+				f.Add(standin.Answer, queued)
+			})
+			var requests sync.WaitGroup
+			for _, out := range []time.Duration{290 * ms, 700 * ms, 1490 * ms} {
+				for class, effect := range map[string]string{"question": "", "adjustment": standin.Unsafe} {
+					id := fmt.Sprintf("%sout-%v", effect, out)
+					requests.Go(func() {
+						if a := s.ask(id, class, int(out/ms)); a.status == 200 || a.status == 0 {
+							t.Errorf("%s: %+v", id, a)
+						}
+						s.letGoInTime(id)
+					})
+					requests.Go(func() {
+						s.leave(id+"-left", class, out)
+						s.letGoInTime(id + "-left")
+					})
+				}
+			}
+			requests.Wait()
+		})
+	}
+}
+
+// What was held at a worker that hung or was cut off, or is begun there as it runs again, is let go once it is back.
+func TestHeldAtAWorkerThatIsBack(t *testing.T) {
+	t.Run("a read begun late, given up", func(t *testing.T) { testReadBegunLate(t, false) })
+	t.Run("a read begun late, served elsewhere", func(t *testing.T) { testReadBegunLate(t, true) })
+	t.Run("a hung writer", testStateBehindAHungWriter)
+	t.Run("a cut", testStateOutlastsACut)
+}
+
+// A read that waited in the socket of a worker that hung, and whose connection was closed, is begun as the worker
+// runs again. What it leaves is let go, whether the request was served elsewhere or given up.
+func testReadBegunLate(t *testing.T, served bool) {
+	var hung *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		hung = f.Add(standin.Prompt, nil)
+		f.Add(standin.Answer, nil)
+	})
+	for n := range 40 { // so that silence tells something
+		s.ask(fmt.Sprint("before-", n), "question", 2500)
+	}
+	hung.Freeze()
+	answered := make(chan answer, 1)
+	go func() { answered <- s.ask("1", "question", 2500) }()
+	time.Sleep(100 * ms)
+	if served {
+		s.fleet.Add(standin.Prompt, nil)
+	}
+	if a := <-answered; (a.status == 200) != served {
+		t.Errorf("%+v", a)
+	}
+	time.Sleep(300 * ms)
+	hung.Thaw()
+	s.until("the read is begun", func() bool { return s.fleet.Begun("1", hung) })
+	time.Sleep(40 * ms)
+	s.letGoInTime("1")
+}
+
+// A writer that hangs notices neither the close of an attempt nor a release until it runs again: the state it
+// waits for is let go then.
+func testStateBehindAHungWriter(t *testing.T) {
+	var writer *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		f.Add(standin.Prompt, nil)
+		writer = f.Add(standin.Answer, func(int, string) standin.Script { return standin.Script{Wait: time.Minute, Hangs: true} })
+	})
+	if a := s.ask("1", "question", 900); a.status != 503 {
+		t.Errorf("%+v", a)
+	}
+	time.Sleep(time.Second)
+	writer.Thaw()
+	time.Sleep(5 * ms)
+	s.letGoInTime("1")
+}
+
+// What is held on workers that were cut off for longer than any release is tried is let go once they are back.
+func testStateOutlastsACut(t *testing.T) {
+	var reader, writer *standin.Worker
+	s := open(t, func(f *standin.Fleet) {
+		reader = f.Add(standin.Prompt, nil)
+		writer = f.Add(standin.Answer, queued)
+	})
+	answered := make(chan answer, 1)
+	go func() { answered <- s.ask("1", "question", 800) }()
+	s.until("its state waits", func() bool { return s.holds("1") })
+	time.Sleep(100 * ms)
+	reader.Freeze()
+	writer.Freeze()
+	if a := <-answered; a.status != 503 {
+		t.Errorf("%+v", a)
+	}
+	time.Sleep(3500 * ms)
+	reader.Join()
+	writer.Join()
+	time.Sleep(5 * ms)
+	s.letGoInTime("1")
+}
+
+// What a read that was called off left, having ended well before its worker noticed, is let go.
+func TestReadCalledOffEndsWell(t *testing.T) {
+	s := open(t, func(f *standin.Fleet) {
+		f.DelayClose(20 * ms)
+		f.Add(standin.Prompt, func(int, string) standin.Script {
+			return standin.Script{Wait: time.Minute, EndsWell: true}
+		})
+		f.Add(standin.Answer, nil)
+	})
+	s.leave("1", "question", 200*ms)
+	time.Sleep(30 * ms)
+	s.letGoInTime("1")
+}
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -50,6 +50,9 @@
 	Tail   string        // written raw behind the last chunk
 	Gap    time.Duration // between two events
 	Break  bool          // the connection breaks behind the events
+
+	EndsWell bool // a read that is called off ends well before the close is noticed
+	Hangs    bool // the worker hangs with the attempt in its queue, and notices nothing until it runs again
 }
 
 // Fleet is the platform. Its methods may be called from anywhere.
@@ -61,16 +64,20 @@
 	rev     int64
 	workers []*Worker
 	mute    bool
-	states  map[string]string // where a request's state waits
-	places  map[string]string // where a place is held for it
-	out     map[string]int    // its attempts that are out
-	reading map[string]bool   // one of them is a read
+	states  map[string]string    // where a request's state waits
+	places  map[string]string    // where a place is held for it
+	out     map[string]int       // its attempts that are out
+	reads   map[string]int       // of these, reads
+	waiting map[string]int       // of these, writes in their writer's queue: the state is not fetched yet
+	begun   map[string][]*Worker // where attempts of a request were begun
 	idle    map[string]idleFrom
 	ran     map[string]int // attempts at writers that may have run
 	bodies  map[string]string
 	breaks  []string
 	closed  chan struct{}
 	late    atomic.Int64 // ns by which this process ran late
+
+	closeDelay time.Duration // after which a worker notices that a connection was closed
 }
 
 // idleFrom is when a request's last attempt ended, and how late the process had been by then.
@@ -89,6 +96,8 @@
 	rev       int64
 	plan      func(n int, id string) Script
 	finished  func(id string) // called once a stream is written to its end
+	frozen    chan struct{}   // closed as the worker runs again; nil: it runs
+	resets    bool            // what arrived while it was frozen is reset then
 	Requests  int             // guarded by the fleet's lock, as what follows
 	Holds     int
 	Releases  int
@@ -99,7 +108,7 @@
 // New starts a platform without workers.
 func New() *Fleet {
 	f := &Fleet{changed: make(chan struct{}), rev: 1, states: map[string]string{}, places: map[string]string{},
-		out: map[string]int{}, reading: map[string]bool{}, idle: map[string]idleFrom{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{})}
+		out: map[string]int{}, reads: map[string]int{}, begun: map[string][]*Worker{}, waiting: map[string]int{}, idle: map[string]idleFrom{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{})}
 	f.agent = httptest.NewServer(http.HandlerFunc(f.discover))
 	go f.measureLateness()
 	return f
@@ -242,6 +251,13 @@
 	return list
 }
 
+// Begun tells whether a worker has begun an attempt of a request.
+func (f *Fleet) Begun(id string, w *Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.begun[id], w)
+}
+
 // Breaks lists what broke a rule.
 func (f *Fleet) Breaks() []string {
 	f.mu.Lock()
@@ -322,7 +338,7 @@
 }
 
 // begin notes an attempt, end its end; what a request holds meanwhile is not pinned.
-func (f *Fleet) begin(id, body string, reads bool) {
+func (f *Fleet) begin(w *Worker, id, body string, reads bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if old, ok := f.bodies[id]; ok && old != body {
@@ -330,19 +346,96 @@
 	}
 	f.bodies[id] = body
 	f.unpin(id)
+	f.begun[id] = append(f.begun[id], w)
 	f.out[id]++
-	f.reading[id] = reads
+	if reads {
+		f.reads[id]++
+	} else {
+		f.waiting[id]++
+	}
 }
 
-func (f *Fleet) end(id string) {
+func (f *Fleet) end(id string, reads bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reading[id] = false
+	if reads {
+		f.reads[id]--
+	} else if f.waiting[id] > 0 {
+		f.waiting[id]--
+	}
 	if f.out[id]--; f.out[id] == 0 {
 		f.idle[id] = idleFrom{time.Now(), f.Late()}
 	}
 }
 
+// DelayClose has workers notice a closed connection only after a time, as where another connection's
+// bytes overtake the close.
+func (f *Fleet) DelayClose(by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closeDelay = by
+}
+
+// noticeClose waits until a worker notices that an attempt's connection was closed, if it was.
+func (f *Fleet) noticeClose(req *http.Request) {
+	if req.Context().Err() == nil {
+		return
+	}
+	f.mu.Lock()
+	by := f.closeDelay
+	f.mu.Unlock()
+	time.Sleep(by)
+}
+
+// keepState keeps a prompt's state where it was read, or where a held place has drawn it.
+func (f *Fleet) keepState(id string, w *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states[id] = w.UID
+	if place := f.places[id]; place != "" {
+		f.states[id] = place
+	}
+}
+
+// fetch takes a request's state to a writer whose queue it has passed; it is false where there is none,
+// or another writer has it.
+func (f *Fleet) fetch(id string, w *Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waiting[id] > 0 {
+		f.waiting[id]--
+	}
+	at, ok := f.states[id]
+	if !ok || at != w.UID && f.kindOf(at) == Answer {
+		return false
+	}
+	delete(f.states, id)
+	delete(f.places, id)
+	return true
+}
+
+func (f *Fleet) kindOf(uid string) string {
+	for _, w := range f.workers {
+		if w.UID == uid {
+			return w.Kind
+		}
+	}
+	return ""
+}
+
+// letGo lets go of everything held for a request that no attempt waits for: a write in its queue waits for
+// the state and its place, a read for the place that is to draw its state.
+func (f *Fleet) letGo(id string) {
+	if f.waiting[id] > 0 {
+		return
+	}
+	f.unpin(id)
+	delete(f.states, id)
+	if f.reads[id] == 0 {
+		delete(f.places, id)
+	}
+}
+
 // pinMost is the settings' limit with what the sockets add.
 const pinMost = 800 * time.Millisecond
 
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -11,6 +11,7 @@
 // ServeHTTP answers as a worker does.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	if id, ok := strings.CutPrefix(req.URL.Path, "/v1/holds/"); ok {
+		w.awaitThaw()
 		w.hold(rw, req.Method, id)
 		return
 	}
@@ -21,8 +22,15 @@
 		return
 	}
 	f := w.f
-	f.begin(id, req.URL.String()+string(body), w.Kind == Prompt)
-	defer f.end(id)
+	wasFrozen := w.awaitThaw()
+	f.begin(w, id, req.URL.String()+string(body), w.Kind == Prompt)
+	defer f.end(id, w.Kind == Prompt)
+	defer f.noticeClose(req)
+	defer w.awaitThaw()
+	if wasFrozen && req.Context().Err() != nil { // its connection was closed before it was begun
+		w.beginClosed(id)
+		return
+	}
 	f.mu.Lock()
 	s := w.plan(w.Requests, id)
 	w.Requests++
@@ -31,7 +39,13 @@
 	fields.Set("Host", req.Host)
 	w.Fields = append(w.Fields, fields)
 	f.mu.Unlock()
+	if s.Hangs {
+		w.Freeze()
+	}
 	if !w.wait(req, s.Wait) {
+		if s.EndsWell && w.Kind == Prompt {
+			f.keepState(id, w)
+		}
 		return
 	}
 	if s.Until != nil {
@@ -102,9 +116,7 @@
 		raw(rw, s.Raw, s.Cut)
 		return
 	}
-	w.f.mu.Lock()
-	w.f.states[id] = w.UID
-	w.f.mu.Unlock()
+	w.f.keepState(id, w)
 	rw.WriteHeader(http.StatusAccepted)
 	io.WriteString(rw, `{"cached_tokens":0}`)
 }
@@ -116,12 +128,7 @@
 
 func (w *Worker) write(rw http.ResponseWriter, req *http.Request, id string, s Script) {
 	f := w.f
-	f.mu.Lock()
-	_, ok := f.states[id]
-	delete(f.states, id)
-	delete(f.places, id)
-	f.mu.Unlock()
-	if !ok {
+	if !f.fetch(id, w) {
 		rw.Header().Set("X-Not-Processed", "1")
 		rw.WriteHeader(http.StatusGone)
 		return
@@ -195,25 +202,81 @@
 	}
 }
 
+// holdUnknown is after how long a place is answered that is not known.
+const holdUnknown = 300 * time.Millisecond
+
 func (w *Worker) hold(rw http.ResponseWriter, method, id string) {
 	f := w.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if method == "DELETE" {
 		w.Releases++
-		f.unpin(id)
-		delete(f.states, id)
-		delete(f.places, id)
+		f.letGo(id)
 		rw.WriteHeader(http.StatusNoContent)
 		return
 	}
 	w.Holds++
-	switch {
-	case !f.reading[id]:
-		rw.WriteHeader(http.StatusNoContent)
-	case f.places[id] != "":
-		rw.WriteHeader(http.StatusConflict)
-	default:
-		f.places[id] = w.UID
+	if f.reads[id] > 0 {
+		f.places[id] = w.UID // another worker's place is given up with it
+		return
+	}
+	f.mu.Unlock()
+	time.Sleep(holdUnknown)
+	f.mu.Lock()
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+// Freeze has a worker stop running, as a process that is stopped does: connections come up, what is
+// written to them waits, and nothing is noticed. Thaw has it go on.
+func (w *Worker) Freeze() {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	w.frozen = make(chan struct{})
+}
+
+// Thaw has a frozen worker run again: what waits in its sockets is begun.
+func (w *Worker) Thaw() { w.resume(false) }
+
+// Join ends a cut that Freeze began: connections are reset, and nothing that was written meanwhile arrives.
+func (w *Worker) Join() { w.resume(true) }
+
+func (w *Worker) resume(reset bool) {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	w.resets = reset
+	close(w.frozen)
+	w.frozen = nil
+}
+
+// awaitThaw waits while the worker is frozen, and tells whether it was.
+func (w *Worker) awaitThaw() bool {
+	w.f.mu.Lock()
+	frozen := w.frozen
+	w.f.mu.Unlock()
+	if frozen == nil {
+		return false
+	}
+	select {
+	case <-frozen:
+	case <-w.f.closed:
+	}
+	w.f.mu.Lock()
+	reset := w.resets
+	w.f.mu.Unlock()
+	if reset {
+		panic(http.ErrAbortHandler)
 	}
+	return true
 }
+
+// beginClosed has a worker that runs again begin a request whose connection was closed meanwhile. A read
+// ends before the close is noticed; a write waits in the queue until it is.
+func (w *Worker) beginClosed(id string) {
+	if w.Kind == Prompt {
+		time.Sleep(shortRead)
+		w.f.keepState(id, w)
+	}
+}
+
+// shortRead is what a read takes that ends before its worker notices the close of its connection.
+const shortRead = 10 * time.Millisecond
