Held state has one owner, and leaves it by proof alone

Cause: (H1) the driver emptied its list of what is held as it sent a release, so that the release at a write's end found nothing, after the one of checkArrival had been spared by the write that was out; (H2) a release that followed a write's end at once overtook its close, and was never made again; (H3, H6) nothing was owed to a worker that hung or was cut off. All three are one mistake: what was sent was taken for done. Lines: call.go letGo, closedReads, releaseAgain, release. Change: internal/heldstate, a pure ledger, keeps each entry until the answer's first event, or a release that was answered while no attempt was out and each server whose connection was closed had been heard since. Its calls: one for a request that was never called off; two where an attempt was (25 ms and half the pin limit after it), one more for each server that is heard late, and one probe out to each unheard server for each router. What is owed outlives its request, and a stop until 100 ms before the earliest kill. The guard counts what is forgotten without proof.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -49,6 +49,7 @@
 	Tokens   int
 	Body     json.RawMessage // of one-stage work that is done
 	Detail   string          // why, for the log
+	Cut      bool            // the connection ended before the answer had come whole: its server may not have noticed
 }
 
 // Held is a state or place that may be held for a request.
@@ -57,9 +58,19 @@
 // Place answers a request for a place.
 type Place int
 
-// The answers. What is Unknown may be held all the same.
+// The answers. What is Unknown may be held all the same; so may what is Unheard,
+// to which no answer came.
 const (
 	Unknown Place = iota
 	Granted
 	Denied
+	Unheard
 )
+
+// Released tells how a release went.
+type Released struct {
+	Taken  bool      // a server answered that it has let go
+	Server string    // which one
+	Sent   time.Time // when it was asked
+	Silent []string  // servers that were asked before it and did not answer
+}
--- a/internal/attempt/ended.go
+++ b/internal/attempt/ended.go
@@ -21,16 +21,16 @@
 // Ended maps an error of the connection to how the attempt ended; spoilt are
 // the errors of an answer that came and can't be read.
 func Ended(ctx context.Context, err error, spoilt ...error) Result {
-	r := Result{Outcome: gannethook.Broken, Detail: err.Error()}
+	r := Result{Outcome: gannethook.Broken, Detail: err.Error(), Cut: true}
 	var unsent NotSent
 	switch {
 	case errors.As(err, &unsent):
-		r.Outcome = gannethook.ConnectFailed
+		r.Outcome, r.Cut = gannethook.ConnectFailed, false
 		if unsent.Local {
 			r.Outcome = gannethook.NotTried
 		}
 	case ctx.Err() != nil:
-		r = Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error()}
+		r = Result{Outcome: gannethook.Cancelled, Detail: ctx.Err().Error(), Cut: true}
 	case slices.ContainsFunc(spoilt, func(bad error) bool { return errors.Is(err, bad) }):
 		r.Outcome = gannethook.Failed
 	}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -4,13 +4,13 @@
 	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"gannethook"
 	"gannethook/internal/attempt"
 	"gannethook/internal/guard"
+	"gannethook/internal/heldstate"
 )
 
 // Call is one request until its last attempt has ended. All but Abandon is the
@@ -33,15 +33,14 @@
 	final     Answer
 	ended     time.Time
 
-	key      string // of the last read
-	params   []byte // that its reader returned; nil once its state was let go
+	key      string   // of the last read
+	keys     []string // of all that may be held for it
+	params   []byte   // that its reader returned; nil once its state was let go
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
-	held     []attempt.Held // what may be held, and where, until it is let go
-	letting  chan struct{}  // closed once the last release of a named request has gone out; nil: none has
-	releases int            // how often all was let go: tells late grants
-	lets     []time.Time    // when something was, for the log
-	reads    int            // prompts read for it, and tokens of these that were found kept
+	releases int         // how often all was let go: tells late grants
+	lets     []time.Time // when something was, for the log
+	reads    int         // prompts read for it, and tokens of these that were found kept
 	kept     float64
 }
 
@@ -49,6 +48,7 @@
 	n      int
 	server gannethook.ServerID
 	reads  bool
+	key    string // of what it may leave or take; "": nothing is held for it
 	out    bool
 	cancel context.CancelFunc
 	sent   *attempt.Mark
@@ -125,7 +125,6 @@
 	}
 	switch {
 	case a.reads:
-		c.held = append(c.held, attempt.Held{Addr: string(s.Server), Key: c.key})
 		c.reader = s.Server
 	case c.oneStage():
 		c.reader = s.Server
@@ -148,8 +147,7 @@
 	if s.Timeout > 0 {
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
-	// A release lets go of all that a named request holds, also of what comes after it: it goes first.
-	before := c.letting
+	before := c.beginHolding(a)
 	c.d.work.Go(func() {
 		if before != nil {
 			select {
@@ -199,7 +197,7 @@
 	if r.Outcome == gannethook.Cancelled && c.effect() != guard.Safe {
 		// A refusal goes by another connection and may overtake the close: as far as the server knows the
 		// attempt is out until that has arrived.
-		c.d.pause(closeGrace)
+		c.d.pause(heldstate.NoticeGrace)
 	}
 	c.d.post(func() {
 		a.via = call.Via
@@ -245,7 +243,7 @@
 	}
 	c.streaming, c.first, c.writer = true, time.Now(), a.server
 	c.d.tell(gannethook.Streaming{ID: c.id, Attempt: a.n, Server: a.server})
-	c.releaseRest()
+	c.takenByStream()
 	return true
 }
 
@@ -267,6 +265,7 @@
 	c.out--
 	c.d.loose = append(c.d.loose, c)
 	a.cancel()
+	c.endHolding(a, r)
 	ev := gannethook.Ended{ID: c.id, Attempt: n, Server: a.server, Outcome: r.Outcome, NoState: r.NoState, Kept: r.Kept,
 		Reported: r.Reported, Memory: r.Memory}
 	switch {
@@ -292,145 +291,6 @@
 	}
 }
 
-// hold asks for a place on a goroutine of its own. A grant that comes after all
-// was let go is let go as well.
-func (c *Call) hold(w gannethook.ServerID) {
-	n := len(c.attempts) - 1
-	if n < 0 || c.key == "" {
-		return
-	}
-	call := &attempt.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
-		Class: c.job.ClassName, Sent: c.attempts[n].sent}
-	reader, epoch, h := string(c.reader), c.releases, attempt.Held{Addr: string(w), Key: c.key}
-	c.held = append(c.held, h)
-	c.d.work.Go(func() {
-		place := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
-		if !c.d.post(func() { c.granted(h, n, epoch, place) }) {
-			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), []attempt.Held{h})
-		}
-	})
-}
-
-// granted takes the answer to a hold that was asked for during attempt n. One
-// that is late is let go, also where the answer streams: it may have been
-// granted after the stream had come in without it.
-func (c *Call) granted(h attempt.Held, n, epoch int, place attempt.Place) {
-	if c.forgotten || epoch != c.releases {
-		switch {
-		case place == attempt.Denied:
-		case c.job.Name != "" && c.out > 0 && !c.streaming:
-			c.held = append(c.held, h) // to let go by the name would let go of what the attempt is about to leave
-		default:
-			c.letGo([]attempt.Held{h})
-		}
-		return
-	}
-	if place == attempt.Denied {
-		c.held = slices.DeleteFunc(c.held, func(o attempt.Held) bool { return o == h })
-	}
-	// A named request has one place at most: while it is not known whether it is held, no other is asked for.
-	if c.attempts[n].out && (place != attempt.Unknown || c.job.Name == "") {
-		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: place == attempt.Granted})
-	}
-}
-
-// release lets go of all that may be held.
-func (c *Call) release() {
-	c.letGo(c.held)
-	c.held, c.params = nil, nil
-	c.releases++
-}
-
-// releaseRest lets go, as a stream begins, of what it did not take: the state
-// has left its reader, and the place is the stream's. Servers that know a
-// request by its name let go of the rest themselves.
-func (c *Call) releaseRest() {
-	c.held = slices.DeleteFunc(c.held, func(h attempt.Held) bool {
-		return c.job.Name != "" || h.Key == c.key && (h.Addr == string(c.writer) || h.Addr == string(c.reader))
-	})
-	c.release()
-}
-
-// letGo tells the servers, once the attempts that have ended have left them: a
-// read that was called off may have ended well just before.
-func (c *Call) letGo(list []attempt.Held) {
-	if len(list) == 0 {
-		return
-	}
-	var ended []chan struct{}
-	for _, a := range c.attempts {
-		if !a.out && a.over != nil {
-			ended = append(ended, a.over)
-		}
-	}
-	gone := make(chan struct{})
-	if c.job.Name != "" {
-		c.letting = gone
-	}
-	c.lets = append(c.lets, time.Now())
-	outcomes := c.closedReads()
-	c.d.work.Go(func() {
-		for _, over := range ended {
-			<-over
-		}
-		if outcomes.calledOff {
-			c.d.pause(closeGrace)
-		}
-		c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) // which bounds its time
-		close(gone)
-		if outcomes.any {
-			c.d.pause(time.Duration(closePart * float64(c.set.PinLimit) * 1e6))
-			c.releaseAgain(list)
-		}
-	})
-}
-
-// How a release allows for a close that arrives late: a server hears that a read was
-// called off, or broke, only once the close has arrived. The release goes by another
-// connection and may overtake it; it then spares what the read waits for, or comes
-// before the read has ended well.
-const (
-	closeGrace = 25 * time.Millisecond // for which a release waits behind a close of this router's
-	closePart  = 0.5                   // part of the pin limit after which the close has surely arrived, with time left to let go
-)
-
-// closedReads are reads of a named request whose connections ended before their answers.
-type closedReads struct{ any, calledOff bool }
-
-func (c *Call) closedReads() (r closedReads) {
-	if c.job.Name == "" {
-		return r
-	}
-	for _, a := range c.attempts {
-		if !a.reads || a.out {
-			continue
-		}
-		switch a.outcome {
-		case gannethook.Cancelled, gannethook.TimedOut:
-			r = closedReads{any: true, calledOff: true}
-		case gannethook.Broken:
-			r.any = true
-		}
-	}
-	return r
-}
-
-// releaseAgain lets go once more if the request is over. One that goes on takes or
-// lets go of what was left itself, and what it holds by now may be needed.
-func (c *Call) releaseAgain(list []attempt.Held) {
-	again := func() {
-		c.d.work.Go(func() { c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), list) })
-	}
-	posted := c.d.post(func() {
-		if c.answered && !c.streaming { // nobody waits for what is still out
-			again()
-		}
-	})
-	if !posted { // the router has stopped: the request is over
-		again()
-	}
-}
-
 func (c *Call) summary() Summary {
 	s := Summary{ID: uint64(c.id), Name: c.job.Name, Session: c.job.SessionID, Class: c.job.ClassName, Reader: string(c.reader),
 		Writer: string(c.writer), Attempts: len(c.attempts), Tokens: c.final.Tokens, Outcome: c.final.Kind,
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,6 +17,7 @@
 	"gannethook/internal/attempt"
 	"gannethook/internal/faults"
 	"gannethook/internal/guard"
+	"gannethook/internal/heldstate"
 )
 
 // Config sets a driver up.
@@ -29,10 +30,13 @@
 	Inbox    int // events that may wait
 	MaxOpen  int // requests that may be open
 	Engines  Engines
-	Traced   bool           // summaries are logged: they tell of connections too
-	Guard    *guard.Monitor // counts what the module may not do; nil: nobody asks
-	Done     func(Summary)  // called on the driver's goroutine
+	Traced   bool            // summaries are logged: they tell of connections too
+	Guard    *guard.Monitor  // counts what the module may not do; nil: nobody asks
+	Tell     func(Kind) bool // whether the summary of a request that ended so is wanted; nil: of each
+	Done     func(Summary)   // called with it on the driver's goroutine
 	Took     func(time.Duration)
+	Owed     func(heldstate.Report)    // called for what has been owed for half of its time
+	Forgot   func(heldstate.Forgotten) // called for what left without proof that nothing is held
 }
 
 // Driver runs one router.
@@ -56,9 +60,15 @@
 	loose  []*Call // answered, or an attempt ended: perhaps to be forgotten
 	calls  map[gannethook.RequestID]*Call
 	roles  map[gannethook.ServerID]gannethook.Role
+	held   *heldstate.Ledger
+	wanted []string                 // keys of which all is to be let go, since the last event
+	going  map[string]chan struct{} // closed once the last release by a key has gone out
+	hearAt time.Time                // when servers that are in doubt are looked at next
 	timers timers
 	turn   uint64
 	over   bool // nothing more is taken
+
+	lingerUntil atomic.Pointer[time.Time] // until when Run lets go of what is held after its context has ended; nil: lingerShort
 }
 
 // New returns a driver; Run starts it.
@@ -76,7 +86,8 @@
 	d := &Driver{cfg: cfg, router: router, inbox: make(chan func(), max(cfg.Inbox, 1)), stopped: make(chan struct{}),
 		start: now, startMS: float64(wall.UnixMicro()) / 1000,
 		boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
-		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{}}
+		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{},
+		held: heldstate.New(), going: map[string]chan struct{}{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
 }
@@ -101,6 +112,7 @@
 	defer alarm.Stop()
 	for {
 		d.fireDue()
+		d.releaseDue()
 		alarm.Reset(d.nextAlarm())
 		select {
 		case f := <-d.inbox:
@@ -108,6 +120,7 @@
 		case <-alarm.C:
 		case <-ctx.Done():
 			d.failAll()
+			d.linger(alarm)
 			return
 		}
 	}
@@ -255,6 +268,9 @@
 		clear(d.roles)
 	}
 	for _, s := range m.Servers {
+		if s.State == gannethook.Gone {
+			d.held.Gone(string(s.ID), time.Now())
+		}
 		if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.set.Kinds) {
 			delete(d.roles, s.ID) // the module sends nothing there
 		} else {
@@ -349,16 +365,24 @@
 // settle forgets the requests that are answered and have no attempt out.
 func (d *Driver) settle() {
 	for _, c := range d.loose {
-		if !c.answered || c.forgotten || c.out > 0 {
+		if !c.answered || c.forgotten {
+			continue
+		}
+		if c.out > 0 {
+			if c.leftOut() {
+				c.owe()
+			}
 			continue
 		}
 		c.forgotten = true
+		c.owe()
 		delete(d.calls, c.id)
 		d.open.Add(-1)
-		if d.cfg.Done != nil {
+		if d.cfg.Done != nil && (d.cfg.Tell == nil || d.cfg.Tell(c.final.Kind)) {
 			d.cfg.Done(c.summary())
 		}
 	}
 	clear(d.loose)
 	d.loose = d.loose[:0]
+	d.settleHeld()
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -140,7 +140,14 @@
 	return attempt.Denied
 }
 
-func (f *fake) Release(_ context.Context, list []attempt.Held) {
+func (f *fake) Heard(string) time.Time { return time.Now() }
+
+func (f *fake) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
+	return f.Release(ctx, []attempt.Held{h})
+}
+
+func (f *fake) Release(_ context.Context, list []attempt.Held) attempt.Released {
+	sent := time.Now()
 	f.mu.Lock()
 	f.releasing = true
 	f.mu.Unlock()
@@ -155,6 +162,7 @@
 			f.let[k]++
 		}
 	}
+	return attempt.Released{Taken: true, Server: list[0].Addr, Sent: sent}
 }
 
 // sink records what a client would get.
--- /dev/null
+++ b/internal/driver/held.go
@@ -0,0 +1,266 @@
+package driver
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"gannethook"
+	"gannethook/internal/attempt"
+	"gannethook/internal/guard"
+	"gannethook/internal/heldstate"
+)
+
+// The ledger of internal/heldstate decides when what servers hold is released.
+// Here it is told what happened, and its calls are made.
+
+const (
+	hearEvery   = 20 * time.Millisecond // between two looks at whether servers in doubt were heard
+	lingerShort = 2 * time.Second       // for which Run lets go after its context has ended, where it is not told
+)
+
+// terms are those of what is held for the request.
+func (c *Call) terms() heldstate.Terms {
+	return heldstate.Terms{Request: cmp.Or(c.job.Name, strconv.FormatUint(uint64(c.id), 10)), Shared: c.job.Name != "",
+		Pin: time.Duration(float64(c.set.PinLimit) * float64(time.Millisecond))}
+}
+
+// beginHolding notes that an attempt is sent. It returns what closes once the attempt may be
+// written: a release lets go of all that a named request holds, also of what comes after it, and goes first.
+func (c *Call) beginHolding(a *try) (before chan struct{}) {
+	if c.oneStage() {
+		return nil
+	}
+	a.key = c.key
+	if len(c.keys) == 0 || c.keys[len(c.keys)-1] != c.key {
+		c.keys = append(c.keys, c.key)
+	}
+	d := c.d
+	d.makeReleases(d.held.Flush(a.key))
+	d.held.Began(a.key, c.terms(), string(a.server), a.reads)
+	return d.going[a.key]
+}
+
+// endHolding notes how an attempt ended.
+func (c *Call) endHolding(a *try, r attempt.Result) {
+	switch {
+	case a.key == "":
+	case a.reads:
+		c.d.held.ReadEnded(a.key, string(a.server), endOf(r), time.Now())
+	default:
+		c.d.held.WriteEnded(a.key, string(a.server), endOf(r), time.Now())
+	}
+}
+
+// endOf tells what an attempt's outcome means for what it may have left.
+func endOf(r attempt.Result) heldstate.End {
+	switch r.Outcome {
+	case gannethook.ConnectFailed, gannethook.NotTried:
+		return heldstate.NeverArrived
+	case gannethook.Full, gannethook.Moot:
+		return heldstate.TurnedAway
+	case gannethook.Cancelled, gannethook.TimedOut, gannethook.Broken:
+		return heldstate.Closed
+	}
+	if r.Cut {
+		return heldstate.Closed
+	}
+	return heldstate.Answered
+}
+
+// hold asks for a place on a goroutine of its own.
+func (c *Call) hold(w gannethook.ServerID) {
+	n := len(c.attempts) - 1
+	if n < 0 || c.key == "" {
+		return
+	}
+	call := &attempt.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
+		Class: c.job.ClassName, Sent: c.attempts[n].sent}
+	reader, epoch, h := string(c.reader), c.releases, attempt.Held{Addr: string(w), Key: c.key}
+	c.d.held.Asked(h.Key, c.terms(), h.Addr)
+	c.d.work.Go(func() {
+		place := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
+		if !c.d.post(func() { c.granted(h, n, epoch, place) }) {
+			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), []attempt.Held{h})
+		}
+	})
+}
+
+// granted takes the answer to a hold that was asked for during attempt n. Where all was let go meanwhile
+// the ledger has it let go as well.
+func (c *Call) granted(h attempt.Held, n, epoch int, place attempt.Place) {
+	end := heldstate.Answered
+	switch place {
+	case attempt.Denied:
+		end = heldstate.TurnedAway
+	case attempt.Unheard:
+		end = heldstate.Closed
+	}
+	c.d.held.Placed(h.Key, h.Addr, end, place != attempt.Denied, time.Now())
+	if c.forgotten || epoch != c.releases {
+		return
+	}
+	// A named request has one place at most: while it is not known whether it is held, no other is asked for.
+	known := place == attempt.Granted || place == attempt.Denied
+	if c.attempts[n].out && (known || c.job.Name == "") {
+		c.d.tell(gannethook.Held{ID: c.id, Attempt: n, OK: place == attempt.Granted})
+	}
+}
+
+// release has all let go that may be held.
+func (c *Call) release() {
+	c.params = nil
+	c.releases++
+	if c.key == "" {
+		return
+	}
+	c.lets = append(c.lets, time.Now())
+	c.d.makeReleases(c.d.held.Want(c.key, time.Now()))
+	c.d.wanted = append(c.d.wanted, c.key)
+}
+
+// takenByStream notes the first event of the answer, with which all goes that is held.
+func (c *Call) takenByStream() {
+	c.params = nil
+	c.releases++
+	c.d.hear()
+	c.d.held.Streaming(c.key, time.Now())
+}
+
+// owe has the ledger let go of all that is left of the request, now or later.
+func (c *Call) owe() {
+	for _, key := range c.keys {
+		c.d.held.Over(key, time.Now())
+	}
+}
+
+// leftOut tells whether an attempt stays out although the request is answered, as where nothing may be called off.
+func (c *Call) leftOut() bool {
+	return !c.streaming && slices.ContainsFunc(c.attempts, func(a *try) bool { return a.out && a.off == nil })
+}
+
+// settleHeld schedules the releases that were asked for, where no attempt has followed.
+func (d *Driver) settleHeld() {
+	for _, key := range d.wanted {
+		d.held.Settle(key, time.Now())
+	}
+	d.wanted = d.wanted[:0]
+}
+
+// hear tells the ledger which of the servers that are in doubt have answered.
+func (d *Driver) hear() {
+	now := time.Now()
+	for _, server := range d.held.Unheard() {
+		if sent := d.cfg.Engines.Heard(server); !sent.IsZero() {
+			d.held.Heard(server, sent, now)
+		}
+	}
+	d.hearAt = now.Add(hearEvery)
+}
+
+// releaseDue makes the releases that are due, and passes on what the ledger reports.
+func (d *Driver) releaseDue() {
+	if d.held.Owed() == 0 {
+		return
+	}
+	now := time.Now()
+	if !now.Before(d.hearAt) {
+		d.hear()
+	}
+	d.makeReleases(d.held.Due(now))
+	d.reportHeld()
+}
+
+func (d *Driver) reportHeld() {
+	for _, r := range d.held.Reports() {
+		if d.cfg.Owed != nil {
+			d.cfg.Owed(r)
+		}
+	}
+	for _, f := range d.held.Forgotten() {
+		d.cfg.Guard.Check(guard.Forget, guard.MayForget(guard.ForgetFacts{Stopped: f.Why == heldstate.Stopped,
+			TooOld: f.Why == heldstate.TooOld}), f.Request)
+		if d.cfg.Forgot != nil {
+			d.cfg.Forgot(f)
+		}
+	}
+}
+
+// nextRelease is in how long the ledger may have something to do.
+func (d *Driver) nextRelease() time.Duration {
+	if d.held.Owed() == 0 {
+		return time.Hour
+	}
+	in := time.Hour
+	if next := d.held.Next(); !next.IsZero() {
+		in = time.Until(next)
+	}
+	if len(d.held.Unheard()) > 0 {
+		in = min(in, time.Until(d.hearAt))
+	}
+	return in
+}
+
+// makeReleases makes releases on goroutines of their own.
+func (d *Driver) makeReleases(calls []heldstate.Call) {
+	for _, call := range calls {
+		list := make([]attempt.Held, 0, len(call.Servers))
+		for _, server := range call.Servers {
+			list = append(list, attempt.Held{Addr: server, Key: call.Key})
+		}
+		if call.Probe {
+			d.work.Go(func() {
+				r := d.cfg.Engines.ReleaseAt(context.WithoutCancel(d.ctx), list[0])
+				d.post(func() { d.released(call, r) })
+			})
+			continue
+		}
+		earlier, gone := d.going[call.Key], make(chan struct{})
+		d.going[call.Key] = gone
+		d.work.Go(func() {
+			r := d.cfg.Engines.Release(context.WithoutCancel(d.ctx), list)
+			if earlier != nil {
+				<-earlier
+			}
+			close(gone)
+			d.post(func() {
+				if d.going[call.Key] == gone {
+					delete(d.going, call.Key)
+				}
+				d.released(call, r)
+			})
+		})
+	}
+}
+
+func (d *Driver) released(call heldstate.Call, r attempt.Released) {
+	d.held.Released(call, heldstate.Result(r), time.Now())
+}
+
+// Linger sets until when Run goes on letting go of what is held after its context has ended.
+func (d *Driver) Linger(until time.Time) { d.lingerUntil.Store(&until) }
+
+// linger lets go of what is owed once the context has ended and all is answered, for as long as it may.
+func (d *Driver) linger(alarm *time.Timer) {
+	end := time.Now().Add(lingerShort)
+	if until := d.lingerUntil.Load(); until != nil {
+		end = *until
+	}
+	over := time.NewTimer(time.Until(end))
+	defer over.Stop()
+	for d.held.Owed() > 0 {
+		d.releaseDue()
+		alarm.Reset(max(d.nextRelease(), 0))
+		select {
+		case f := <-d.inbox:
+			d.run(f)
+		case <-alarm.C:
+		case <-over.C:
+			d.held.Stop(time.Now())
+			d.reportHeld()
+			return
+		}
+	}
+}
--- a/internal/driver/timers.go
+++ b/internal/driver/timers.go
@@ -43,10 +43,11 @@
 }
 
 func (d *Driver) nextAlarm() time.Duration {
-	if len(d.timers) == 0 {
-		return time.Hour
+	next := d.nextRelease()
+	if len(d.timers) > 0 {
+		next = min(next, time.Until(d.timers[0].at))
 	}
-	return max(time.Until(d.timers[0].at), 0)
+	return max(next, 0)
 }
 
 // fireDue lets due timers go off. They go before what waits in the inbox: a
--- a/internal/driver/types.go
+++ b/internal/driver/types.go
@@ -25,8 +25,12 @@
 	Write(ctx context.Context, call *attempt.Call, started func() bool, token func([]byte) bool) attempt.Result
 	// Hold asks for a place for what reader is about to read; call.Sent, if set, is that read's.
 	Hold(ctx context.Context, call *attempt.Call, reader string) attempt.Place
-	// Release lets go, with tries again of its own; it ends in bounded time.
-	Release(ctx context.Context, list []attempt.Held)
+	// Release lets go of what is held under one key, with tries again of its own; it ends in bounded time.
+	Release(ctx context.Context, list []attempt.Held) attempt.Released
+	// ReleaseAt asks one server alone, once, and waits for it longer.
+	ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released
+	// Heard is when the last call was sent that a server has answered; zero: not known.
+	Heard(server string) time.Time
 }
 
 // Decider decides; gannethook.Router does. A baseline may stand in for it in comparisons.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -306,7 +306,7 @@
 	status, err := c.extension(ctx, "POST", PlacesPath, call, body)
 	switch {
 	case err != nil:
-		return attempt.Unknown
+		return attempt.Unheard
 	case status == 201:
 		return attempt.Granted
 	}
@@ -318,23 +318,30 @@
 	releasePause = 20 * time.Millisecond // after the first, then doubled: a dial may fail at once
 )
 
-// Release tells the servers to let go, several times if need be: an engine that
-// can't be reached at all lets go by itself, when it dies or by its own limit.
-func (c *Client) Release(ctx context.Context, list []attempt.Held) {
-	var wg sync.WaitGroup
-	for _, h := range list {
-		wg.Go(func() {
-			for try := range releaseTries {
-				if c.release(ctx, h) == nil {
-					return
-				}
-				time.Sleep(releasePause << try)
-			}
-		})
+// Release tells an engine to let go, several times if need be. Each engine knows only what it holds itself: the
+// list names one. An engine that can't be reached at all is asked again later by whoever keeps account.
+func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
+	if len(list) == 0 {
+		return attempt.Released{Taken: true, Sent: time.Now()}
+	}
+	for try := range releaseTries {
+		if r := c.ReleaseAt(ctx, list[0]); r.Taken {
+			return r
+		}
+		time.Sleep(releasePause << try)
 	}
-	wg.Wait()
+	return attempt.Released{}
 }
 
+// ReleaseAt tells an engine to let go, once.
+func (c *Client) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
+	sent := time.Now()
+	return attempt.Released{Taken: c.release(ctx, h) == nil, Server: h.Addr, Sent: sent}
+}
+
+// Heard is not known beside what a release tells.
+func (c *Client) Heard(string) time.Time { return time.Time{} }
+
 // release lets an engine's state and place of a read go. Unknown ones count as let go.
 func (c *Client) release(ctx context.Context, h attempt.Held) error {
 	ctx, cancel := context.WithTimeout(ctx, c.lim.Extension)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,13 +29,16 @@
 	StillOut              // an earlier attempt with an effect has no outcome yet
 	MayHaveRun            // an earlier attempt may have run
 	Unanswered            // a request was taken and has no answer
+	HeldAtStop            // something may be held as the router's time to end is over
+	HeldTooLong           // something may be held at servers that were not heard for minutes
+	HeldTooMany           // something may be held, and there is no room to owe more
 	reasons
 )
 
 func (r Reason) String() string {
 	return [reasons]string{"allowed", "called off", "server not listed", "server draining", "deadline passed", "key window passed",
 		"client gone", "id already open", "already answered", "already streaming", "earlier attempt still out",
-		"earlier attempt may have run", "request unanswered"}[r]
+		"earlier attempt may have run", "request unanswered", "held at the stop", "held for too long", "too much held"}[r]
 }
 
 // Action is what the guard is asked about.
@@ -48,11 +51,12 @@
 	Write                // its first byte is about to be written
 	Refuse               // a client is told that nothing was done
 	Close                // a client's connection is closed
+	Forget               // what may be held for a request is forgotten without proof
 	actions
 )
 
 func (a Action) String() string {
-	return [actions]string{"start", "send", "write", "refuse", "close"}[a]
+	return [actions]string{"start", "send", "write", "refuse", "close", "forget"}[a]
 }
 
 // Effect is what running a request twice does.
@@ -173,3 +177,20 @@
 	}
 	return Allowed
 }
+
+// ForgetFacts are those of what a server may hold for a request, and of which it is not proven that it was let go.
+type ForgetFacts struct {
+	Stopped bool // the router ends, and its time is over
+	TooOld  bool // no server that may hold it could be heard for as long as anything is owed
+}
+
+// MayForget tells why it is forgotten. It is never allowed: each time is counted and reported.
+func MayForget(f ForgetFacts) Reason {
+	switch {
+	case f.Stopped:
+		return HeldAtStop
+	case f.TooOld:
+		return HeldTooLong
+	}
+	return HeldTooMany
+}
--- /dev/null
+++ b/internal/heldstate/release.go
@@ -0,0 +1,238 @@
+package heldstate
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Due returns the releases to be made now.
+func (l *Ledger) Due(now time.Time) []Call {
+	var calls []Call
+	for _, e := range slices.Clone(l.owed) {
+		if now.Sub(e.owedAt) > maxAge {
+			l.forget(e, TooOld, now)
+			continue
+		}
+		l.report(e, now)
+		if e.releasing == 0 && !e.next.IsZero() && !e.next.After(now) && l.inFlight < maxReleases {
+			calls = append(calls, l.release(e)...)
+		}
+	}
+	return append(calls, l.dueProbes(now)...)
+}
+
+// dueProbes returns a call to each server that entries wait to hear, if none is
+// out: the release of one of them, which that server alone is to answer.
+func (l *Ledger) dueProbes(now time.Time) []Call {
+	var calls []Call
+	for _, server := range l.Unheard() {
+		u := l.unheard[server]
+		if u.probing || u.next.After(now) || l.probes >= maxProbes {
+			continue
+		}
+		// A release by the key of a request that goes on would let go of what it needs.
+		i := slices.IndexFunc(u.entries, func(e *entry) bool { return e.waitsToHear() })
+		if i >= 0 {
+			u.probing = true
+			l.probes++
+			calls = append(calls, Call{Key: u.entries[i].key, Servers: []string{server}, Probe: true})
+		}
+	}
+	return calls
+}
+
+// waitsToHear tells whether an entry that is owed has nothing else to wait for.
+func (e *entry) waitsToHear() bool {
+	return !e.owedAt.IsZero() && e.releasing == 0 && e.next.IsZero()
+}
+
+// Next is when Due may have something; zero: when something else has come.
+func (l *Ledger) Next() time.Time {
+	var next time.Time
+	sooner := func(t time.Time) {
+		if !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, e := range l.owed {
+		if e.releasing == 0 && l.inFlight < maxReleases {
+			sooner(e.next)
+		}
+		if !e.reported {
+			sooner(e.owedAt.Add(e.evidenceAfter()))
+		}
+	}
+	if len(l.owed) > 0 && l.probes < maxProbes {
+		for _, u := range l.unheard {
+			if !u.probing && slices.ContainsFunc(u.entries, (*entry).waitsToHear) {
+				sooner(u.next)
+			}
+		}
+	}
+	return next
+}
+
+// Result is how a call went.
+type Result struct {
+	Taken  bool      // a server answered that it has let go
+	Server string    // which one
+	Sent   time.Time // when it was asked
+	Silent []string  // servers that were asked before it and did not answer
+}
+
+// Released notes how a call went.
+func (l *Ledger) Released(c Call, r Result, now time.Time) {
+	if r.Taken {
+		l.Heard(r.Server, r.Sent, now)
+	}
+	if c.Probe {
+		l.probed(c.Servers[0], r.Taken, now)
+		return
+	}
+	l.inFlight--
+	e := l.entries[c.Key]
+	if e == nil {
+		return
+	}
+	e.releasing--
+	if !r.Taken {
+		e.retry = min(max(2*e.retry, firstRetry), maxRetry)
+		l.schedule(e, now)
+		if !e.owedAt.IsZero() {
+			e.next = now.Add(e.retry)
+		}
+		return
+	}
+	e.retry = 0
+	e.calls++
+	if (e.out == 0 || e.streamed) && e.asking == 0 && len(e.doubts) == 0 && !r.Sent.Before(e.settledAt) {
+		l.let(e, r, now)
+	}
+	l.schedule(e, now)
+}
+
+// let takes out what a release that nothing waited beside has let go of. One
+// server takes it for all where the entry is shared, but may not have reached
+// one that is cut off: a holder that was asked and did not answer is in doubt.
+func (l *Ledger) let(e *entry, r Result, now time.Time) {
+	if !e.terms.Shared {
+		e.letGo(r.Server)
+		return
+	}
+	holders := e.holders
+	e.holders = nil
+	for _, server := range holders {
+		if slices.Contains(r.Silent, server) {
+			e.hold(server)
+			l.doubt(e, doubt{server, now}, now)
+		}
+	}
+}
+
+// probed notes the end of a probe.
+func (l *Ledger) probed(server string, answered bool, now time.Time) {
+	l.probes--
+	u := l.unheard[server]
+	if u == nil {
+		return
+	}
+	u.probing = false
+	if answered {
+		u.retry = 0
+		u.next = now.Add(NoticeGrace)
+	} else {
+		u.retry = min(max(2*u.retry, firstProbe), maxProbe)
+		u.next = now.Add(u.retry)
+	}
+	if len(u.entries) == 0 {
+		delete(l.unheard, server)
+	}
+}
+
+// Heard notes that a server answered a call that was sent at a time. It ran
+// since: it notices what was closed before within the grace.
+func (l *Ledger) Heard(server string, sent, now time.Time) {
+	u := l.unheard[server]
+	if u == nil {
+		return
+	}
+	for _, e := range slices.Clone(u.entries) {
+		l.resolve(e, server, now, func(d doubt) bool { return !sent.Before(d.since.Add(e.grace())) })
+	}
+}
+
+// Gone notes that a server has left the list, or has started anew: nothing
+// waits there, and nothing is held there.
+func (l *Ledger) Gone(server string, now time.Time) {
+	if u := l.unheard[server]; u != nil {
+		for _, e := range slices.Clone(u.entries) {
+			l.resolve(e, server, now, func(doubt) bool { return true })
+		}
+	}
+	for _, e := range slices.Clone(l.owed) {
+		if !e.terms.Shared && slices.Contains(e.holders, server) {
+			e.letGo(server)
+			l.schedule(e, now)
+		}
+	}
+}
+
+// resolve ends an entry's doubts about a server.
+func (l *Ledger) resolve(e *entry, server string, now time.Time, ended func(doubt) bool) {
+	was := len(e.doubts)
+	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return d.server == server && ended(d) })
+	if len(e.doubts) == was {
+		return
+	}
+	if !slices.ContainsFunc(e.doubts, func(d doubt) bool { return d.server == server }) {
+		l.forgetDoubt(e, server)
+	}
+	e.settledAt = later(e.settledAt, now.Add(e.grace()))
+	e.hold(server) // what it noticed late may have left something behind
+	l.schedule(e, now)
+}
+
+// Unheard is which servers entries wait to hear, in order.
+func (l *Ledger) Unheard() []string { return slices.Sorted(maps.Keys(l.unheard)) }
+
+// Stop forgets all that is owed.
+func (l *Ledger) Stop(now time.Time) {
+	for _, e := range slices.Clone(l.owed) {
+		l.forget(e, Stopped, now)
+	}
+}
+
+func (l *Ledger) forget(e *entry, why Why, now time.Time) {
+	l.forgot = append(l.forgot, Forgotten{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Servers: e.where(), Why: why})
+	l.drop(e)
+}
+
+// Forgotten returns what left without proof since the last call.
+func (l *Ledger) Forgotten() []Forgotten {
+	list := l.forgot
+	l.forgot = nil
+	return list
+}
+
+func (e *entry) evidenceAfter() time.Duration { return time.Duration(evidencePart * float64(e.pin())) }
+
+// report notes an entry that has been owed for half of its time, once.
+func (l *Ledger) report(e *entry, now time.Time) {
+	if e.reported || now.Sub(e.owedAt) < e.evidenceAfter() {
+		return
+	}
+	e.reported = true
+	r := Report{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Releases: e.calls, Holders: slices.Clone(e.holders)}
+	for _, d := range e.doubts {
+		r.Unheard = append(r.Unheard, d.server)
+	}
+	l.reports = append(l.reports, r)
+}
+
+// Reports returns the entries that have been owed for half of their time since the last call.
+func (l *Ledger) Reports() []Report {
+	list := l.reports
+	l.reports = nil
+	return list
+}
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -12,6 +12,9 @@
 	"gannethook/internal/streamdrain"
 )
 
+// lastReleases is how long before the kill a router ends although something may still be held for a request.
+const lastReleases = 100 * time.Millisecond
+
 // stop answers all that was taken. New connections keep coming for a while, and
 // are taken; what comes late is answered before the kill. A second signal changes
 // nothing, since work is still owed.
@@ -20,6 +23,7 @@
 	kill := min(time.Duration(p.GiveUp*1e6), longestGrace) + killAfter
 	plan := streamdrain.NewPlan(kill, p.Resume)
 	r.clients.Drain(kill - lastAnswers)
+	r.driver.Linger(from.Add(kill - lastReleases))
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -42,6 +42,7 @@
 	c      *Client
 	addr   string
 	conn   *connpool.Conn
+	sent   time.Time // when its first byte was written, at the earliest
 	res    *http1.Response
 	body   *http1.Body
 	stop   func() bool
@@ -70,7 +71,7 @@
 	if call.Traced {
 		call.Via = cn.String()
 	}
-	x := &exchange{c: c, addr: addr, conn: cn}
+	x := &exchange{c: c, addr: addr, conn: cn, sent: time.Now()}
 	x.closed = make(chan struct{})
 	x.stop = context.AfterFunc(ctx, func() { // closing calls the work off
 		cn.Close()
@@ -94,7 +95,7 @@
 		}
 		return nil, err
 	}
-	c.answered(id, cn)
+	c.answered(id, cn, x.sent)
 	return x, nil
 }
 
@@ -200,8 +201,8 @@
 // statusResult maps an answer that is neither a state nor a stream to an outcome.
 func (x *exchange) statusResult() attempt.Result {
 	status, notRun := x.res.Status, x.res.Header.Get("X-Not-Processed") == "1"
-	x.discard()
-	r := attempt.Result{Outcome: gannethook.Failed, Detail: "status " + strconv.Itoa(status)}
+	err := x.discard()
+	r := attempt.Result{Outcome: gannethook.Failed, Detail: "status " + strconv.Itoa(status), Cut: err != nil}
 	switch {
 	case status == 410 && notRun:
 		r.Outcome, r.NoState = gannethook.Full, true
@@ -253,7 +254,7 @@
 // stream passes events on, each as it comes; only the last chunk makes the answer whole.
 func (x *exchange) stream(ctx context.Context, started func() bool, token func([]byte) bool) attempt.Result {
 	if !x.body.Chunked() || !strings.HasPrefix(x.res.Header.Get("Content-Type"), "text/event-stream") {
-		return attempt.Result{Outcome: gannethook.Failed, Detail: "the answer is not a stream in chunks"}
+		return attempt.Result{Outcome: gannethook.Failed, Detail: "the answer is not a stream in chunks", Cut: true}
 	}
 	x.body.Bound(maxChunk)
 	events := http1.NewRawEvents(idleReader{x})
@@ -266,7 +267,7 @@
 		}
 		switch {
 		case len(text) == 0 && n == 0:
-			return attempt.Result{Outcome: gannethook.Failed, Detail: "the stream has no event"}
+			return attempt.Result{Outcome: gannethook.Failed, Detail: "the stream has no event", Cut: true}
 		case len(text) > 0 && n == 0 && !started():
 			return attempt.Result{Outcome: gannethook.Cancelled, Detail: "ended before its first event"}
 		case len(text) > 0 && !token(text):
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,10 +26,12 @@
 	case errors.As(err, &unsent):
 		return attempt.Denied
 	case err != nil:
-		return attempt.Unknown
+		return attempt.Unheard
 	}
 	status := x.res.Status
-	x.discard()
+	if x.discard() != nil {
+		return attempt.Unheard
+	}
 	switch status {
 	case 200:
 		return attempt.Granted
@@ -45,37 +48,58 @@
 	hedgeGrowth     = 8                     // and the one after that an eighth later, so that lost workers cost few calls
 	releasePause    = 5 * time.Millisecond  // after a try that failed at once,
 	maxReleasePause = 50 * time.Millisecond // doubled up to this
+	probeWithin     = time.Second           // for which one worker alone is waited for
 )
 
-// Release lets go of everything held for the requests. Any worker takes it, so
+// Release lets go of everything held for a request. Any worker takes it, so
 // those that may hold something are asked first, then those heard last.
-func (c *Client) Release(ctx context.Context, list []attempt.Held) {
-	if faults.Broken(faults.BreakRelease) {
-		return
+func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
+	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
+		return attempt.Released{Taken: true, Sent: time.Now()}
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
 	defer cancel()
-	var names []string
-	var first []string
+	first := make([]string, 0, len(list))
 	for _, h := range list {
-		if !slices.Contains(names, h.Key) {
-			names = append(names, h.Key)
-		}
 		first = append(first, h.Addr)
 	}
-	for _, name := range names {
-		c.releaseOne(ctx, name, first)
+	return c.releaseOne(ctx, list[0].Key, first)
+}
+
+// ReleaseAt asks one worker alone to let go of everything held for a request: what counts is to hear it. Where
+// it hangs, the call waits for it.
+func (c *Client) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	sent, ok := c.release(ctx, h.Addr, h.Key)
+	return attempt.Released{Taken: ok, Server: h.Addr, Sent: sent}
+}
+
+// Heard is when the last call was sent that a worker has answered; zero: it has answered none.
+func (c *Client) Heard(id string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		return w.asked
 	}
+	return time.Time{}
+}
+
+// taken is how one worker took a release.
+type taken struct {
+	id   string
+	sent time.Time
+	ok   bool
 }
 
 // releaseOne asks one worker after another until one has let go of all that a
 // request holds, or the time is over. Whoever has failed lately is asked last.
-func (c *Client) releaseOne(ctx context.Context, name string, first []string) {
+func (c *Client) releaseOne(ctx context.Context, name string, first []string) attempt.Released {
 	ctx, cancel := context.WithCancel(ctx) // ends the tries that are still out
 	var tries sync.WaitGroup
 	defer tries.Wait()
 	defer cancel()
-	results := make(chan bool)
+	results := make(chan taken)
 	asked := map[string]int{}
 	hedge := releaseHedge
 	for pause := releasePause; ctx.Err() == nil; {
@@ -86,16 +110,19 @@
 		}
 		asked[id]++
 		tries.Go(func() {
-			released := c.release(ctx, id, name)
+			each, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
+			defer cancel()
+			sent, ok := c.release(each, id, name)
 			select {
-			case results <- released:
+			case results <- taken{id, sent, ok}:
 			case <-ctx.Done():
 			}
 		})
 		select {
-		case released := <-results:
-			if released {
-				return
+		case by := <-results:
+			if by.ok {
+				delete(asked, by.id)
+				return attempt.Released{Taken: true, Server: by.id, Sent: by.sent, Silent: slices.Collect(maps.Keys(asked))}
 			}
 			pause = sleep(ctx, pause)
 		case <-time.After(hedge):
@@ -103,6 +130,7 @@
 		case <-ctx.Done():
 		}
 	}
+	return attempt.Released{}
 }
 
 // sleep pauses, and returns the next pause.
@@ -156,20 +184,19 @@
 	return a.heard.After(b.heard)
 }
 
-// release asks one worker.
-func (c *Client) release(ctx context.Context, id, name string) bool {
-	ctx, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
-	defer cancel()
-	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, &attempt.Call{Key: name})
+// release asks one worker, and tells when.
+func (c *Client) release(ctx context.Context, id, name string) (sent time.Time, ok bool) {
+	call := &attempt.Call{Key: name}
+	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, call)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) { // else another worker was quicker
 			c.missed(id)
 		}
-		return false
+		return time.Time{}, false
 	}
-	ok := x.res.Status/100 == 2
-	x.discard()
-	return ok
+	ok = x.res.Status/100 == 2
+	sent = x.sent
+	return sent, x.discard() == nil && ok
 }
 
 // missed notes that a worker did not take a release.
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -36,7 +36,7 @@
 }
 
 // answered notes that a worker answered on a connection.
-func (c *Client) answered(id string, cn *connpool.Conn) {
+func (c *Client) answered(id string, cn *connpool.Conn, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.byID[id]
@@ -44,6 +44,9 @@
 		return
 	}
 	w.heard = time.Now()
+	if sent.After(w.asked) {
+		w.asked = sent
+	}
 	if cn.Unused > 0 {
 		w.stats.Kept++
 	}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -38,6 +38,7 @@
 	boot     float64
 	draining bool      // nothing new may begin
 	heard    time.Time // when it last answered anything
+	asked    time.Time // when the last call was sent that it has answered
 	missed   time.Time // when it last failed to take a release
 	stats    Stats
 }
