Evidence at the default level: requests that were not served, and what is still held

The operators' logs were empty: at info nothing told of a request. Each request that was refused, failed or whose client left has its line now (attempts, workers, times, reasons, releases), and each entry owed for half of its pin limit; at most 10 lines a second and 200 at once, with the count of those left out. Suites of internal/platform pass.

--- /dev/null
+++ b/internal/platform/evidence.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gannethook/internal/driver"
+	"gannethook/internal/heldstate"
+)
+
+// Lines of requests that ended badly, at the level that the router ships with. They are bounded: on an overloaded day
+// most requests may be refused, and a line costs as much as some decisions.
+const (
+	evidencePerSecond = 10  // lines in the mean
+	evidenceBurst     = 200 // lines at once, after a quiet time
+)
+
+// evidence writes what an incident is worked from: each request that was not served, and what is held for longer than
+// it should be. All but account is the driver's goroutine's.
+type evidence struct {
+	log    *zap.Logger
+	traced bool // every request has its line
+	budget float64
+	at     time.Time
+	missed atomic.Int64 // lines that were not written for want of budget
+}
+
+func newEvidence(log *zap.Logger) *evidence {
+	return &evidence{log: log, traced: log.Core().Enabled(zap.DebugLevel), budget: evidenceBurst, at: time.Now()}
+}
+
+// tells whether a request that ended so has a line.
+func (e *evidence) tells(kind driver.Kind) bool {
+	return e.traced || kind != driver.Served && e.allows()
+}
+
+// allows takes one line from the budget.
+func (e *evidence) allows() bool {
+	now := time.Now()
+	e.budget = min(e.budget+evidencePerSecond*now.Sub(e.at).Seconds(), evidenceBurst)
+	e.at = now
+	if e.budget < 1 {
+		e.missed.Add(1)
+		return false
+	}
+	e.budget--
+	return true
+}
+
+// request writes one request's line.
+func (e *evidence) request(s driver.Summary) {
+	level := zap.InfoLevel
+	if s.Outcome == driver.Served {
+		level = zap.DebugLevel
+	}
+	if line := e.log.Check(level, "request"); line != nil {
+		line.Write(zap.String("id", s.Name), zap.String("class", s.Class), zap.String("session", s.Session), zap.Stringer("outcome", s.Outcome),
+			zap.String("reason", s.Reason), zap.Strings("ends", s.Ends), zap.Durations("let-go", s.Lets), zap.Float64("read", s.Read), zap.Float64("kept", s.Kept), zap.String("reader", s.Reader),
+			zap.String("writer", s.Writer), zap.Duration("first", s.FirstToken), zap.Duration("whole", s.Whole), zap.Int64("lines-not-written", e.missed.Load()))
+	}
+}
+
+// owed writes what has been owed for half of its time.
+func (e *evidence) owed(r heldstate.Report) {
+	if e.allows() {
+		e.log.Info("still held", zap.String("id", r.Request), zap.Duration("owed", r.Owed), zap.Int("releases", r.Releases),
+			zap.Strings("at", r.Holders), zap.Strings("unheard", r.Unheard))
+	}
+}
+
+// forgot writes what is given up.
+func (e *evidence) forgot(f heldstate.Forgotten) {
+	if e.allows() {
+		e.log.Warn("held, and given up", zap.String("id", f.Request), zap.Duration("owed", f.Owed), zap.Strings("at", f.Servers), zap.Stringer("why", f.Why))
+	}
+}
+
+// account writes how many lines the bound left out.
+func (e *evidence) account() {
+	if n := e.missed.Load(); n > 0 {
+		e.log.Info("lines of requests not written", zap.Int64("lines", n))
+	}
+}
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -12,13 +12,7 @@
 )
 
 // done logs one request.
-func (r *Router) done(s driver.Summary) {
-	if e := r.log.Check(zap.DebugLevel, "request"); e != nil {
-		e.Write(zap.String("id", s.Name), zap.String("class", s.Class), zap.String("session", s.Session), zap.Stringer("outcome", s.Outcome),
-			zap.String("reason", s.Reason), zap.Strings("ends", s.Ends), zap.Durations("let-go", s.Lets), zap.Float64("read", s.Read), zap.Float64("kept", s.Kept), zap.String("reader", s.Reader),
-			zap.String("writer", s.Writer), zap.Duration("first", s.FirstToken), zap.Duration("whole", s.Whole))
-	}
-}
+func (r *Router) done(s driver.Summary) { r.evidence.request(s) }
 
 // denied logs what the guard denied: a violation is a fault of this program.
 func (r *Router) denied(d guard.Denial) {
@@ -33,6 +27,7 @@
 
 // account logs, at the end, what was denied and why connections closed.
 func (r *Router) account() {
+	r.evidence.account()
 	r.log.Info("stopped", zap.Any("closed", r.clients.Closes()), zap.Any("denied", r.monitor.Counts()), zap.Int64("violations", r.monitor.Violations()))
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -44,21 +44,22 @@
 
 // Router is one router.
 type Router struct {
-	mu      sync.Mutex // guards cfg and list, and the order in which others are told of them
-	cfg     *config.Config
-	list    discovery.List // all that discovery told
-	env     func(string) string
-	log     *zap.Logger
-	driver  *driver.Driver
-	workers *workers.Client
-	clients *clients.Server
-	watch   *discovery.Watch
-	monitor *guard.Monitor
-	next    chan discovery.Source // discovery, as a new configuration has it
-	ready   atomic.Bool
-	reloads chan struct{} // the configuration is to be read again
-	listed  chan struct{} // closed with discovery's first answer
-	once    sync.Once
+	mu       sync.Mutex // guards cfg and list, and the order in which others are told of them
+	cfg      *config.Config
+	list     discovery.List // all that discovery told
+	env      func(string) string
+	log      *zap.Logger
+	driver   *driver.Driver
+	workers  *workers.Client
+	clients  *clients.Server
+	watch    *discovery.Watch
+	monitor  *guard.Monitor
+	evidence *evidence
+	next     chan discovery.Source // discovery, as a new configuration has it
+	ready    atomic.Bool
+	reloads  chan struct{} // the configuration is to be read again
+	listed   chan struct{} // closed with discovery's first answer
+	once     sync.Once
 }
 
 // New builds a router; Run starts it. env is the environment, which a reload reads again.
@@ -67,14 +68,12 @@
 		listed: make(chan struct{})}
 	r.monitor = guard.NewMonitor(r.denied)
 	r.workers = workers.New(workerLimits(cfg), r.monitor)
-	traced, done := log.Core().Enabled(zap.DebugLevel), r.done
-	if !traced { // a summary costs as much as some decisions
-		done = nil
-	}
+	traced := log.Core().Enabled(zap.DebugLevel)
+	r.evidence = newEvidence(log)
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
 		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Guard: r.monitor,
-		Traced: traced, Done: done})
+		Traced: traced, Tell: r.evidence.tells, Done: r.done, Owed: r.evidence.owed, Forgot: r.evidence.forgot})
 	if err != nil {
 		return nil, err
 	}
