--- /dev/null
+++ b/internal/heldstate/ledger_test.go
@@ -0,0 +1,462 @@
+package heldstate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var shared = Terms{Request: "r", Shared: true, Pin: 500 * ms}
+
+// clock is a ledger with a time that the test moves on.
+type clock struct {
+	t   *testing.T
+	l   *Ledger
+	now time.Time
+}
+
+func newClock(t *testing.T) *clock {
+	return &clock{t: t, l: New(), now: time.Unix(1000, 0)}
+}
+
+func (c *clock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+// due fails the test unless so many releases are due, and returns them.
+func (c *clock) due(n int) []Call {
+	c.t.Helper()
+	calls := c.l.Due(c.now)
+	if len(calls) != n {
+		c.t.Fatalf("%d releases due, %d expected: %+v", len(calls), n, calls)
+	}
+	return calls
+}
+
+// await moves the time on until a release is due.
+func (c *clock) await() Call {
+	c.t.Helper()
+	for !c.l.Next().IsZero() {
+		c.now = later(c.now, c.l.Next())
+		if calls := c.l.Due(c.now); len(calls) > 0 {
+			return calls[0]
+		}
+	}
+	c.t.Fatal("nothing more is due")
+	return Call{}
+}
+
+// take has a server answer a release at once.
+func (c *clock) take(call Call, server string) {
+	c.l.Released(call, Result{Taken: true, Server: server, Sent: c.now}, c.now)
+}
+
+func (c *clock) proven() {
+	c.t.Helper()
+	if c.l.Owed() != 0 || c.l.Len() != 0 || len(c.l.Unheard()) != 0 || !c.l.Next().IsZero() {
+		c.t.Fatalf("owed %d of %d, unheard %v, next %v", c.l.Owed(), c.l.Len(), c.l.Unheard(), c.l.Next())
+	}
+}
+
+// A request that is served, and one that nothing arrived of, cost no release.
+func TestNothingHeldNoRelease(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true)
+	c.l.Asked("k", shared, "writer")
+	c.l.Placed("k", "writer", Answered, true, c.now)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Began("k", shared, "writer", false)
+	c.l.Streaming("k", c.now)
+	c.l.WriteEnded("k", "writer", Answered, c.now)
+	c.l.Over("k", c.now)
+	c.proven()
+	for _, end := range []End{NeverArrived, TurnedAway} {
+		c.l.Began("k", shared, "reader", true)
+		c.l.ReadEnded("k", "reader", end, c.now)
+		c.l.Over("k", c.now)
+		c.proven()
+	}
+}
+
+// A state that nobody takes costs one release, made at once; what holds it is asked first.
+func TestStateThatNobodyTakes(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.due(0) // its request goes on
+	c.l.Over("k", c.now)
+	call := c.due(1)[0]
+	if !slices.Equal(call.Servers, []string{"reader"}) {
+		t.Errorf("%+v", call)
+	}
+	c.due(0) // it is out
+	c.take(call, "reader")
+	c.proven()
+}
+
+// A release that was sent while an attempt was out proves nothing: it is made again once the attempt has ended.
+func TestReleaseBesideAnAttemptProvesNothing(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Began("k", shared, "writer", false)
+	beside := c.l.Want("k", c.now)
+	if len(beside) != 1 {
+		t.Fatalf("%+v", beside)
+	}
+	c.take(beside[0], "reader")
+	c.pass(time.Second)
+	c.due(0)
+	c.l.WriteEnded("k", "writer", Answered, c.now)
+	c.l.Over("k", c.now)
+	c.take(c.due(1)[0], "reader")
+	c.proven()
+}
+
+// A release waits for a close to be noticed, and is made again in time: it may have overtaken the close.
+func TestCloseNoticedLate(t *testing.T) {
+	for _, pin := range []time.Duration{40 * ms, 250 * ms, 500 * ms, 0} {
+		c := newClock(t)
+		terms := shared
+		terms.Pin = pin
+		c.l.Began("k", terms, "reader", true)
+		c.l.ReadEnded("k", "reader", Answered, c.now)
+		c.l.Began("k", terms, "writer", false)
+		c.l.WriteEnded("k", "writer", Closed, c.now)
+		closed := c.now
+		c.l.Over("k", c.now)
+		c.due(0)
+		c.now = c.l.Next()
+		if after := c.now.Sub(closed); after != min(25*ms, (&entry{terms: terms}).pin()/4) {
+			t.Errorf("pin limit %v: the first release after %v", pin, after)
+		}
+		c.take(c.due(1)[0], "writer")
+		c.due(0)
+		c.now = c.l.Next()
+		if after := c.now.Sub(closed); after > (&entry{terms: terms}).pin()/2 {
+			t.Errorf("pin limit %v: the second release after %v", pin, after)
+		}
+		c.take(c.due(1)[0], "reader")
+		c.proven()
+	}
+}
+
+// unheardWriter leaves a state behind a writer that is silent, with both early releases made.
+func unheardWriter(c *clock) {
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Began("k", shared, "writer", false)
+	c.l.WriteEnded("k", "writer", Closed, c.now)
+	c.l.Over("k", c.now)
+	for range 2 {
+		c.take(c.await(), "reader")
+	}
+}
+
+// What a server that hangs may still wait for is owed until it runs again: one probe is out to it, and a release
+// follows once it has had time to notice the close.
+func TestHungServer(t *testing.T) {
+	c := newClock(t)
+	unheardWriter(c)
+	probe := c.due(1)[0]
+	if !probe.Probe || !slices.Equal(probe.Servers, []string{"writer"}) {
+		t.Fatalf("%+v", probe)
+	}
+	c.pass(10 * time.Second)
+	c.due(0)
+	c.l.Heard("writer", time.Unix(1000, 0), c.now) // it had answered this before it was closed
+	if c.l.Owed() != 1 || len(c.l.Unheard()) != 1 {
+		t.Fatal("an old answer was taken for a new one")
+	}
+	c.take(probe, "writer")
+	c.due(0)
+	c.pass(25 * ms)
+	c.take(c.due(1)[0], "reader")
+	c.proven()
+}
+
+// A server that was cut off is probed at a pace that hears it in time once it is back, and is not probed by each entry.
+func TestProbesAreBounded(t *testing.T) {
+	c := newClock(t)
+	for i := range 20 {
+		key, server := fmt.Sprint("k", i), fmt.Sprint("writer", i%2)
+		c.l.Began(key, shared, server, false)
+		c.l.WriteEnded(key, server, Closed, c.now)
+		c.l.Over(key, c.now)
+	}
+	probes, from := 0, c.now
+	for c.now.Sub(from) < 20*time.Second {
+		for _, call := range c.l.Due(c.now) {
+			if call.Probe {
+				probes++
+			}
+			c.l.Released(call, Result{Taken: !call.Probe, Server: "another", Sent: c.now}, c.now)
+		}
+		if next := c.l.Next(); next.Sub(c.now) > maxProbe {
+			t.Fatalf("next after %v", next.Sub(c.now))
+		}
+		c.now = c.l.Next()
+	}
+	if most := 2 * 20 * 3; probes > most {
+		t.Errorf("%d probes, %d at most", probes, most)
+	}
+	c.l.Gone("writer0", c.now)
+	c.l.Gone("writer1", c.now)
+	for c.l.Owed() > 0 && c.now.Sub(from) < time.Minute {
+		for _, call := range c.l.Due(c.now) {
+			c.take(call, "another")
+		}
+		c.now = c.l.Next()
+	}
+	if c.l.Owed() != 0 {
+		t.Errorf("%d still owed once their servers have gone", c.l.Owed())
+	}
+}
+
+// What a server may come to hold once it runs again outlives the stream that was served elsewhere.
+func TestStreamServedElsewhere(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "hung", true)
+	c.l.ReadEnded("k", "hung", Closed, c.now)
+	if flushed := c.l.Flush("k"); flushed != nil {
+		t.Errorf("nothing was to be let go: %+v", flushed)
+	}
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Began("k", shared, "writer", false)
+	c.l.Streaming("k", c.now)
+	c.pass(30 * ms)
+	probe := c.due(1)[0]
+	c.l.WriteEnded("k", "writer", Closed, c.now) // the client left: its stream waits for nothing
+	c.pass(time.Second)
+	c.take(probe, "hung")
+	c.pass(25 * ms)
+	c.take(c.due(1)[0], "writer")
+	c.proven()
+}
+
+// A place that is answered after its request has ended, or its answer begun, is let go; one that is denied is not.
+func TestPlaceAnsweredLate(t *testing.T) {
+	for _, streams := range []bool{false, true} {
+		for _, held := range []bool{false, true} {
+			c := newClock(t)
+			c.l.Began("k", shared, "reader", true)
+			c.l.Asked("k", shared, "writer")
+			c.l.ReadEnded("k", "reader", TurnedAway, c.now)
+			if streams {
+				c.l.Began("k", shared, "writer", false)
+				c.l.Streaming("k", c.now)
+			} else {
+				c.l.Over("k", c.now)
+				c.take(c.due(1)[0], "writer")
+			}
+			c.pass(100 * ms)
+			c.due(0)
+			c.l.Placed("k", "writer", Answered, held, c.now)
+			if held {
+				c.take(c.due(1)[0], "writer")
+			}
+			c.l.WriteEnded("k", "writer", Answered, c.now)
+			c.l.Over("k", c.now)
+			c.proven()
+		}
+	}
+}
+
+// A release that nobody takes is made again, at a growing distance, and is not given up with its request.
+func TestReleaseThatNobodyTakes(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Over("k", c.now)
+	for range 10 {
+		c.l.Released(c.await(), Result{}, c.now)
+		c.due(0)
+		if in := c.l.Next().Sub(c.now); in > maxRetry {
+			t.Fatalf("next in %v", in)
+		}
+	}
+	c.take(c.await(), "reader")
+	c.proven()
+}
+
+// One server takes a release for all; a holder that was asked and did not answer may not have got it.
+func TestHolderThatDidNotAnswer(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Over("k", c.now)
+	c.l.Released(c.due(1)[0], Result{Taken: true, Server: "another", Sent: c.now, Silent: []string{"reader"}}, c.now)
+	if c.l.Owed() != 1 {
+		t.Fatal("the holder was not heard, and nothing is owed")
+	}
+	c.pass(time.Second)
+	for c.l.Owed() > 0 && c.now.Before(time.Unix(1010, 0)) {
+		for _, call := range c.l.Due(c.now) {
+			c.take(call, call.Servers[0])
+		}
+		c.pass(ms)
+	}
+	c.proven()
+}
+
+// Servers that know only what they hold themselves are each told, until each has answered or has gone.
+func TestEachServerIsTold(t *testing.T) {
+	c := newClock(t)
+	terms := Terms{Request: "1", Pin: 500 * ms}
+	c.l.Began("k", terms, "reader", true)
+	c.l.Asked("k", terms, "writer")
+	c.l.Placed("k", "writer", Answered, true, c.now)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Over("k", c.now)
+	for _, call := range c.due(2) {
+		c.l.Released(call, Result{Taken: call.Servers[0] == "reader", Server: call.Servers[0], Sent: c.now}, c.now)
+	}
+	c.now = c.l.Next()
+	if call := c.due(1)[0]; call.Servers[0] != "writer" {
+		t.Errorf("%+v", call)
+	} else {
+		c.l.Released(call, Result{}, c.now)
+	}
+	c.l.Gone("writer", c.now)
+	c.proven()
+}
+
+// What is owed is bounded in number and age, and is told of: at half of its time, and when it is given up.
+func TestBoundsOfWhatIsOwed(t *testing.T) {
+	c := newClock(t)
+	for i := range maxOwed + 3 {
+		key := fmt.Sprint("k", i)
+		c.l.Began(key, shared, "reader", true)
+		c.l.ReadEnded(key, "reader", Answered, c.now)
+		c.l.Over(key, c.now)
+	}
+	if f := c.l.Forgotten(); c.l.Owed() != maxOwed || len(f) != 3 || f[0].Key != "k0" || f[0].Why != TooMany {
+		t.Errorf("%d owed, %d forgotten", c.l.Owed(), len(f))
+	}
+	if n := len(c.l.Due(c.now)); n != maxReleases {
+		t.Errorf("%d releases out", n)
+	}
+	c.pass(250 * ms)
+	c.l.Due(c.now)
+	if r := c.l.Reports(); len(r) != maxOwed || r[0].Owed != 250*ms {
+		t.Errorf("%d reports", len(r))
+	}
+	c.pass(maxAge)
+	c.l.Due(c.now)
+	if f := c.l.Forgotten(); c.l.Owed() != 0 || len(f) != maxOwed || f[0].Why != TooOld {
+		t.Errorf("%d owed, %d forgotten", c.l.Owed(), len(f))
+	}
+}
+
+// simulated is one server as the platform's pages have it: it notices closes late, and nothing while it hangs.
+type simulated struct {
+	hangsUntil time.Time
+	waits      map[string]time.Time // writes in its queue by key, and when their close has arrived; far off: they are out
+}
+
+// By whatever way requests end, and whichever servers hang, nothing stays held: the ledger's releases are played
+// against servers that spare what an attempt waits for until they notice its close.
+func TestNothingStaysHeld(t *testing.T) {
+	for seed := range uint64(300) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		c := newClock(t)
+		far := c.now.Add(time.Hour)
+		servers := map[string]*simulated{"reader": {waits: map[string]time.Time{}}, "writer": {waits: map[string]time.Time{}}}
+		states := map[string]time.Time{} // by key, when each began to be held with no attempt out
+		running := func(s *simulated) bool { return !c.now.Before(s.hangsUntil) }
+		waitedFor := func(key string) bool {
+			for _, s := range servers {
+				if until, ok := s.waits[key]; ok && (c.now.Before(until) || !running(s)) {
+					return true
+				}
+			}
+			return false
+		}
+		type step struct {
+			at time.Time
+			do func()
+		}
+		var steps []step
+		after := func(d time.Duration, do func()) { steps = append(steps, step{c.now.Add(d), do}) }
+		for i := range 20 {
+			key := fmt.Sprint("k", i)
+			after(time.Duration(rnd.Int64N(int64(3*time.Second))), func() {
+				c.l.Began(key, shared, "reader", true)
+				c.l.ReadEnded(key, "reader", Answered, c.now)
+				states[key] = far
+				c.l.Began(key, shared, "writer", false)
+				servers["writer"].waits[key] = far
+				if rnd.IntN(2) == 0 {
+					after(450*ms, func() {
+						for _, call := range c.l.Want(key, c.now) {
+							after(ms, func() { c.take(call, "reader") }) // spared by the write
+						}
+					})
+				}
+				after(time.Duration(rnd.Int64N(int64(2*time.Second))), func() {
+					servers["writer"].waits[key] = c.now.Add(time.Duration(rnd.Int64N(int64(NoticeGrace))))
+					c.l.WriteEnded(key, "writer", Closed, c.now)
+					c.l.Over(key, c.now)
+				})
+			})
+		}
+		hang := time.Duration(rnd.Int64N(int64(3 * time.Second)))
+		after(hang, func() {
+			servers["writer"].hangsUntil = c.now.Add(time.Duration(rnd.Int64N(int64(3 * time.Second))))
+			for key, until := range servers["writer"].waits { // closes that are on their way are noticed once it runs
+				if until != far {
+					servers["writer"].waits[key] = servers["writer"].hangsUntil.Add(NoticeGrace / 2)
+				}
+			}
+		})
+		end := c.now.Add(12 * time.Second)
+		for ; c.now.Before(end); c.pass(ms) {
+			for i := 0; i < len(steps); i++ {
+				if !steps[i].at.After(c.now) {
+					do := steps[i].do
+					steps = slices.Delete(steps, i, i+1)
+					i--
+					do()
+				}
+			}
+			for key := range states {
+				if waitedFor(key) {
+					states[key] = far
+				} else if states[key] == far {
+					states[key] = c.now
+				} else if held := c.now.Sub(states[key]); held > 500*ms {
+					t.Fatalf("seed %d: %s is held for %v", seed, key, held)
+				}
+			}
+			for _, call := range c.l.Due(c.now) {
+				at := servers[call.Servers[0]]
+				if !call.Probe {
+					at = servers["reader"]
+				}
+				sent := c.now
+				var deliver func()
+				deliver = func() {
+					if !running(at) {
+						after(ms, deliver)
+						return
+					}
+					if !waitedFor(call.Key) {
+						delete(states, call.Key)
+					}
+					server := "reader"
+					if at == servers["writer"] {
+						server = "writer"
+					}
+					c.l.Released(call, Result{Taken: true, Server: server, Sent: sent}, c.now)
+				}
+				after(ms, deliver)
+			}
+		}
+		if len(states) > 0 || c.l.Owed() > 0 {
+			t.Fatalf("seed %d: held %v, owed %d", seed, states, c.l.Owed())
+		}
+	}
+}
