A release asks first who may hold something, and tells who of them was silent

A worker that took a release may not reach one that is cut off. The holder was asked first only where it had been heard within a second, so that after a longer write another was asked and believed.

--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,8 +50,8 @@
 	probeWithin     = time.Second           // for which one worker alone is waited for
 )
 
-// Release lets go of everything held for a request. Any worker takes it, so
-// those that may hold something are asked first, then those heard last.
+// Release lets go of everything held for a request. Any worker takes it; those that
+// may hold something are asked first, since the others may not reach them, then those heard last.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
 	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
 		return attempt.Released{Taken: true, Sent: time.Now()}
@@ -90,6 +89,8 @@
 	id   string
 	sent time.Time
 	ok   bool
+
+	askedFirst map[string]int // those that were asked before it
 }
 
 // releaseOne asks one worker after another until one has let go of all that a
@@ -114,15 +115,15 @@
 			defer cancel()
 			sent, ok := c.release(each, id, name)
 			select {
-			case results <- taken{id, sent, ok}:
+			case results <- taken{id: id, sent: sent, ok: ok}:
 			case <-ctx.Done():
 			}
 		})
 		select {
 		case by := <-results:
 			if by.ok {
-				delete(asked, by.id)
-				return attempt.Released{Taken: true, Server: by.id, Sent: by.sent, Silent: slices.Collect(maps.Keys(asked))}
+				by.askedFirst = asked
+				return attempt.Released{Taken: true, Server: by.id, Sent: by.sent, Silent: c.silent(first, by)}
 			}
 			pause = sleep(ctx, pause)
 		case <-time.After(hedge):
@@ -133,6 +134,20 @@
 	return attempt.Released{}
 }
 
+// silent is which of the workers that may hold something have not answered anything that was sent as late as
+// the release that another one took, although they are listed.
+func (c *Client) silent(holders []string, by taken) (list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range holders {
+		w := c.byID[id]
+		if id != by.id && w != nil && (w.missed.After(w.heard) || by.askedFirst[id] > 0) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // sleep pauses, and returns the next pause.
 func sleep(ctx context.Context, pause time.Duration) time.Duration {
 	select {
@@ -151,11 +166,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for candidate, w := range c.byID {
-		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr],
+		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr], holds: slices.Contains(first, candidate),
 			missed: now.Sub(w.missed) < missedLately && w.heard.Before(w.missed)}
-		if now.Sub(w.heard) < time.Second && slices.Contains(first, candidate) {
-			choice.heard = now
-		}
 		if !ok || choice.before(best) {
 			id, best, ok = candidate, choice, true
 		}
@@ -167,6 +179,7 @@
 type releaseChoice struct {
 	asked  int       // how often it was asked for this one
 	missed bool      // it has failed to take one lately
+	holds  bool      // it may hold something
 	unused bool      // a connection to it waits
 	heard  time.Time // when it last answered
 }
@@ -178,6 +191,8 @@
 		return a.asked < b.asked
 	case a.missed != b.missed:
 		return b.missed
+	case a.holds != b.holds:
+		return a.holds
 	case a.unused != b.unused:
 		return a.unused
 	}
--- a/internal/platform/workers/release_test.go
+++ b/internal/platform/workers/release_test.go
@@ -71,3 +71,23 @@
 		t.Error("nothing was released once the worker was back")
 	}
 }
+
+// A worker that may hold something and did not answer is told: another that took the release may not reach it.
+func TestReleaseTellsWhoWasSilent(t *testing.T) {
+	cl := client(t, 40, answering(t, func(nc net.Conn, _ *http.Request) { io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n") }))
+	cl.Update(false, []Worker{{ID: "holder", Addr: answering(t, func(net.Conn, *http.Request) {})}})
+	held := []attempt.Held{{Addr: "holder", Key: "r"}}
+	from := time.Now()
+	if r := cl.Release(context.Background(), held); !r.Taken || r.Server != "w" || len(r.Silent) != 1 || r.Silent[0] != "holder" || r.Sent.Before(from) {
+		t.Errorf("%+v", r)
+	}
+	if sent := cl.Heard("w"); sent.Before(from) || !cl.Heard("holder").IsZero() {
+		t.Errorf("heard at %v", sent)
+	}
+	if r := cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}}); !r.Taken || len(r.Silent) != 0 {
+		t.Errorf("%+v", r)
+	}
+	if r := cl.ReleaseAt(context.Background(), held[0]); r.Taken {
+		t.Errorf("%+v", r)
+	}
+}
