--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -9,6 +9,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/heldstate"
 )
@@ -62,6 +63,9 @@
 	case gannethook.Full, gannethook.Moot:
 		return heldstate.TurnedAway
 	case gannethook.Cancelled, gannethook.TimedOut, gannethook.Broken:
+		if faults.Broken(faults.BreakOvertake) {
+			return heldstate.Answered
+		}
 		return heldstate.Closed
 	}
 	if r.Cut {
@@ -116,6 +120,9 @@
 	if c.key == "" {
 		return
 	}
+	if faults.Broken(faults.BreakBeside) && c.out > 0 {
+		return
+	}
 	c.lets = append(c.lets, time.Now())
 	c.d.makeReleases(c.d.held.Want(c.key, time.Now()))
 	c.d.wanted = append(c.d.wanted, c.key)
@@ -131,6 +138,9 @@
 
 // owe has the ledger let go of all that is left of the request, now or later.
 func (c *Call) owe() {
+	if faults.Broken(faults.BreakForget) && len(c.lets) > 1 {
+		return
+	}
 	for _, key := range c.keys {
 		c.d.held.Over(key, time.Now())
 	}
@@ -153,6 +163,9 @@
 func (d *Driver) hear() {
 	now := time.Now()
 	for _, server := range d.held.Unheard() {
+		if faults.Broken(faults.BreakUnheard) {
+			d.held.Heard(server, now, now)
+		}
 		if sent := d.cfg.Engines.Heard(server); !sent.IsZero() {
 			d.held.Heard(server, sent, now)
 		}
@@ -236,6 +249,9 @@
 }
 
 func (d *Driver) released(call heldstate.Call, r attempt.Released) {
+	if !r.Taken && !call.Probe && faults.Broken(faults.BreakGiveUp) {
+		r = attempt.Released{Taken: true, Server: call.Servers[0], Sent: time.Now()}
+	}
 	d.held.Released(call, heldstate.Result(r), time.Now())
 }
 
--- a/internal/platform/clients/streamwriter.go
+++ b/internal/platform/clients/streamwriter.go
@@ -105,7 +105,7 @@
 		return 0, err
 	case wrote == nil:
 		return n, nil
-	case connpool.IsLocal(wrote): // what is left is written by flush
+	case connpool.IsLocal(wrote) && !faults.Broken(faults.BreakBuffers): // what is left is written by flush
 		return 0, nil
 	}
 	return 0, wrote
--- a/internal/platform/reload.go
+++ b/internal/platform/reload.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gannethook/internal/driver"
+	"gannethook/internal/faults"
 	"gannethook/internal/platform/clients"
 	"gannethook/internal/platform/config"
 	"gannethook/internal/platform/discovery"
@@ -104,7 +105,7 @@
 		err := r.takeUp()
 		switch {
 		case err == nil:
-		case time.Since(from) < reloadFor:
+		case time.Since(from) < reloadFor && !faults.Broken(faults.BreakReload):
 			if pause == firstReloadPause {
 				r.log.Error("the new configuration is not taken up", zap.Error(err))
 			}
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -47,6 +47,9 @@
 // refused just so, and all attempts would soon be used up.
 func (p *pool) acquire(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
 	until := time.Now().Add(p.lim.Load().Dial)
+	if faults.Broken(faults.BreakRoom) {
+		until = time.Now()
+	}
 	for pause := firstDialPause; ; pause = min(2*pause, maxDialPause) {
 		c, err := p.reserve(ctx, until, addr, control, fresh)
 		if err != nil {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -22,11 +22,12 @@
 
 // Habits of clients.
 const (
-	leastRest   = 20 * time.Millisecond
-	mostRest    = 250 * time.Millisecond
-	longRest    = 3 * time.Second // before now and then, so that idle connections age
-	answerGrace = 3 * time.Second // for which an answer is waited for after its time, to tell late from lost
-	streamGrace = 8 * time.Second
+	leastTimeout = 300 * time.Millisecond // but now and then less
+	leastRest    = 20 * time.Millisecond
+	mostRest     = 250 * time.Millisecond
+	longRest     = 3 * time.Second // before now and then, so that idle connections age
+	answerGrace  = 3 * time.Second // for which an answer is waited for after its time, to tell late from lost
+	streamGrace  = 8 * time.Second
 )
 
 var classes = []struct {
@@ -66,7 +67,7 @@
 			br = bufio.NewReader(nc)
 		}
 		class := classes[rnd.IntN(len(classes))]
-		timeout := 300*time.Millisecond + time.Duration(rnd.Int64N(int64(maxTimeout-300*time.Millisecond)))
+		timeout := leastTimeout + time.Duration(rnd.Int64N(int64(c.p.terms.Deadline-leastTimeout)))
 		if rnd.IntN(8) == 0 {
 			timeout = 30*time.Millisecond + time.Duration(rnd.Int64N(int64(200*time.Millisecond)))
 		}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -58,8 +57,8 @@
 	status   int
 	arrived  []arrival
 	heldAt   time.Duration // since when something is held with no attempt out; 0: nothing is
-	state    bool          // a prompt that was read waits for it
-	place    bool          // a place is held for it
+	stateAt  string        // where the state of its prompt waits; "": there is none
+	placeAt  string        // where a place is held for it
 	out      int
 }
 
@@ -89,6 +88,8 @@
 	ran       bool          // it may have had its effect
 	neverRan  bool          // the worker said so
 	wroteLast bool          // its stream was written to its end
+	fetched   bool          // a write that has passed its writer's queue: it waits for the state no more
+	lateBegun bool          // it waited in the socket of a worker that hung
 }
 
 // serverLife is a worker from one start to the next.
@@ -224,8 +225,8 @@
 	return len(q.arrived) - 1, true
 }
 
-// over notes how an attempt ended, as its worker sees it, and whether something waits for the request since.
-func (l *Ledger) over(id string, n int, change func(*arrival), holds bool) {
+// over notes how an attempt ended, as its worker sees it.
+func (l *Ledger) over(id string, n int, change func(*arrival)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
@@ -233,7 +234,6 @@
 	change(a)
 	a.over = l.Now()
 	q.out--
-	q.state = q.state || holds
 	if q.out == 0 && q.held() {
 		q.heldAt = a.over
 	}
@@ -246,111 +246,6 @@
 	l.requests[id].arrived[n].ran = true
 }
 
-// hold notes that a place is held for a request; it is false where no read is out.
-func (l *Ledger) hold(id string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	q := l.requests[id]
-	if q == nil || !q.readOut() {
-		return false
-	}
-	q.place = true
-	return true
-}
-
-// taken notes that an attempt took what was held, release that all was let go.
-func (l *Ledger) taken(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if q := l.requests[id]; q != nil {
-		q.state, q.place, q.heldAt = false, false, 0
-	}
-}
-
-// held tells whether something is held for a request, readOut whether a read of it is out.
-func (q *request) held() bool { return q.state || q.place }
-
-func (q *request) readOut() bool {
-	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return a.reads && a.over == 0 })
-}
-
-// release notes that all is let go but a place that a read which is out waits for.
-func (l *Ledger) release(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if q := l.requests[id]; q != nil {
-		l.unpin(q, "a release")
-		q.state = false
-		q.place = q.place && q.readOut()
-		if !q.held() {
-			q.heldAt = 0
-		}
-	}
-}
-
-// pinMost is the settings' pin limit and what the platform adds to it.
-const pinMost = pinLimit + 300*time.Millisecond
-
-// unpin judges for how long something was held with no attempt out.
-func (l *Ledger) unpin(q *request, by string) {
-	if !q.held() || q.heldAt == 0 {
-		return
-	}
-	if since := l.Now() - q.heldAt; since > pinMost+l.slack() && !l.routerDied(q) && !l.answerLost(q) {
-		l.breakLocked("pinned", q.id+" was held for "+since.Round(time.Millisecond).String()+", then came "+by)
-	}
-	q.heldAt = 0
-}
-
-// cut is a time in which a worker was cut off.
-type cut struct {
-	worker      string
-	from, until time.Duration
-}
-
-// cutOff notes that a worker is cut off from now on, and joined that it no longer is.
-func (l *Ledger) cutOff(worker string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cuts = append(l.cuts, &cut{worker: worker, from: l.Now(), until: math.MaxInt64})
-}
-
-func (l *Ledger) joined(worker string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.cuts {
-		if c.worker == worker && c.until == math.MaxInt64 {
-			c.until = l.Now()
-		}
-	}
-}
-
-// answerLost tells whether the last attempt that arrived was at a worker that was cut off as it ended: its answer
-// has not come, and on its open connection the attempt is still out.
-func (l *Ledger) answerLost(q *request) bool {
-	if len(q.arrived) == 0 {
-		return false
-	}
-	last := q.arrived[len(q.arrived)-1]
-	for _, c := range l.cuts {
-		if c.worker == last.worker && q.heldAt >= c.from && q.heldAt < c.until {
-			return true
-		}
-	}
-	return false
-}
-
-// routerDied tells whether the process that took a request was killed after it was
-// sent: what it held is then its workers' to let go.
-func (l *Ledger) routerDied(q *request) bool {
-	for _, life := range l.lives {
-		if life.router == q.router && life.life == q.life {
-			return life.killAt != 0 || life.crashed != ""
-		}
-	}
-	return true
-}
-
 // notifyStart notes that a router's process has been told a server's start. The first time counts.
 func (l *Ledger) notifyStart(router, life int, worker string, boot int64) {
 	l.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,7 +37,8 @@
 	// Workers.
 	Drain   Kind = "drain"   // drained and replaced
 	Cold    Kind = "cold"    // started anew, cold
-	Hang    Kind = "hang"    // requests are taken and not answered
+	Hang    Kind = "hang"    // they do not run: nothing is begun, answered or noticed until they do
+	Jam     Kind = "jam"     // queues do not move: what is taken waits
 	Silent  Kind = "silent"  // cut off: open connections say nothing, new ones stay silent
 	Refuse  Kind = "refuse"  // connections are refused
 	Resets  Kind = "resets"  // connections are reset under requests
@@ -57,7 +58,7 @@
 )
 
 // Kinds are all kinds of trouble.
-var Kinds = []Kind{Stop, Kill, Reload, HalfFile, Freeze, Signals, AgentMute, AgentReset, AgentSlow, Drain, Cold, Hang, Silent, Refuse, Resets,
+var Kinds = []Kind{Stop, Kill, Reload, HalfFile, Freeze, Signals, AgentMute, AgentReset, AgentSlow, Drain, Cold, Hang, Jam, Silent, Refuse, Resets,
 	Trickle, Spoil, Leave, Flood, Idle, Slow, Calls, Clock, Files}
 
 // systemKinds strike every router of a run from its start.
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -13,25 +13,31 @@
 
 // Times of the platform that no seed changes.
 const (
-	pinLimit   = 500 * time.Millisecond
-	warmAfter  = 6 * time.Second
-	coldFrom   = 0.1
-	overload   = 1.5
-	maxTimeout = 4 * time.Second // that clients wait
-	stopGrace  = 3700 * time.Millisecond
+	warmAfter = 6 * time.Second
+	coldFrom  = 0.1
+	overload  = 1.5
+
+	longestGrace = 3 * time.Second // of the longest deadline counts so much at most,
+	killAfter    = 700 * time.Millisecond
 )
 
+// stopGrace is how long after SIGTERM a process is killed: as early as the platform may.
+func (t Terms) stopGrace() time.Duration { return min(t.Deadline, longestGrace) + killAfter }
+
 // Terms are the settings of a run's customer that its seed draws.
 type Terms struct {
 	Holds, Cancel, Resume, Asked bool
 	MaxAttempts                  int
 	Sockets                      int
 	KeyWindow                    time.Duration
+	Deadline                     time.Duration // that clients wait at the most
+	Pin                          time.Duration // for how long something may be held with no attempt out
 }
 
 // NewTerms draws terms; one seed in three has the usual ones.
 func NewTerms(seed uint64) Terms {
-	t := Terms{Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond}
+	t := Terms{Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond,
+		Deadline: 4 * time.Second, Pin: 500 * time.Millisecond}
 	if seed%3 == 0 {
 		return t
 	}
@@ -40,18 +46,20 @@
 	t.MaxAttempts = []int{2, 3, 4, 7, 0}[rnd.IntN(5)]
 	t.Sockets = []int{64, 128, 256}[rnd.IntN(3)]
 	t.KeyWindow = []time.Duration{250 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond}[rnd.IntN(3)]
+	t.Deadline = []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}[rnd.IntN(3)]
+	t.Pin = []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second}[rnd.IntN(3)]
 	return t
 }
 
 func (t Terms) String() string {
-	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v", t.Holds, t.Cancel, t.Resume, t.Asked,
-		t.MaxAttempts, t.Sockets, t.KeyWindow)
+	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v, deadline %v, pin %v", t.Holds, t.Cancel, t.Resume, t.Asked,
+		t.MaxAttempts, t.Sockets, t.KeyWindow, t.Deadline, t.Pin)
 }
 
 // settings is the settings object of a router's configuration.
 func (t Terms) settings(routers int) json.RawMessage {
 	class := func(name, effect string, worth int, more map[string]any) map[string]any {
-		c := map[string]any{"aimMs": 1500, "effect": effect, "importance": worth, "name": name, "streamed": true, "deadlineMs": maxTimeout.Milliseconds()}
+		c := map[string]any{"aimMs": min(1500, t.Deadline.Milliseconds()/2), "effect": effect, "importance": worth, "name": name, "streamed": true, "deadlineMs": t.Deadline.Milliseconds()}
 		maps.Copy(c, more)
 		return c
 	}
@@ -64,7 +72,7 @@
 		"classes": []any{class("question", "pure", 3, nil), class("adjustment", "side_effect", 2, nil),
 			class("note", "token", 2, map[string]any{"group": "all", "windowMs": t.KeyWindow.Milliseconds()})},
 		"discovery": discovery,
-		"domain": map[string]any{"holdsAllowed": t.Holds, "kindRole": []string{"read", "write"}, "pinLimitMs": pinLimit.Milliseconds(), "resume": t.Resume,
+		"domain": map[string]any{"holdsAllowed": t.Holds, "kindRole": []string{"read", "write"}, "pinLimitMs": t.Pin.Milliseconds(), "resume": t.Resume,
 			"tokensByKind": []int{200000, 200000}},
 		"guarantees": map[string]any{"coldFrom": coldFrom, "overloadFactor": overload, "warmAfterMs": warmAfter.Milliseconds()},
 		"kinds":      []string{"prompt", "answer"}, "peersTotal": routers, "quantumMs": 4,
@@ -76,7 +84,6 @@
 type platform struct {
 	terms   Terms
 	ledger  *Ledger
-	states  *states
 	dir     string
 	workers []*worker
 
@@ -88,9 +95,9 @@
 }
 
 func newPlatform(dir string, seed uint64, routers, workers int, l *Ledger) (*platform, error) {
-	p := &platform{terms: NewTerms(seed), ledger: l, states: &states{at: map[string]string{}}, dir: dir, rev: 1}
+	p := &platform{terms: NewTerms(seed), ledger: l, dir: dir, rev: 1}
 	for i := range workers {
-		w, err := newWorker(fmt.Sprintf("w%d", i), i%2 == 0, seed+uint64(i), l, p.states)
+		w, err := newWorker(fmt.Sprintf("w%d", i), i%2 == 0, seed+uint64(i), l)
 		if err != nil {
 			return p, err
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -192,7 +192,7 @@
 	r.signal(syscall.SIGTERM)
 	select {
 	case <-done:
-	case <-time.After(stopGrace):
+	case <-time.After(r.p.terms.stopGrace()):
 		r.noteSignal(&life.killAt)
 		r.signal(syscall.SIGKILL)
 		<-done
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -56,12 +56,7 @@
 		return Result{}, err
 	}
 	playAll(ctx, p, plan, cfg)
-	var ends sync.WaitGroup
-	for _, r := range p.routers {
-		ends.Go(r.finish)
-	}
-	ends.Wait()
-	time.Sleep(pinMost) // so that what is still held shows
+	time.Sleep(l.terms.Pin + allowance) // so that what is still held shows
 	return l.result(plan), nil
 }
 
@@ -128,6 +123,7 @@
 	}
 	pause(ctx, max(plan.Length-p.ledger.Now(), 0))
 	troubles.Wait()
+	each(p.routers, func(_ int, r *process) { r.finish() }) // clients go on using what stays open until the kill
 	cancel()
 	asking.Wait()
 }
@@ -212,7 +208,7 @@
 			p.restart(w)
 			pause(ctx, 100*time.Millisecond)
 		}
-	case Hang, Spoil:
+	case Hang, Jam, Spoil:
 		for _, w := range workers {
 			w.set(t.Kind, true)
 		}
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -19,46 +19,27 @@
 	uid    string
 	reads  bool
 	ledger *Ledger
-	states *states
 	server *http.Server
 	ln     net.Listener
 
-	mu    sync.Mutex
-	rnd   *rand.Rand
-	life  *serverLife
-	state string
-	boot  int64 // Unix ms; 0: long ago
-	rev   int64
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	life    *serverLife
+	state   string
+	boot    int64 // Unix ms; 0: long ago
+	rev     int64
+	running int // attempts in slots
+	queued  int // attempts that wait for one
 
-	hangs, spoils, trickles atomic.Bool
+	hangs, jams, spoils, trickles atomic.Bool
 }
 
-// states are where the prompts that were read wait, by request.
-type states struct {
-	mu sync.Mutex
-	at map[string]string
-}
-
-func (s *states) put(id, worker string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.at[id] = worker
-}
-
-func (s *states) take(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.at[id]
-	delete(s.at, id)
-	return ok
-}
-
-func newWorker(uid string, reads bool, seed uint64, l *Ledger, s *states) (*worker, error) {
+func newWorker(uid string, reads bool, seed uint64, l *Ledger) (*worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{uid: uid, reads: reads, ledger: l, states: s, ln: ln, state: "SERVING", rnd: rand.New(rand.NewPCG(seed, 3))}
+	w := &worker{uid: uid, reads: reads, ledger: l, ln: ln, state: "SERVING", rnd: rand.New(rand.NewPCG(seed, 3))}
 	w.start(-1)
 	w.server = &http.Server{Handler: w}
 	go w.server.Serve(ln)
@@ -84,6 +65,8 @@
 	switch kind {
 	case Hang:
 		w.hangs.Store(on)
+	case Jam:
+		w.jams.Store(on)
 	case Spoil:
 		w.spoils.Store(on)
 	case Trickle:
@@ -99,9 +82,34 @@
 	return least + time.Duration(w.rnd.Int64N(int64(most-least)))
 }
 
+// Bounds and times of a worker.
+const (
+	slots       = 12 // attempts that run at once; past these they wait,
+	queueMost   = 24 // and past these they are turned away
+	workerLook  = 2 * time.Millisecond
+	noticeMost  = 25 * time.Millisecond // a close is noticed so late at the most
+	holdUnknown = 300 * time.Millisecond
+)
+
+// awaitRun waits while the worker hangs: it begins nothing and notices nothing. It tells whether it had to.
+func (w *worker) awaitRun() bool {
+	hung := w.hangs.Load()
+	for w.hangs.Load() {
+		time.Sleep(workerLook)
+	}
+	return hung
+}
+
+// notice waits until the worker notices that an attempt's connection was closed.
+func (w *worker) notice() {
+	w.awaitRun()
+	time.Sleep(w.pause(0, noticeMost))
+}
+
 // ServeHTTP answers as a worker of the platform does.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	if id, ok := strings.CutPrefix(req.URL.Path, "/v1/holds/"); ok {
+		w.awaitRun()
 		w.holds(rw, req, id)
 		return
 	}
@@ -109,11 +117,12 @@
 	if _, err := io.ReadAll(req.Body); err != nil {
 		return
 	}
+	hung := w.awaitRun()
 	told, _ := strconv.ParseInt(req.Header.Get("X-Timeout-Ms"), 10, 64)
 	w.mu.Lock()
 	life := w.life
 	w.mu.Unlock()
-	a := arrival{worker: w.uid, reads: w.reads, toldMS: told}
+	a := arrival{worker: w.uid, reads: w.reads, toldMS: told, lateBegun: hung}
 	if w.trickles.Load() {
 		a.transit = trickled
 	}
@@ -123,11 +132,62 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	end := func(*arrival) {}
+	defer func() { w.ledger.over(id, n, end) }()
+	if !w.enter(req) {
+		end = func(a *arrival) { a.neverRan = true }
+		if req.Context().Err() != nil {
+			w.notice()
+			return
+		}
+		rw.Header().Set("X-Not-Processed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer w.leave()
 	if w.reads {
-		w.read(rw, req, id, n)
+		w.read(rw, req, id)
 		return
 	}
-	w.write(rw, req, id, n)
+	end = w.write(rw, req, id, n)
+}
+
+// enter waits in the queue until a slot is free, and the queue moves. It is false where the attempt is turned
+// away, or its router gave up meanwhile.
+func (w *worker) enter(req *http.Request) bool {
+	w.mu.Lock()
+	if w.queued >= queueMost {
+		w.mu.Unlock()
+		return false
+	}
+	w.queued++
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.queued--
+		w.mu.Unlock()
+	}()
+	for {
+		w.mu.Lock()
+		free := w.running < slots && !w.jams.Load() && !w.hangs.Load()
+		if free {
+			w.running++
+		}
+		w.mu.Unlock()
+		if free {
+			return true
+		}
+		w.awaitRun()
+		if !wait(req, workerLook) {
+			return false
+		}
+	}
+}
+
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running--
 }
 
 // wait waits; it is false where the router gave up first.
@@ -136,27 +196,24 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return req.Context().Err() == nil
 	case <-req.Context().Done():
 		return false
 	}
 }
 
-// hang waits until the router gives up.
-func hang(req *http.Request) { <-req.Context().Done() }
-
-func (w *worker) read(rw http.ResponseWriter, req *http.Request, id string, n int) {
-	if w.hangs.Load() {
-		hang(req)
-		w.ledger.over(id, n, func(*arrival) {}, false)
-		return
-	}
-	if !wait(req, w.pause(3*time.Millisecond, 60*time.Millisecond)) {
-		w.ledger.over(id, n, func(*arrival) {}, false)
+// read reads a prompt. Where it is called off it may have ended well before the worker notices.
+func (w *worker) read(rw http.ResponseWriter, req *http.Request, id string) {
+	called := wait(req, w.pause(3*time.Millisecond, 60*time.Millisecond))
+	w.awaitRun()
+	if !called {
+		if w.pause(0, 2) == 0 {
+			w.ledger.keep(id, w.uid)
+		}
+		w.notice()
 		return
 	}
-	w.states.put(id, w.uid)
-	w.ledger.over(id, n, func(*arrival) {}, true) // before the answer: the next attempt may arrive as soon as it is read
+	w.ledger.keep(id, w.uid)
 	rw.WriteHeader(http.StatusAccepted)
 	io.WriteString(rw, `{"cached_tokens":0}`)
 }
@@ -167,38 +224,36 @@
 	eventGap   = 25 * time.Millisecond
 )
 
-func (w *worker) write(rw http.ResponseWriter, req *http.Request, id string, n int) {
-	end := func(*arrival) {}
-	defer func() { w.ledger.over(id, n, end, false) }()
-	took := w.states.take(id)
-	w.ledger.taken(id) // also where a release came between the attempt's arrival and now: nothing is left
-	if !took {
-		end = func(a *arrival) { a.neverRan = true }
+// write fetches the state and streams an answer. It returns what its end is noted by.
+func (w *worker) write(rw http.ResponseWriter, req *http.Request, id string, n int) func(*arrival) {
+	nothing := func(*arrival) {}
+	if !w.ledger.fetch(id, w.uid) {
 		rw.Header().Set("X-Not-Processed", "1")
 		rw.WriteHeader(http.StatusGone)
-		return
+		return func(a *arrival) { a.neverRan = true }
 	}
 	w.ledger.ran(id, n)
-	if w.hangs.Load() {
-		hang(req)
-		return
-	}
-	if !wait(req, w.pause(3*time.Millisecond, 80*time.Millisecond)) {
-		return
+	called := wait(req, w.pause(3*time.Millisecond, 80*time.Millisecond))
+	w.awaitRun()
+	if !called {
+		w.notice()
+		return nothing
 	}
 	if w.spoils.Load() && w.pause(0, 2) == 0 {
 		spoil(rw)
-		return
+		return nothing
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := range 1 + int(w.pause(0, mostEvents)) {
+		w.awaitRun()
 		fmt.Fprintf(rw, "data: {\"id\":\"%s\",\"n\":%d}\n\n", id, event)
 		rw.(http.Flusher).Flush()
 		if !wait(req, eventGap) {
-			return
+			w.notice()
+			return nothing
 		}
 	}
-	end = func(a *arrival) { a.wroteLast = true }
+	return func(a *arrival) { a.wroteLast = true }
 }
 
 // spoil writes what can't be read and leaves the connection open for a while.
@@ -216,15 +271,15 @@
 func (w *worker) holds(rw http.ResponseWriter, req *http.Request, id string) {
 	switch req.Method {
 	case "DELETE":
-		w.states.take(id)
-		w.ledger.release(id)
+		w.ledger.release(id, w.uid)
 		rw.WriteHeader(http.StatusNoContent)
 	case "POST":
-		if w.hangs.Load() {
-			hang(req)
-			return
-		}
-		if !w.ledger.hold(id) {
+		switch {
+		case w.ledger.hold(id, w.uid, w.pause(0, 4) > 0):
+		case w.pause(0, 2) == 0:
+			rw.WriteHeader(http.StatusConflict)
+		default:
+			time.Sleep(holdUnknown)
 			rw.WriteHeader(http.StatusNoContent)
 		}
 	default:
