Every worker that may hold something is asked to let go, not one for all

Now each listed holder is asked in turn, and one that does not answer stays in doubt; a write that was called off makes its writer no holder. The second release comes at 0.4 of the pin limit, so that a line "still held" (at half) tells of something.

--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -27,7 +27,7 @@
 	NoticeGrace = 25 * time.Millisecond
 
 	defaultPin   = 500 * time.Millisecond // taken where the settings name no limit
-	repeatPart   = 0.5                    // part of the pin limit after which a release that proved nothing is made again
+	repeatPart   = 0.4                    // part of the pin limit after which a release that proved nothing is made again
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
 	firstRetry = 50 * time.Millisecond // after a release that nobody took; doubled each time
@@ -96,6 +96,7 @@
 type doubt struct {
 	server string
 	since  time.Time
+	leaves bool // once it notices it may have left something there
 }
 
 // Ledger keeps the entries. It is not safe for concurrent use.
@@ -216,7 +217,7 @@
 		if end.leavesNothing() {
 			e.letGo(server)
 		}
-		l.ended(e, server, end, now)
+		l.ended(e, doubt{server, now, true}, end)
 	}
 }
 
@@ -229,7 +230,7 @@
 	case e.streamed: // nothing waits for it
 		l.schedule(e, now)
 	default:
-		l.ended(e, server, end, now)
+		l.ended(e, doubt{server, now, false}, end)
 	}
 }
 
@@ -255,16 +256,18 @@
 	case e.streamed: // what was held went with the stream, but this came without it
 		e.hold(server)
 	}
-	l.ended(e, server, end, now)
+	l.ended(e, doubt{server, now, true}, end)
 }
 
-// ended notes the end of an attempt, or of the asking for a place.
-func (l *Ledger) ended(e *entry, server string, end End, now time.Time) {
+// ended notes the end of an attempt, or of the asking for a place; d is the doubt that it leaves if its connection
+// was closed.
+func (l *Ledger) ended(e *entry, d doubt, end End) {
+	now := d.since
 	if end != NeverArrived {
 		e.quietAt, e.settledAt, e.calls = now, later(e.settledAt, now), 0
 	}
 	if end == Closed {
-		l.doubt(e, doubt{server, now}, now.Add(e.grace()))
+		l.doubt(e, d, now.Add(e.grace()))
 	}
 	l.schedule(e, now)
 }
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -125,7 +125,7 @@
 	for _, server := range holders {
 		if slices.Contains(r.Silent, server) {
 			e.hold(server)
-			l.doubt(e, doubt{server, now}, now)
+			l.doubt(e, doubt{server, now, true}, now)
 		}
 	}
 }
@@ -180,8 +180,12 @@
 
 // resolve ends an entry's doubts about a server.
 func (l *Ledger) resolve(e *entry, server string, now time.Time, ended func(doubt) bool) {
-	was := len(e.doubts)
-	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool { return d.server == server && ended(d) })
+	was, leaves := len(e.doubts), false
+	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool {
+		over := d.server == server && ended(d)
+		leaves = leaves || over && d.leaves
+		return over
+	})
 	if len(e.doubts) == was {
 		return
 	}
@@ -189,7 +193,9 @@
 		l.forgetDoubt(e, server)
 	}
 	e.settledAt = later(e.settledAt, now.Add(e.grace()))
-	e.hold(server) // what it noticed late may have left something behind
+	if leaves {
+		e.hold(server)
+	}
 	l.schedule(e, now)
 }
 
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -89,26 +89,29 @@
 	id   string
 	sent time.Time
 	ok   bool
-
-	askedFirst map[string]int // those that were asked before it
 }
 
 // releaseOne asks one worker after another until one has let go of all that a
-// request holds, or the time is over. Whoever has failed lately is asked last.
-func (c *Client) releaseOne(ctx context.Context, name string, first []string) attempt.Released {
+// request holds, and those that may hold it have been asked as well, or the time
+// is over. Whoever has failed lately is asked last.
+func (c *Client) releaseOne(ctx context.Context, name string, holders []string) attempt.Released {
 	ctx, cancel := context.WithCancel(ctx) // ends the tries that are still out
 	var tries sync.WaitGroup
 	defer tries.Wait()
 	defer cancel()
 	results := make(chan taken)
-	asked := map[string]int{}
+	asked, answered := map[string]int{}, map[string]bool{}
+	var first taken // that took it
 	hedge := releaseHedge
 	for pause := releasePause; ctx.Err() == nil; {
-		id, ok := c.nextToRelease(first, asked)
+		id, ok := c.nextToRelease(holders, asked)
 		if !ok { // no worker is listed just now
 			pause = sleep(ctx, pause)
 			continue
 		}
+		if first.ok && (asked[id] > 0 || !slices.Contains(holders, id)) {
+			break
+		}
 		asked[id]++
 		tries.Go(func() {
 			each, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
@@ -121,27 +124,33 @@
 		})
 		select {
 		case by := <-results:
-			if by.ok {
-				by.askedFirst = asked
-				return attempt.Released{Taken: true, Server: by.id, Sent: by.sent, Silent: c.silent(first, by)}
+			switch {
+			case !by.ok:
+				pause = sleep(ctx, pause)
+			case !first.ok:
+				first = by
+				fallthrough
+			default:
+				answered[by.id] = true
 			}
-			pause = sleep(ctx, pause)
 		case <-time.After(hedge):
 			hedge += hedge / hedgeGrowth
 		case <-ctx.Done():
 		}
 	}
-	return attempt.Released{}
+	if !first.ok {
+		return attempt.Released{}
+	}
+	return attempt.Released{Taken: true, Server: first.id, Sent: first.sent, Silent: c.silent(holders, asked, answered)}
 }
 
-// silent is which of the workers that may hold something have not answered anything that was sent as late as
-// the release that another one took, although they are listed.
-func (c *Client) silent(holders []string, by taken) (list []string) {
+// silent is which of the workers that may hold something have not answered a release, although they are listed.
+func (c *Client) silent(holders []string, asked map[string]int, answered map[string]bool) (list []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range holders {
 		w := c.byID[id]
-		if id != by.id && w != nil && (w.missed.After(w.heard) || by.askedFirst[id] > 0) {
+		if !answered[id] && w != nil && (w.missed.After(w.heard) || asked[id] > 0) {
 			list = append(list, id)
 		}
 	}
