--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -97,7 +97,7 @@
 	if !q.held() || q.heldAt == 0 {
 		return
 	}
-	from := max(q.heldAt, l.cutEnd(q.stateAt), l.cutEnd(q.placeAt))
+	from := max(q.heldAt, l.cutEnd(q.stateAt), l.cutEnd(q.placeAt), l.answerLost(q))
 	if since := l.Now() - from; since > l.terms.Pin+allowance+l.slack() && !l.stoppedBefore(q, from) {
 		l.breakLocked("pinned", q.id+" was held for "+since.Round(time.Millisecond).String()+", then came "+by+"; "+l.story(q))
 	}
@@ -146,6 +146,25 @@
 	}
 }
 
+// answerLost is until when an attempt is still out for its router, since its answer was lost in a cut: until it is back,
+// or the request has ended for its client at the latest. 0: none is.
+func (l *Ledger) answerLost(q *request) time.Duration {
+	if len(q.arrived) == 0 {
+		return 0
+	}
+	last := q.arrived[len(q.arrived)-1]
+	for _, c := range l.cuts {
+		if c.worker == last.worker && q.heldAt >= c.from && q.heldAt < c.until {
+			end := min(c.until, l.Now())
+			if q.endAt != 0 {
+				end = min(end, q.endAt)
+			}
+			return end
+		}
+	}
+	return 0
+}
+
 // isCut tells whether a worker is cut off now.
 func (l *Ledger) isCut(worker string) bool {
 	return slices.ContainsFunc(l.cuts, func(c *cut) bool { return c.worker == worker && c.until == math.MaxInt64 })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,6 +89,21 @@
 			q.stateAt, q.heldAt = "r", 2*sec
 			l.cuts = []*cut{{worker: "r", from: sec, until: 8 * sec}}
 		}, "pinned"},
+		{"held elsewhere, its answer lost in a cut, while its request is open", func(l *Ledger, q *request) {
+			l.start = time.Now().Add(-10 * sec)
+			q.stateAt, q.heldAt, q.arrived, q.end, q.endAt = "x", 2*sec, []arrival{read}, clientLeft, 0
+			l.cutOff("r")
+			l.cuts[0].from = sec
+		}, ""},
+		{"held elsewhere, its answer lost in a cut, long after its request", func(l *Ledger, q *request) {
+			l.start = time.Now().Add(-10 * sec)
+			q.stateAt, q.heldAt, q.arrived, q.end = "x", 2*sec, []arrival{read}, clientLeft
+			l.cutOff("r")
+			l.cuts[0].from = sec
+		}, "pinned"},
+		{"begun once its worker ran again", func(_ *Ledger, q *request) {
+			q.arrived[0].lateBegun, q.arrived[0].toldMS = true, 9000
+		}, ""},
 		{"unanswered at the kill, and came as the stop began", func(l *Ledger, q *request) {
 			q.end, l.lives[0].termAt, l.lives[0].killAt, q.endAt = closedOn, sec/2, 3*sec, 3*sec
 		}, ""},
