What an earlier attempt left is let go beside a read that may not have arrived

A release before an attempt waits 25 ms again for a close that is on its way, as before the ledger, and one is made beside a read that is still out at 0.8 of the pin limit, where what went before it proved nothing. TestBesideANewRead.

--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -175,7 +175,7 @@
 
 // releaseDue makes the releases that are due, and passes on what the ledger reports.
 func (d *Driver) releaseDue() {
-	if d.held.Owed() == 0 {
+	if !d.held.Busy() {
 		return
 	}
 	now := time.Now()
@@ -203,7 +203,7 @@
 
 // nextRelease is in how long the ledger may have something to do.
 func (d *Driver) nextRelease() time.Duration {
-	if d.held.Owed() == 0 {
+	if !d.held.Busy() {
 		return time.Hour
 	}
 	in := time.Hour
@@ -233,6 +233,9 @@
 		earlier, gone := d.going[call.Key], make(chan struct{})
 		d.going[call.Key] = gone
 		d.work.Go(func() {
+			if wait := time.Until(call.After); !call.After.IsZero() && wait > 0 {
+				time.Sleep(wait)
+			}
 			r := d.cfg.Engines.Release(context.WithoutCancel(d.ctx), list)
 			if earlier != nil {
 				<-earlier
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -27,6 +27,7 @@
 	NoticeGrace = 25 * time.Millisecond
 
 	defaultPin   = 500 * time.Millisecond // taken where the settings name no limit
+	besidePart   = 0.8                    // part of the pin limit after which a release is made beside a read, which may not have arrived
 	repeatPart   = 0.4                    // part of the pin limit after which a release that proved nothing is made again
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
@@ -68,6 +69,9 @@
 	Key     string
 	Servers []string // which may hold something; where the entry is shared any server may be asked
 	Probe   bool     // only the one server is to be asked: what counts is to hear it
+
+	After time.Time // it is not sent before: a close is on its way; zero: at once
+	flush bool      // the next attempt waits for it
 }
 
 // entry is what may be held under one key.
@@ -82,6 +86,7 @@
 	wanted    bool      // all is to be let go
 	over      bool      // no attempt follows
 	streamed  bool      // the answer has begun: what was held went with it
+	stale     bool      // a read is out beside what earlier attempts left
 	quietAt   time.Time // when the last attempt ended or place was answered
 	settledAt time.Time // a release that is sent from then on finds no attempt waiting
 	owedAt    time.Time // since when it is owed; zero: it is not
@@ -103,6 +108,7 @@
 type Ledger struct {
 	entries  map[string]*entry
 	owed     []*entry            // in the order in which they came to be owed
+	beside   []*entry            // with a read out beside what earlier attempts left
 	unheard  map[string]*unheard // servers that some entry is in doubt about
 	inFlight int
 	probes   int
@@ -166,9 +172,13 @@
 	e := l.open(key, terms)
 	e.out++
 	l.resume(e)
+	e.stale = reads && len(e.holders)+len(e.doubts) > 0
 	if reads {
 		e.hold(server)
 	}
+	if e.stale {
+		l.beside = append(l.beside, e)
+	}
 }
 
 // Asked notes that a server is asked for a place.
@@ -240,9 +250,18 @@
 		return nil
 	}
 	e.out--
+	l.notBeside(e)
 	return e
 }
 
+// notBeside notes that no read is out any more beside what earlier attempts left.
+func (l *Ledger) notBeside(e *entry) {
+	if e.stale {
+		e.stale = false
+		l.beside = slices.DeleteFunc(l.beside, func(o *entry) bool { return o == e })
+	}
+}
+
 // Placed notes how the asking for a place ended; held tells that it may be held.
 func (l *Ledger) Placed(key, server string, end End, held bool, now time.Time) {
 	e := l.entries[key]
@@ -324,7 +343,14 @@
 	if e == nil || !e.wanted || e.releasing > 0 || len(e.holders)+len(e.doubts) == 0 {
 		return nil
 	}
-	return l.release(e)
+	calls := l.release(e)
+	for i := range calls {
+		calls[i].flush = true
+		for _, d := range e.doubts {
+			calls[i].After = later(calls[i].After, d.since.Add(e.grace()))
+		}
+	}
+	return calls
 }
 
 // Settle schedules the release of an entry that is wanted, and has not gone on.
@@ -396,6 +422,7 @@
 		l.forgetDoubt(e, d.server)
 	}
 	l.notOwed(e)
+	l.notBeside(e)
 	delete(l.entries, e.key)
 }
 
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -237,6 +237,41 @@
 	c.proven()
 }
 
+// What an earlier attempt left is let go although the next read is out: that may be at a server that is silent, and
+// has not arrived. It is not where a release that found nothing waiting went before the read.
+func TestBesideANewRead(t *testing.T) {
+	for _, noticed := range []bool{false, true} {
+		c := newClock(t)
+		c.l.Began("k", shared, "reader", true)
+		c.l.Asked("k", shared, "writer")
+		c.l.Placed("k", "writer", Answered, true, c.now)
+		c.l.ReadEnded("k", "reader", Closed, c.now)
+		c.l.Want("k", c.now)
+		flushed := c.l.Flush("k")
+		if len(flushed) != 1 || flushed[0].After != c.now.Add(25*ms) {
+			t.Fatalf("%+v", flushed)
+		}
+		c.l.Began("k", shared, "silent", true)
+		c.pass(25 * ms)
+		if noticed {
+			c.l.Heard("reader", c.now, c.now)
+		}
+		c.take(flushed[0], "writer")
+		if noticed {
+			if c.l.Busy() {
+				t.Error("a release is to be made beside a read, for nothing")
+			}
+			continue
+		}
+		c.pass(375*ms - ms)
+		c.due(0)
+		c.pass(ms)
+		c.take(c.due(1)[0], "writer")
+		c.pass(time.Second)
+		c.due(0)
+	}
+}
+
 // A place that is answered after its request has ended, or its answer begun, is let go; one that is denied is not.
 func TestPlaceAnsweredLate(t *testing.T) {
 	for _, streams := range []bool{false, true} {
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -19,9 +19,24 @@
 			calls = append(calls, l.release(e)...)
 		}
 	}
+	for _, e := range slices.Clone(l.beside) {
+		if !e.besideAt().After(now) {
+			l.notBeside(e)
+			calls = append(calls, l.release(e)...)
+		}
+	}
 	return append(calls, l.dueProbes(now)...)
 }
 
+// besideAt is when a release is made beside a read that is still out. What was written to a server that is silent
+// has not arrived, and does not stop the clock of what earlier attempts left; what the read itself waits for is spared.
+func (e *entry) besideAt() time.Time {
+	return e.quietAt.Add(time.Duration(besidePart * float64(e.pin())))
+}
+
+// Busy tells whether Due may have something in time.
+func (l *Ledger) Busy() bool { return len(l.owed) > 0 || len(l.beside) > 0 }
+
 // dueProbes returns a call to each server that entries wait to hear, if none is
 // out: the release of one of them, which that server alone is to answer.
 func (l *Ledger) dueProbes(now time.Time) []Call {
@@ -55,6 +70,9 @@
 			next = t
 		}
 	}
+	for _, e := range l.beside {
+		sooner(e.besideAt())
+	}
 	for _, e := range l.owed {
 		if e.releasing == 0 && l.inFlight < maxReleases {
 			sooner(e.next)
@@ -106,6 +124,9 @@
 	}
 	e.retry = 0
 	e.calls++
+	if c.flush && len(e.doubts) == 0 && len(r.Silent) == 0 { // the attempt that is out was written after it
+		l.notBeside(e)
+	}
 	if (e.out == 0 || e.streamed) && e.asking == 0 && len(e.doubts) == 0 && !r.Sent.Before(e.settledAt) {
 		l.let(e, r, now)
 	}
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -13,19 +13,14 @@
 // held tells whether something is held for a request.
 func (q *request) held() bool { return q.stateAt != "" || q.placeAt != "" }
 
-// readsOut is how many reads of a request are out, as their workers see it.
-func (q *request) readsOut() (n int) {
-	for _, a := range q.arrived {
-		if a.reads && a.over == 0 {
-			n++
-		}
-	}
-	return n
+// readOut tells whether a read of a request is out, as its worker sees it; of a worker that is cut off nobody knows.
+func (l *Ledger) readOut(q *request) bool {
+	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return a.reads && a.over == 0 && !l.isCut(a.worker) })
 }
 
-// waited tells whether a write in a writer's queue waits for the state.
-func (q *request) waited() bool {
-	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return !a.reads && a.over == 0 && !a.fetched })
+// waited tells whether a write in a writer's queue waits for the state, as far as anybody knows.
+func (l *Ledger) waited(q *request) bool {
+	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return !a.reads && a.over == 0 && !a.fetched && !l.isCut(a.worker) })
 }
 
 // keep notes that a prompt was read: its state waits at a worker, or where a held place has drawn it.
@@ -33,7 +28,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
-	if q.stateAt = worker; q.placeAt != "" {
+	if q.stateAt = worker; q.placeAt != "" && !l.isCut(worker) && !l.isCut(q.placeAt) {
 		q.stateAt = q.placeAt
 	}
 }
@@ -61,7 +56,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
-	if q == nil || !room || q.readsOut() == 0 {
+	if q == nil || !room || !l.readOut(q) {
 		return false
 	}
 	q.placeAt = worker
@@ -73,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
-	if q == nil || q.waited() {
+	if q == nil || l.waited(q) {
 		return
 	}
 	l.unpin(q, "a release")
@@ -81,7 +76,7 @@
 	if q.stateAt != "" && reached(q.stateAt) {
 		q.stateAt = ""
 	}
-	if q.placeAt != "" && reached(q.placeAt) && q.readsOut() == 0 {
+	if q.placeAt != "" && reached(q.placeAt) && !l.readOut(q) {
 		q.placeAt = ""
 	}
 	if q.held() && q.out == 0 {
