--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -140,7 +140,7 @@
 	return attempt.Denied
 }
 
-func (f *fake) Heard(string) time.Time { return time.Now() }
+func (f *fake) Heard(string) (sent, answered time.Time) { return time.Now(), time.Now() }
 
 func (f *fake) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
 	return f.Release(ctx, []attempt.Held{h})
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -164,10 +164,10 @@
 	now := time.Now()
 	for _, server := range d.held.Unheard() {
 		if faults.Broken(faults.BreakUnheard) {
-			d.held.Heard(server, now, now)
+			d.held.Heard(server, now, now.Add(-time.Second), now)
 		}
-		if sent := d.cfg.Engines.Heard(server); !sent.IsZero() {
-			d.held.Heard(server, sent, now)
+		if sent, answered := d.cfg.Engines.Heard(server); !sent.IsZero() {
+			d.held.Heard(server, sent, answered, now)
 		}
 	}
 	d.hearAt = now.Add(hearEvery)
--- a/internal/driver/types.go
+++ b/internal/driver/types.go
@@ -29,8 +29,8 @@
 	Release(ctx context.Context, list []attempt.Held) attempt.Released
 	// ReleaseAt asks one server alone, once, and waits for it longer.
 	ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released
-	// Heard is when the last call was sent that a server has answered; zero: not known.
-	Heard(server string) time.Time
+	// Heard is when the last call was sent that a server has answered, and when it was answered; zero: not known.
+	Heard(server string) (sent, answered time.Time)
 }
 
 // Decider decides; gannethook.Router does. A baseline may stand in for it in comparisons.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -340,7 +340,7 @@
 }
 
 // Heard is not known beside what a release tells.
-func (c *Client) Heard(string) time.Time { return time.Time{} }
+func (c *Client) Heard(string) (sent, answered time.Time) { return time.Time{}, time.Time{} }
 
 // release lets an engine's state and place of a read go. Unknown ones count as let go.
 func (c *Client) release(ctx context.Context, h attempt.Held) error {
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -79,6 +79,7 @@
 	key     string
 	terms   Terms
 	holders []string // servers that may hold something
+	lately  []string // of these, servers whose doubt ended last
 	doubts  []doubt
 	out     int // attempts that are out
 	asking  int // places that are asked for
@@ -319,6 +320,9 @@
 		return
 	}
 	e.streamed, e.wanted, e.holders = true, true, nil
+	if now.Before(e.settledAt) { // a server that was heard a moment ago may still leave something
+		e.holders = e.lately
+	}
 	l.schedule(e, now)
 }
 
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -166,7 +166,7 @@
 	}
 	c.pass(10 * time.Second)
 	c.due(0)
-	c.l.Heard("writer", time.Unix(1000, 0), c.now) // it had answered this before it was closed
+	c.l.Heard("writer", time.Unix(1000, 0), c.now, c.now) // it had answered this before it was closed
 	if c.l.Owed() != 1 || len(c.l.Unheard()) != 1 {
 		t.Fatal("an old answer was taken for a new one")
 	}
@@ -254,7 +254,7 @@
 		c.l.Began("k", shared, "silent", true)
 		c.pass(25 * ms)
 		if noticed {
-			c.l.Heard("reader", c.now, c.now)
+			c.l.Heard("reader", c.now, c.now, c.now)
 		}
 		c.take(flushed[0], "writer")
 		if noticed {
@@ -272,6 +272,29 @@
 	}
 }
 
+// A server that hung and was heard just before the stream began may still leave something behind it; one that was
+// heard well before may not.
+func TestStreamJustAfterAServerWasHeard(t *testing.T) {
+	for before, releases := range map[time.Duration]int{0: 1, 24 * ms: 1, 25 * ms: 0, time.Second: 0} {
+		c := newClock(t)
+		c.l.Began("k", shared, "hung", true)
+		c.l.ReadEnded("k", "hung", Closed, c.now)
+		c.l.Began("k", shared, "reader", true)
+		c.l.ReadEnded("k", "reader", Answered, c.now)
+		c.l.Began("k", shared, "writer", false)
+		c.pass(2 * time.Second)
+		c.l.Heard("hung", c.now.Add(-before-ms), c.now.Add(-before), c.now)
+		c.l.Streaming("k", c.now)
+		c.due(0)
+		c.pass(25 * ms)
+		for _, call := range c.due(releases) {
+			c.take(call, "reader")
+		}
+		c.l.WriteEnded("k", "writer", Answered, c.now)
+		c.proven()
+	}
+}
+
 // A place that is answered after its request has ended, or its answer begun, is let go; one that is denied is not.
 func TestPlaceAnsweredLate(t *testing.T) {
 	for _, streams := range []bool{false, true} {
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -102,7 +102,7 @@
 // Released notes how a call went.
 func (l *Ledger) Released(c Call, r Result, now time.Time) {
 	if r.Taken {
-		l.Heard(r.Server, r.Sent, now)
+		l.Heard(r.Server, r.Sent, now, now)
 	}
 	if c.Probe {
 		l.probed(c.Servers[0], r.Taken, now)
@@ -173,13 +173,13 @@
 
 // Heard notes that a server answered a call that was sent at a time. It ran
 // since: it notices what was closed before within the grace.
-func (l *Ledger) Heard(server string, sent, now time.Time) {
+func (l *Ledger) Heard(server string, sent, answered, now time.Time) {
 	u := l.unheard[server]
 	if u == nil {
 		return
 	}
 	for _, e := range slices.Clone(u.entries) {
-		l.resolve(e, server, now, func(d doubt) bool { return !sent.Before(d.since.Add(e.grace())) })
+		l.resolve(e, server, answered, now, func(d doubt) bool { return !sent.Before(d.since.Add(e.grace())) })
 	}
 }
 
@@ -188,7 +188,7 @@
 func (l *Ledger) Gone(server string, now time.Time) {
 	if u := l.unheard[server]; u != nil {
 		for _, e := range slices.Clone(u.entries) {
-			l.resolve(e, server, now, func(doubt) bool { return true })
+			l.resolve(e, server, now, now, func(doubt) bool { return true })
 		}
 	}
 	for _, e := range slices.Clone(l.owed) {
@@ -200,7 +200,7 @@
 }
 
 // resolve ends an entry's doubts about a server.
-func (l *Ledger) resolve(e *entry, server string, now time.Time, ended func(doubt) bool) {
+func (l *Ledger) resolve(e *entry, server string, answered, now time.Time, ended func(doubt) bool) {
 	was, leaves := len(e.doubts), false
 	e.doubts = slices.DeleteFunc(e.doubts, func(d doubt) bool {
 		over := d.server == server && ended(d)
@@ -213,10 +213,15 @@
 	if !slices.ContainsFunc(e.doubts, func(d doubt) bool { return d.server == server }) {
 		l.forgetDoubt(e, server)
 	}
-	e.settledAt = later(e.settledAt, now.Add(e.grace()))
+	settledAt := answered.Add(e.grace())
 	if leaves {
+		if !settledAt.Before(e.settledAt) {
+			e.lately = nil
+		}
 		e.hold(server)
+		e.lately = append(e.lately, server)
 	}
+	e.settledAt = later(e.settledAt, settledAt)
 	l.schedule(e, now)
 }
 
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -74,14 +74,14 @@
 	return attempt.Released{Taken: ok, Server: h.Addr, Sent: sent}
 }
 
-// Heard is when the last call was sent that a worker has answered; zero: it has answered none.
-func (c *Client) Heard(id string) time.Time {
+// Heard is when the last call was sent that a worker has answered, and when it was answered; zero: it has answered none.
+func (c *Client) Heard(id string) (sent, answered time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w := c.byID[id]; w != nil {
-		return w.asked
+		return w.asked, w.askedHeard
 	}
-	return time.Time{}
+	return time.Time{}, time.Time{}
 }
 
 // taken is how one worker took a release.
--- a/internal/platform/workers/release_test.go
+++ b/internal/platform/workers/release_test.go
@@ -81,8 +81,11 @@
 	if r := cl.Release(context.Background(), held); !r.Taken || r.Server != "w" || len(r.Silent) != 1 || r.Silent[0] != "holder" || r.Sent.Before(from) {
 		t.Errorf("%+v", r)
 	}
-	if sent := cl.Heard("w"); sent.Before(from) || !cl.Heard("holder").IsZero() {
-		t.Errorf("heard at %v", sent)
+	if sent, answered := cl.Heard("w"); sent.Before(from) || answered.Before(sent) {
+		t.Errorf("sent %v, answered %v", sent, answered)
+	}
+	if sent, _ := cl.Heard("holder"); !sent.IsZero() {
+		t.Errorf("the silent one was heard of a call at %v", sent)
 	}
 	if r := cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}}); !r.Taken || len(r.Silent) != 0 {
 		t.Errorf("%+v", r)
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -45,7 +45,7 @@
 	}
 	w.heard = time.Now()
 	if sent.After(w.asked) {
-		w.asked = sent
+		w.asked, w.askedHeard = sent, w.heard
 	}
 	if cn.Unused > 0 {
 		w.stats.Kept++
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -34,13 +34,14 @@
 
 // worker is what is known of one.
 type worker struct {
-	addr     string
-	boot     float64
-	draining bool      // nothing new may begin
-	heard    time.Time // when it last answered anything
-	asked    time.Time // when the last call was sent that it has answered
-	missed   time.Time // when it last failed to take a release
-	stats    Stats
+	addr       string
+	boot       float64
+	draining   bool      // nothing new may begin
+	heard      time.Time // when it last answered anything
+	asked      time.Time // when the last call was sent that it has answered,
+	askedHeard time.Time // and when it was answered
+	missed     time.Time // when it last failed to take a release
+	stats      Stats
 }
 
 // Client makes attempts. It is safe for concurrent use.
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -51,6 +51,19 @@
 	return true
 }
 
+// first notes an answer's first event, with which all goes that is held and can be reached.
+func (l *Ledger) first(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.requests[id]
+	if !l.isCut(q.stateAt) {
+		q.stateAt = ""
+	}
+	if !l.isCut(q.placeAt) {
+		q.placeAt = ""
+	}
+}
+
 // hold has a worker hold a place, if it has room and a read is out. A second place gives the first up.
 func (l *Ledger) hold(id, worker string, room bool) bool {
 	l.mu.Lock()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -243,6 +243,7 @@
 		spoil(rw)
 		return nothing
 	}
+	w.ledger.first(id)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := range 1 + int(w.pause(0, mostEvents)) {
 		w.awaitRun()
