--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -78,7 +78,7 @@
 type entry struct {
 	key     string
 	terms   Terms
-	holders []string // servers that may hold something
+	holders []string // servers that may hold something, once for each thing
 	lately  []string // of these, servers whose doubt ended last
 	doubts  []doubt
 	out     int // attempts that are out
@@ -173,7 +173,7 @@
 	e := l.open(key, terms)
 	e.out++
 	l.resume(e)
-	e.stale = reads && len(e.holders)+len(e.doubts) > 0
+	e.stale = reads && len(e.holders)+len(e.doubts) > 0 && !e.quietAt.IsZero()
 	if reads {
 		e.hold(server)
 	}
@@ -212,13 +212,18 @@
 	l.owed = slices.DeleteFunc(l.owed, func(o *entry) bool { return o == e })
 }
 
-func (e *entry) hold(server string) {
-	if !slices.Contains(e.holders, server) {
-		e.holders = append(e.holders, server)
+// hold notes one thing more that a server may hold.
+func (e *entry) hold(server string) { e.holders = append(e.holders, server) }
+
+// letGo notes that one of the things that a server might hold is not there: another that it was asked for may be.
+func (e *entry) letGo(server string) {
+	if i := slices.Index(e.holders, server); i >= 0 {
+		e.holders = slices.Delete(e.holders, i, i+1)
 	}
 }
 
-func (e *entry) letGo(server string) {
+// letAllGo notes that a server holds nothing.
+func (e *entry) letAllGo(server string) {
 	e.holders = slices.DeleteFunc(e.holders, func(s string) bool { return s == server })
 }
 
@@ -397,7 +402,9 @@
 	switch {
 	case e.streamed && len(e.holders) == 0 && len(e.doubts) > 0:
 		e.next = time.Time{} // nothing can be there before the server runs
-	case e.asking > 0 && e.calls > 0 || e.out > 0 && !e.streamed && e.calls > 1:
+	case e.asking > 0 && e.calls == 1: // a place may have been granted, and its answer be lost
+		e.next = later(now, e.besideAt())
+	case e.asking > 0 && e.calls > 1 || e.out > 0 && !e.streamed && e.calls > 1:
 		e.next = time.Time{} // a place that is still asked for may come yet, or an attempt that nobody calls off
 	case e.calls == 0:
 		e.next = later(now, e.settledAt)
@@ -458,7 +465,12 @@
 
 // where is which servers may hold something, those that hold it by now first.
 func (e *entry) where() []string {
-	list := slices.Clone(e.holders)
+	var list []string
+	for _, server := range e.holders {
+		if !slices.Contains(list, server) {
+			list = append(list, server)
+		}
+	}
 	for _, d := range e.doubts {
 		if !slices.Contains(list, d.server) {
 			list = append(list, d.server)
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -323,6 +323,39 @@
 	}
 }
 
+// A place that is asked for a second time at the same server, and is denied, or never asked for, proves nothing of the
+// first; and one whose answer is lost is let go in time.
+func TestPlaceAskedTwice(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		c := newClock(t)
+		c.l.Began("k", shared, "full", true)
+		c.l.Asked("k", shared, "writer")
+		c.l.ReadEnded("k", "full", TurnedAway, c.now)
+		c.l.Began("k", shared, "down", true)
+		c.l.Asked("k", shared, "writer")
+		c.l.ReadEnded("k", "down", NeverArrived, c.now)
+		c.l.Over("k", c.now)
+		c.l.Placed("k", "writer", TurnedAway, false, c.now)
+		quiet := c.now
+		c.take(c.due(1)[0], "writer")
+		if lost {
+			c.take(c.await(), "writer")
+			if after := c.now.Sub(quiet); after > 400*ms {
+				t.Errorf("let go again after %v", after)
+			}
+			c.pass(time.Second - c.now.Sub(quiet))
+			c.l.Placed("k", "writer", Closed, true, c.now)
+		} else {
+			c.pass(300 * ms)
+			c.l.Placed("k", "writer", Answered, true, c.now)
+		}
+		for c.l.Owed() > 0 {
+			c.take(c.await(), "writer")
+		}
+		c.proven()
+	}
+}
+
 // A release that nobody takes is made again, at a growing distance, and is not given up with its request.
 func TestReleaseThatNobodyTakes(t *testing.T) {
 	c := newClock(t)
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -138,13 +138,13 @@
 // one that is cut off: a holder that was asked and did not answer is in doubt.
 func (l *Ledger) let(e *entry, r Result, now time.Time) {
 	if !e.terms.Shared {
-		e.letGo(r.Server)
+		e.letAllGo(r.Server)
 		return
 	}
 	holders := e.holders
 	e.holders = nil
 	for _, server := range holders {
-		if slices.Contains(r.Silent, server) {
+		if slices.Contains(r.Silent, server) && !slices.Contains(e.holders, server) {
 			e.hold(server)
 			l.doubt(e, doubt{server, now, true}, now)
 		}
@@ -193,7 +193,7 @@
 	}
 	for _, e := range slices.Clone(l.owed) {
 		if !e.terms.Shared && slices.Contains(e.holders, server) {
-			e.letGo(server)
+			e.letAllGo(server)
 			l.schedule(e, now)
 		}
 	}
@@ -255,7 +255,7 @@
 		return
 	}
 	e.reported = true
-	r := Report{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Releases: e.calls, Holders: slices.Clone(e.holders)}
+	r := Report{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Releases: e.calls, Holders: slices.Compact(slices.Sorted(slices.Values(e.holders)))}
 	for _, d := range e.doubts {
 		r.Unheard = append(r.Unheard, d.server)
 	}
