Releases go by open connections first, and none beside a read that has arrived

Now whoever answers soonest is asked first, holders after it only if not heard for a second; before a retry the first answer is enough; and a release is made beside a read only where its server is in doubt itself, by a new connection.

--- a/cmd/gannethook/soak.go
+++ b/cmd/gannethook/soak.go
@@ -60,6 +60,7 @@
 	flags.IntVar(&f.jobs, "jobs", 1, "seeds to play side by side")
 	flags.BoolVar(&f.busy, "allow-starved", false, "a seed that found the machine too busy each time fails only by what needs no clock")
 	flags.StringVar(&f.keep, "keep", "", "folder to keep logs of seeds that failed in")
+	flags.StringVar(&f.cfg.Program, "program", "", "another build of the router to play; this one if empty")
 	flags.StringVar(&f.cfg.Break, "break", "", "guard that the routers leave out, to try the checks; only with the build tag")
 	return cmd
 }
@@ -74,8 +75,10 @@
 	if f.cfg.Only, err = kinds(f.only); err != nil {
 		return err
 	}
-	if f.cfg.Program, err = os.Executable(); err != nil {
-		return err
+	if f.cfg.Program == "" {
+		if f.cfg.Program, err = os.Executable(); err != nil {
+			return err
+		}
 	}
 	if !faults.Enabled {
 		if f.cfg.Break != "" {
@@ -208,6 +211,7 @@
 	pairs          map[string]*pairCount
 	played, failed int
 	requests       int
+	releases       int // calls that let go of what is held
 }
 
 func (t *soakTable) add(r seedResult) {
@@ -215,6 +219,7 @@
 	defer t.mu.Unlock()
 	t.played++
 	t.requests += r.Requests
+	t.releases += r.Releases
 	verdict := "ok"
 	switch {
 	case r.err != nil:
@@ -226,8 +231,8 @@
 	case len(r.Breaks) > 0:
 		verdict = fmt.Sprintf("FAILED %d: %s: %.300s", len(r.Breaks), r.Breaks[0].Invariant, r.Breaks[0].Detail)
 	}
-	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
-		r.Refused, r.Latest.Round(time.Millisecond), r.tries, verdict)
+	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, %d releases, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
+		r.Refused, r.Releases, r.Latest.Round(time.Millisecond), r.tries, verdict)
 	if !r.ok() {
 		t.failed++
 		fmt.Fprintln(t.out, "  again:", r.again)
@@ -249,7 +254,7 @@
 func (t *soakTable) print() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fmt.Fprintf(t.out, "%d seeds, %d failed, %d requests\n", t.played, t.failed, t.requests)
+	fmt.Fprintf(t.out, "%d seeds, %d failed, %d requests, %d releases\n", t.played, t.failed, t.requests, t.releases)
 	var missing []string
 	for i, a := range soak.Kinds {
 		for _, b := range soak.Kinds[i+1:] {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -33,6 +33,7 @@
 	Gone        func() bool             // whether its client has left; nil: not known. Nothing begins for one that has
 	Unsafe      bool                    // it may not be made again once it may have run
 	Left        int                     // attempts that its request may make after it; negative: any number
+	Fresh       bool                    // it goes by a new connection, which shows that its server can be reached
 	Traced      bool                    // somebody logs what became of it
 	Via         string                  // told by the way out: the connection that it went by, for the log
 	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
@@ -52,7 +53,7 @@
 	Cut      bool            // the connection ended before the answer had come whole: its server may not have noticed
 }
 
-// Held is a state or place that may be held for a request.
+// Held is a state or place that may be held for a request. Without an address any server may be asked.
 type Held struct{ Addr, Key string }
 
 // Place answers a request for a place.
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -148,6 +148,7 @@
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
 	before := c.beginHolding(a)
+	call.Fresh = c.d.held.Stale(a.key)
 	c.d.work.Go(func() {
 		if before != nil {
 			select {
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -40,7 +40,7 @@
 	}
 	d := c.d
 	d.makeReleases(d.held.Flush(a.key))
-	d.held.Began(a.key, c.terms(), string(a.server), a.reads)
+	d.held.Began(a.key, c.terms(), string(a.server), a.reads, time.Now())
 	return d.going[a.key]
 }
 
@@ -170,6 +170,11 @@
 			d.held.Heard(server, sent, answered, now)
 		}
 	}
+	for _, server := range d.held.Beside() {
+		if at := d.cfg.Engines.Reached(server); !at.IsZero() {
+			d.held.Reached(server, at)
+		}
+	}
 	d.hearAt = now.Add(hearEvery)
 }
 
@@ -219,10 +224,16 @@
 // makeReleases makes releases on goroutines of their own.
 func (d *Driver) makeReleases(calls []heldstate.Call) {
 	for _, call := range calls {
-		list := make([]attempt.Held, 0, len(call.Servers))
+		list := make([]attempt.Held, 0, len(call.Servers)+1)
 		for _, server := range call.Servers {
 			list = append(list, attempt.Held{Addr: server, Key: call.Key})
 		}
+		if call.Flush { // whoever answers soonest
+			list = list[:0]
+		}
+		if len(list) == 0 {
+			list = append(list, attempt.Held{Key: call.Key})
+		}
 		if call.Probe {
 			d.work.Go(func() {
 				r := d.cfg.Engines.ReleaseAt(context.WithoutCancel(d.ctx), list[0])
@@ -253,7 +264,7 @@
 
 func (d *Driver) released(call heldstate.Call, r attempt.Released) {
 	if !r.Taken && !call.Probe && faults.Broken(faults.BreakGiveUp) {
-		r = attempt.Released{Taken: true, Server: call.Servers[0], Sent: time.Now()}
+		r = attempt.Released{Taken: true, Sent: time.Now()}
 	}
 	d.held.Released(call, heldstate.Result(r), time.Now())
 }
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -67,11 +67,11 @@
 // Call is a release to be made.
 type Call struct {
 	Key     string
-	Servers []string // which may hold something; where the entry is shared any server may be asked
+	Servers []string // which may hold something; where the entry is shared any server may be asked, and there may be none
 	Probe   bool     // only the one server is to be asked: what counts is to hear it
 
 	After time.Time // it is not sent before: a close is on its way; zero: at once
-	flush bool      // the next attempt waits for it
+	Flush bool      // the next attempt waits for it, and whoever takes it first is enough
 }
 
 // entry is what may be held under one key.
@@ -87,7 +87,9 @@
 	wanted    bool      // all is to be let go
 	over      bool      // no attempt follows
 	streamed  bool      // the answer has begun: what was held went with it
-	stale     bool      // a read is out beside what earlier attempts left
+	stale     bool      // a read is out beside what earlier attempts left,
+	readAt    string    // at this server,
+	readSent  time.Time // sent then
 	quietAt   time.Time // when the last attempt ended or place was answered
 	settledAt time.Time // a release that is sent from then on finds no attempt waiting
 	owedAt    time.Time // since when it is owed; zero: it is not
@@ -169,15 +171,16 @@
 
 // Began notes that an attempt is sent to a server; reads tells that it leaves a
 // state there if it ends well.
-func (l *Ledger) Began(key string, terms Terms, server string, reads bool) {
+func (l *Ledger) Began(key string, terms Terms, server string, reads bool, now time.Time) {
 	e := l.open(key, terms)
 	e.out++
 	l.resume(e)
-	e.stale = reads && len(e.holders)+len(e.doubts) > 0 && !e.quietAt.IsZero()
+	e.stale = reads && len(e.doubts) > 0 && l.unheard[server] != nil
 	if reads {
 		e.hold(server)
 	}
 	if e.stale {
+		e.readAt, e.readSent = server, now
 		l.beside = append(l.beside, e)
 	}
 }
@@ -354,7 +357,7 @@
 	}
 	calls := l.release(e)
 	for i := range calls {
-		calls[i].flush = true
+		calls[i].Flush = true
 		for _, d := range e.doubts {
 			calls[i].After = later(calls[i].After, d.since.Add(e.grace()))
 		}
@@ -452,7 +455,7 @@
 	if e.terms.Shared {
 		e.releasing++
 		l.inFlight++
-		return []Call{{Key: e.key, Servers: e.where()}}
+		return []Call{{Key: e.key, Servers: e.heardHolders()}}
 	}
 	calls := make([]Call, 0, len(e.holders))
 	for _, server := range e.where() {
@@ -463,6 +466,13 @@
 	return calls
 }
 
+// heardHolders is which servers may hold something and are not in doubt: one that hangs would keep the release waiting.
+func (e *entry) heardHolders() []string {
+	return slices.DeleteFunc(e.where(), func(server string) bool {
+		return slices.ContainsFunc(e.doubts, func(d doubt) bool { return d.server == server })
+	})
+}
+
 // where is which servers may hold something, those that hold it by now first.
 func (e *entry) where() []string {
 	var list []string
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -34,6 +34,32 @@
 	return e.quietAt.Add(time.Duration(besidePart * float64(e.pin())))
 }
 
+// Stale tells whether a read is out at a server that is in doubt itself, beside what an earlier attempt may leave. Such
+// a read is best sent by a new connection: once that is up the read arrives.
+func (l *Ledger) Stale(key string) bool {
+	e := l.entries[key]
+	return e != nil && e.stale
+}
+
+// Beside is at which servers reads are out beside what earlier attempts left, and may not have arrived.
+func (l *Ledger) Beside() []string {
+	var list []string
+	for _, e := range l.beside {
+		list = append(list, e.readAt)
+	}
+	return list
+}
+
+// Reached notes that a server answered, or a connection to it came up, at a time: what was sent to it about then has
+// arrived. A release beside a read that has would cost its request the state.
+func (l *Ledger) Reached(server string, at time.Time) {
+	for _, e := range slices.Clone(l.beside) {
+		if e.readAt == server && !at.Before(e.readSent) {
+			l.notBeside(e)
+		}
+	}
+}
+
 // Busy tells whether Due may have something in time.
 func (l *Ledger) Busy() bool { return len(l.owed) > 0 || len(l.beside) > 0 }
 
@@ -124,7 +150,7 @@
 	}
 	e.retry = 0
 	e.calls++
-	if c.flush && len(e.doubts) == 0 && len(r.Silent) == 0 { // the attempt that is out was written after it
+	if c.Flush && len(e.doubts) == 0 && len(r.Silent) == 0 { // the attempt that is out was written after it
 		l.notBeside(e)
 	}
 	if (e.out == 0 || e.streamed) && e.asking == 0 && len(e.doubts) == 0 && !r.Sent.Before(e.settledAt) {
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -50,8 +50,8 @@
 	probeWithin     = time.Second           // for which one worker alone is waited for
 )
 
-// Release lets go of everything held for a request. Any worker takes it; those that
-// may hold something are asked first, since the others may not reach them, then those heard last.
+// Release lets go of everything held for a request. Any worker takes it: the one that most likely answers at once is
+// asked first. Of those that may hold something each is asked that was not heard lately, since others may not reach it.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
 	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
 		return attempt.Released{Taken: true, Sent: time.Now()}
@@ -84,6 +84,25 @@
 	return time.Time{}, time.Time{}
 }
 
+// Reached is when a worker last answered, or a connection to it last came up; zero: never.
+func (c *Client) Reached(id string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		return w.reached
+	}
+	return time.Time{}
+}
+
+// connected notes that a connection to a worker has come up.
+func (c *Client) connected(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		w.reached = time.Now()
+	}
+}
+
 // taken is how one worker took a release.
 type taken struct {
 	id   string
@@ -105,13 +124,15 @@
 	hedge := releaseHedge
 	for pause := releasePause; ctx.Err() == nil; {
 		id, ok := c.nextToRelease(holders, asked)
+		if first.ok {
+			if id, ok = c.nextHolder(holders, asked); !ok {
+				break
+			}
+		}
 		if !ok { // no worker is listed just now
 			pause = sleep(ctx, pause)
 			continue
 		}
-		if first.ok && (asked[id] > 0 || !slices.Contains(holders, id)) {
-			break
-		}
 		asked[id]++
 		tries.Go(func() {
 			each, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
@@ -144,6 +165,23 @@
 	return attempt.Released{Taken: true, Server: first.id, Sent: first.sent, Silent: c.silent(holders, asked, answered)}
 }
 
+// nextHolder is a worker that may hold something, was not asked yet, and was not heard lately: whoever has taken the
+// release may not reach it.
+func (c *Client) nextHolder(holders []string, asked map[string]int) (id string, ok bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range holders {
+		if w := c.byID[id]; w != nil && asked[id] == 0 && !w.heardLately(now) && !w.missed.After(w.heard) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// heardLately tells whether a worker is taken to be reachable.
+func (w *worker) heardLately(now time.Time) bool { return now.Sub(w.heard) < heardLately }
+
 // silent is which of the workers that may hold something have not answered a release, although they are listed.
 func (c *Client) silent(holders []string, asked map[string]int, answered map[string]bool) (list []string) {
 	c.mu.Lock()
@@ -175,8 +213,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for candidate, w := range c.byID {
-		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr], holds: slices.Contains(first, candidate),
+		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr],
 			missed: now.Sub(w.missed) < missedLately && w.heard.Before(w.missed)}
+		if w.heardLately(now) && slices.Contains(first, candidate) {
+			choice.heard = now
+		}
 		if !ok || choice.before(best) {
 			id, best, ok = candidate, choice, true
 		}
@@ -188,7 +229,6 @@
 type releaseChoice struct {
 	asked  int       // how often it was asked for this one
 	missed bool      // it has failed to take one lately
-	holds  bool      // it may hold something
 	unused bool      // a connection to it waits
 	heard  time.Time // when it last answered
 }
@@ -200,8 +240,6 @@
 		return a.asked < b.asked
 	case a.missed != b.missed:
 		return b.missed
-	case a.holds != b.holds:
-		return a.holds
 	case a.unused != b.unused:
 		return a.unused
 	}
@@ -232,5 +270,8 @@
 	}
 }
 
+// heardLately is for how long a worker that has answered is taken to be reachable.
+const heardLately = time.Second
+
 // missedLately is for how long a worker that did not take a release is asked after the others.
 const missedLately = time.Second
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -80,6 +80,7 @@
 func (l *Ledger) release(id, by string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.releases++
 	q := l.requests[id]
 	if q == nil || l.waited(q) {
 		return
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -24,6 +24,7 @@
 	late     time.Duration // sum by which this process's timers went off late
 	latest   time.Duration // the most at once
 	breaks   []Break
+	releases int // calls that let go of what is held
 }
 
 // Break is a promise that was not kept.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,7 @@
 	Requests int
 	Served   int
 	Refused  int
+	Releases int // calls that let go of what is held
 	Starved  bool
 	Latest   time.Duration // the most by which this process was late
 	Breaks   []Break
@@ -310,7 +311,7 @@
 	breaks := l.Judge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
+	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
 	for _, q := range l.requests {
 		switch {
 		case q.end == streamed:
