Who did not answer a release is in doubt whatever else is; a refused worker is out of reach in the soak

Now each holder that does not answer is in doubt at once, and the first to be asked is one that may hold something and to which a connection waits.

--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -150,30 +150,33 @@
 	}
 	e.retry = 0
 	e.calls++
-	if c.Flush && len(e.doubts) == 0 && len(r.Silent) == 0 { // the attempt that is out was written after it
+	for _, server := range r.Silent {
+		l.doubtReach(e, server, now)
+	}
+	if len(e.doubts) == 0 && c.Flush { // the attempt that is out was written after it
 		l.notBeside(e)
 	}
-	if (e.out == 0 || e.streamed) && e.asking == 0 && len(e.doubts) == 0 && !r.Sent.Before(e.settledAt) {
-		l.let(e, r, now)
+	if len(e.doubts) == 0 && (e.out == 0 || e.streamed) && e.asking == 0 && !r.Sent.Before(e.settledAt) {
+		l.let(e, r)
 	}
 	l.schedule(e, now)
 }
 
-// let takes out what a release that nothing waited beside has let go of. One
-// server takes it for all where the entry is shared, but may not have reached
-// one that is cut off: a holder that was asked and did not answer is in doubt.
-func (l *Ledger) let(e *entry, r Result, now time.Time) {
-	if !e.terms.Shared {
-		e.letAllGo(r.Server)
-		return
+// doubtReach notes that a server that may hold something did not answer a release: another that took it may not have
+// reached it.
+func (l *Ledger) doubtReach(e *entry, server string, now time.Time) {
+	known := slices.ContainsFunc(e.doubts, func(d doubt) bool { return d.server == server })
+	if slices.Contains(e.holders, server) && !known {
+		l.doubt(e, doubt{server, now, true}, now)
 	}
-	holders := e.holders
-	e.holders = nil
-	for _, server := range holders {
-		if slices.Contains(r.Silent, server) && !slices.Contains(e.holders, server) {
-			e.hold(server)
-			l.doubt(e, doubt{server, now, true}, now)
-		}
+}
+
+// let takes out what a release that nothing waited beside has let go of: all where the entry is shared.
+func (l *Ledger) let(e *entry, r Result) {
+	if e.terms.Shared {
+		e.holders = nil
+	} else {
+		e.letAllGo(r.Server)
 	}
 }
 
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -50,8 +50,9 @@
 	probeWithin     = time.Second           // for which one worker alone is waited for
 )
 
-// Release lets go of everything held for a request. Any worker takes it: the one that most likely answers at once is
-// asked first. Of those that may hold something each is asked that was not heard lately, since others may not reach it.
+// Release lets go of everything held for a request. Any worker takes it: one that may hold something and to which a
+// connection waits is asked first, then the one that most likely answers at once. The others that may hold something are
+// asked too, by a connection that waits or where they were not heard lately: who has taken it may not reach them.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
 	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
 		return attempt.Released{Taken: true, Sent: time.Now()}
@@ -165,14 +166,14 @@
 	return attempt.Released{Taken: true, Server: first.id, Sent: first.sent, Silent: c.silent(holders, asked, answered)}
 }
 
-// nextHolder is a worker that may hold something, was not asked yet, and was not heard lately: whoever has taken the
-// release may not reach it.
+// nextHolder is a worker that may hold something and was not asked yet: whoever has taken the release may not reach
+// it. One that was heard lately is asked only where a connection to it waits.
 func (c *Client) nextHolder(holders []string, asked map[string]int) (id string, ok bool) {
-	now := time.Now()
+	now, unused := time.Now(), c.pool.idle.Names()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range holders {
-		if w := c.byID[id]; w != nil && asked[id] == 0 && !w.heardLately(now) && !w.missed.After(w.heard) {
+		if w := c.byID[id]; w != nil && asked[id] == 0 && (unused[w.addr] || !w.heardLately(now)) && !w.missed.After(w.heard) {
 			return id, true
 		}
 	}
@@ -215,9 +216,7 @@
 	for candidate, w := range c.byID {
 		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr],
 			missed: now.Sub(w.missed) < missedLately && w.heard.Before(w.missed)}
-		if w.heardLately(now) && slices.Contains(first, candidate) {
-			choice.heard = now
-		}
+		choice.holds = choice.unused && slices.Contains(first, candidate)
 		if !ok || choice.before(best) {
 			id, best, ok = candidate, choice, true
 		}
@@ -230,6 +229,7 @@
 	asked  int       // how often it was asked for this one
 	missed bool      // it has failed to take one lately
 	unused bool      // a connection to it waits
+	holds  bool      // the same, and it may hold something
 	heard  time.Time // when it last answered
 }
 
@@ -240,6 +240,8 @@
 		return a.asked < b.asked
 	case a.missed != b.missed:
 		return b.missed
+	case a.holds != b.holds:
+		return a.holds
 	case a.unused != b.unused:
 		return a.unused
 	}
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -135,21 +135,22 @@
 // cut is a time in which a worker was cut off.
 type cut struct {
 	worker      string
+	kind        Kind
 	from, until time.Duration
 }
 
-// cutOff notes that a worker is cut off from now on, and joined that it no longer is.
-func (l *Ledger) cutOff(worker string) {
+// cutOff notes that a worker is cut off by a kind of trouble from now on, and joined that it no longer is.
+func (l *Ledger) cutOff(worker string, kind Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cuts = append(l.cuts, &cut{worker: worker, from: l.Now(), until: math.MaxInt64})
+	l.cuts = append(l.cuts, &cut{worker: worker, kind: kind, from: l.Now(), until: math.MaxInt64})
 }
 
-func (l *Ledger) joined(worker string) {
+func (l *Ledger) joined(worker string, kind Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.cuts {
-		if c.worker == worker && c.until == math.MaxInt64 {
+		if c.worker == worker && c.kind == kind && c.until == math.MaxInt64 {
 			c.until = l.Now()
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -228,15 +228,15 @@
 		}
 		for _, w := range workers {
 			w.set(t.Kind, true)
-			if t.Kind == Silent {
-				p.ledger.cutOff(w.uid)
+			if t.Kind != Trickle { // nobody reaches it, nor what it holds
+				p.ledger.cutOff(w.uid, t.Kind)
 			}
 		}
 		set(true)
 		rest()
 		set(false)
 		for _, w := range workers {
-			p.ledger.joined(w.uid)
+			p.ledger.joined(w.uid, t.Kind)
 			w.set(t.Kind, false)
 		}
 	case Resets:
