--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -324,8 +324,17 @@
 func run(t *testing.T, f *fake, do func(d *Driver)) { runWith(t, f, testSettings(), do) }
 
 func runWith(t *testing.T, f *fake, set gannethook.Settings, do func(d *Driver)) {
+	runOn(t, f, set, do)
+}
+
+func runOn(t *testing.T, engines Engines, set gannethook.Settings, do func(d *Driver)) {
+	runWithConfig(t, Config{Settings: set, Engines: engines}, do)
+}
+
+func runWithConfig(t *testing.T, cfg Config, do func(d *Driver)) {
+	cfg.Name, cfg.Seed, cfg.Inbox, cfg.MaxOpen = "r", 1, 100, 50
 	synctest.Test(t, func(t *testing.T) {
-		d, err := New(Config{Settings: set, Name: "r", Seed: 1, Inbox: 100, MaxOpen: 50, Engines: f})
+		d, err := New(cfg)
 		stop := drive(t, d, err)
 		m := gannethook.Membership{Whole: true}
 		for i := range 4 {
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -39,6 +39,7 @@
 		c.keys = append(c.keys, c.key)
 	}
 	d := c.d
+	c.beside = c.beside && !a.reads
 	d.makeReleases(d.held.Flush(a.key))
 	d.held.Began(a.key, c.terms(), string(a.server), a.reads, time.Now())
 	return d.going[a.key]
@@ -120,9 +121,10 @@
 	if c.key == "" {
 		return
 	}
-	if faults.Broken(faults.BreakBeside) && c.out > 0 {
+	if faults.Broken(faults.BreakBeside) && c.out > 0 || faults.Broken(faults.BreakForget) && c.beside {
 		return
 	}
+	c.beside = c.out > 0
 	c.lets = append(c.lets, time.Now())
 	c.d.makeReleases(c.d.held.Want(c.key, time.Now()))
 	c.d.wanted = append(c.d.wanted, c.key)
@@ -138,7 +140,7 @@
 
 // owe has the ledger let go of all that is left of the request, now or later.
 func (c *Call) owe() {
-	if faults.Broken(faults.BreakForget) && len(c.lets) > 1 {
+	if faults.Broken(faults.BreakForget) && c.beside {
 		return
 	}
 	for _, key := range c.keys {
--- /dev/null
+++ b/internal/driver/held_test.go
@@ -0,0 +1,173 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gannethook/internal/attempt"
+	"gannethook/internal/heldstate"
+)
+
+// sparing are engines whose writes wait in their server's queue, with the state still at its reader: a release spares it
+// until the server has noticed that the write was called off, which a server that hangs does not.
+type sparing struct {
+	*fake
+	notice time.Duration // after which a close is noticed
+
+	mu      sync.Mutex
+	waiting int       // writes, as their servers see it
+	hung    chan bool // closed once the writers run again; nil: they do
+	heard   time.Time // when a writer last began to answer a call
+	calls   int
+	nobody  int // releases that no server takes, to begin with
+}
+
+func (s *sparing) Write(ctx context.Context, _ *attempt.Call, _ func() bool, _ func([]byte) bool) attempt.Result {
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
+	<-ctx.Done()
+	go func() {
+		if s.hung != nil {
+			<-s.hung
+		}
+		time.Sleep(s.notice)
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	return calledOff
+}
+
+func (s *sparing) Release(ctx context.Context, list []attempt.Held) attempt.Released {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.nobody > 0 {
+		s.nobody--
+		return attempt.Released{}
+	}
+	if s.waiting == 0 {
+		s.fake.mu.Lock()
+		clear(s.held)
+		s.fake.mu.Unlock()
+	}
+	return attempt.Released{Taken: true, Server: "s0", Sent: time.Now()}
+}
+
+func (s *sparing) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
+	sent := time.Now()
+	if s.hung != nil {
+		<-s.hung
+	}
+	s.mu.Lock()
+	s.heard = time.Now()
+	s.mu.Unlock()
+	return attempt.Released{Taken: true, Server: h.Addr, Sent: sent}
+}
+
+func (s *sparing) Heard(server string) (sent, answered time.Time) {
+	if server == "s0" || server == "s1" || s.hung == nil { // prefill servers run
+		return time.Now(), time.Now()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard, s.heard
+}
+
+// play has a request's write wait for a time and its client leave then; it tells how long the state was held with no
+// write waiting.
+func (s *sparing) play(t *testing.T, out, hung time.Duration) (held time.Duration) {
+	set := testSettings()
+	set.SparesWaited, set.MaxAttempts = true, 2
+	s.fake.holdOK = false
+	runOn(t, s, set, func(d *Driver) {
+		if hung > 0 {
+			s.hung = make(chan bool)
+			time.AfterFunc(out+hung, func() { close(s.hung) })
+		}
+		sink, j := newSink(t), job(0)
+		j.Name = "a"
+		c, err := d.Submit(j, sink)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(out)
+		c.Abandon()
+		<-sink.done
+		for from := time.Now(); len(s.leftOver()) > 0 && time.Since(from) < 10*time.Second; time.Sleep(ms) {
+			s.mu.Lock()
+			if s.waiting == 0 {
+				held += ms
+			}
+			s.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+		if n := d.held.Len(); n != 0 {
+			t.Errorf("%d entries are left", n)
+		}
+	})
+	return held
+}
+
+// A state behind a write that is called off is let go in time: however long it was out, however late the close is noticed,
+// by a server that hangs too, and where nobody takes the first releases. The calls that it costs are bounded.
+func TestStateBehindACalledOffWrite(t *testing.T) {
+	for _, out := range []time.Duration{100 * ms, 290 * ms, 700 * ms, 1490 * ms} {
+		for _, c := range []struct {
+			name         string
+			notice, hung time.Duration
+			nobody       int
+			most         int // releases
+		}{
+			{"noticed at once", 0, 0, 0, 3},
+			{"noticed late", 25 * ms, 0, 0, 3},
+			{"noticed very late", 150 * ms, 0, 0, 3},
+			{"a server that hangs", 20 * ms, 3 * time.Second, 0, 4},
+			{"nobody takes it at first", 10 * ms, 0, 3, 6},
+		} {
+			s := &sparing{fake: newFake(), notice: c.notice, nobody: c.nobody}
+			held := s.play(t, out, c.hung)
+			if left := s.leftOver(); held > 500*ms || len(left) > 0 {
+				t.Errorf("out for %v, %s: held for %v, left %v", out, c.name, held, left)
+			}
+			if s.calls > c.most {
+				t.Errorf("out for %v, %s: %d releases, %d at most", out, c.name, s.calls, c.most)
+			}
+		}
+	}
+}
+
+// What is owed is told once it has been so for half of its time, and what a stop leaves behind is told as given up.
+func TestOwedIsTold(t *testing.T) {
+	s := &sparing{fake: newFake()}
+	set := testSettings()
+	set.SparesWaited, set.MaxAttempts = true, 2
+	s.fake.holdOK = false
+	var reports []heldstate.Report
+	var forgotten []heldstate.Forgotten
+	runWithConfig(t, Config{Settings: set, Engines: s, Owed: func(r heldstate.Report) { reports = append(reports, r) },
+		Forgot: func(f heldstate.Forgotten) { forgotten = append(forgotten, f) }}, func(d *Driver) {
+		s.hung = make(chan bool)
+		sink, j := newSink(t), job(0)
+		j.Name = "a"
+		c, err := d.Submit(j, sink)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * ms)
+		c.Abandon()
+		<-sink.done
+		time.Sleep(time.Second)
+		d.Linger(time.Now().Add(700 * ms))
+		time.AfterFunc(10*time.Second, func() { close(s.hung) }) // the test's own end
+	})
+	if len(reports) != 1 || reports[0].Request != "a" || reports[0].Owed < 250*ms || len(reports[0].Unheard) != 1 {
+		t.Errorf("reports %+v", reports)
+	}
+	if len(forgotten) != 1 || forgotten[0].Request != "a" || forgotten[0].Why != heldstate.Stopped || forgotten[0].Owed < 1500*ms {
+		t.Errorf("forgotten %+v", forgotten)
+	}
+}
