--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -39,7 +39,7 @@
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
 	releases int         // how often all was let go: tells late grants
-	beside   bool           // all was let go beside an attempt that was out, and nothing was read since
+	beside   bool        // all was let go beside an attempt that was out, and nothing was read since
 	lets     []time.Time // when something was, for the log
 	reads    int         // prompts read for it, and tokens of these that were found kept
 	kept     float64
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -52,7 +52,7 @@
 
 // Release lets go of everything held for a request. Any worker takes it: one that may hold something and to which a
 // connection waits is asked first, then the one that most likely answers at once. The others that may hold something are
-// asked too, by a connection that waits or where they were not heard lately: who has taken it may not reach them.
+// asked too: who has taken it may not reach them.
 func (c *Client) Release(ctx context.Context, list []attempt.Held) attempt.Released {
 	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
 		return attempt.Released{Taken: true, Sent: time.Now()}
@@ -167,22 +167,18 @@
 }
 
 // nextHolder is a worker that may hold something and was not asked yet: whoever has taken the release may not reach
-// it. One that was heard lately is asked only where a connection to it waits.
+// it, however lately it was heard.
 func (c *Client) nextHolder(holders []string, asked map[string]int) (id string, ok bool) {
-	now, unused := time.Now(), c.pool.idle.Names()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range holders {
-		if w := c.byID[id]; w != nil && asked[id] == 0 && (unused[w.addr] || !w.heardLately(now)) && !w.missed.After(w.heard) {
+		if w := c.byID[id]; w != nil && asked[id] == 0 && !w.missed.After(w.heard) {
 			return id, true
 		}
 	}
 	return "", false
 }
 
-// heardLately tells whether a worker is taken to be reachable.
-func (w *worker) heardLately(now time.Time) bool { return now.Sub(w.heard) < heardLately }
-
 // silent is which of the workers that may hold something have not answered a release, although they are listed.
 func (c *Client) silent(holders []string, asked map[string]int, answered map[string]bool) (list []string) {
 	c.mu.Lock()
@@ -272,8 +268,5 @@
 	}
 }
 
-// heardLately is for how long a worker that has answered is taken to be reachable.
-const heardLately = time.Second
-
 // missedLately is for how long a worker that did not take a release is asked after the others.
 const missedLately = time.Second
--- a/internal/platform/workers/release_test.go
+++ b/internal/platform/workers/release_test.go
@@ -90,6 +90,12 @@
 	if r := cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}}); !r.Taken || len(r.Silent) != 0 {
 		t.Errorf("%+v", r)
 	}
+	cl.mu.Lock()
+	cl.byID["holder"].heard, cl.byID["holder"].missed = time.Now(), time.Time{} // it fell silent just now
+	cl.mu.Unlock()
+	if r := cl.Release(context.Background(), []attempt.Held{{Addr: "w", Key: "r"}, held[0]}); !r.Taken || len(r.Silent) != 1 {
+		t.Errorf("%+v", r)
+	}
 	if r := cl.ReleaseAt(context.Background(), held[0]); r.Taken {
 		t.Errorf("%+v", r)
 	}
