--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -53,20 +53,22 @@
 	work    sync.WaitGroup // attempts, holds and releases on their way
 
 	// Of the goroutine alone:
-	ctx    context.Context
-	set    *gannethook.Settings // of requests that come now
-	names  Names
-	lastID uint64
-	loose  []*Call // answered, or an attempt ended: perhaps to be forgotten
-	calls  map[gannethook.RequestID]*Call
-	roles  map[gannethook.ServerID]gannethook.Role
-	held   *heldstate.Ledger
-	wanted []string                 // keys of which all is to be let go, since the last event
-	going  map[string]chan struct{} // closed once the last release by a key has gone out
-	hearAt time.Time                // when servers that are in doubt are looked at next
-	timers timers
-	turn   uint64
-	over   bool // nothing more is taken
+	ctx      context.Context
+	set      *gannethook.Settings // of requests that come now
+	names    Names
+	lastID   uint64
+	loose    []*Call // answered, or an attempt ended: perhaps to be forgotten
+	calls    map[gannethook.RequestID]*Call
+	roles    map[gannethook.ServerID]gannethook.Role
+	held     *heldstate.Ledger
+	wanted   []string                 // keys of which all is to be let go, since the last event
+	going    map[string]chan struct{} // closed once the last release by a key has gone out
+	lookedAt time.Time                // when what is owed was looked through last
+	heldAt   time.Time                // when what is owed is looked through next
+	hearAt   time.Time                // when servers that are in doubt are looked at next
+	timers   timers
+	turn     uint64
+	over     bool // nothing more is taken
 
 	lingerUntil atomic.Pointer[time.Time] // until when Run lets go of what is held after its context has ended; nil: lingerShort
 }
@@ -270,6 +272,7 @@
 	for _, s := range m.Servers {
 		if s.State == gannethook.Gone {
 			d.held.Gone(string(s.ID), time.Now())
+			d.heldChanged()
 		}
 		if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.set.Kinds) {
 			delete(d.roles, s.ID) // the module sends nothing there
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -18,6 +18,7 @@
 // Here it is told what happened, and its calls are made.
 
 const (
+	lookEvery   = 2 * time.Millisecond  // between two looks through what is owed at the least
 	hearEvery   = 20 * time.Millisecond // between two looks at whether servers in doubt were heard
 	lingerShort = 2 * time.Second       // for which Run lets go after its context has ended, where it is not told
 )
@@ -41,6 +42,7 @@
 	d := c.d
 	c.beside = c.beside && !a.reads
 	d.makeReleases(d.held.Flush(a.key))
+	d.heldChanged()
 	d.held.Began(a.key, c.terms(), string(a.server), a.reads, time.Now())
 	return d.going[a.key]
 }
@@ -49,11 +51,13 @@
 func (c *Call) endHolding(a *try, r attempt.Result) {
 	switch {
 	case a.key == "":
+		return
 	case a.reads:
 		c.d.held.ReadEnded(a.key, string(a.server), endOf(r), time.Now())
 	default:
 		c.d.held.WriteEnded(a.key, string(a.server), endOf(r), time.Now())
 	}
+	c.d.heldChanged()
 }
 
 // endOf tells what an attempt's outcome means for what it may have left.
@@ -104,6 +108,7 @@
 		end = heldstate.Closed
 	}
 	c.d.held.Placed(h.Key, h.Addr, end, place != attempt.Denied, time.Now())
+	c.d.heldChanged()
 	if c.forgotten || epoch != c.releases {
 		return
 	}
@@ -136,6 +141,7 @@
 	c.releases++
 	c.d.hear()
 	c.d.held.Streaming(c.key, time.Now())
+	c.d.heldChanged()
 }
 
 // owe has the ledger let go of all that is left of the request, now or later.
@@ -146,6 +152,7 @@
 	for _, key := range c.keys {
 		c.d.held.Over(key, time.Now())
 	}
+	c.d.heldChanged()
 }
 
 // leftOut tells whether an attempt stays out although the request is answered, as where nothing may be called off.
@@ -157,6 +164,7 @@
 func (d *Driver) settleHeld() {
 	for _, key := range d.wanted {
 		d.held.Settle(key, time.Now())
+		d.heldChanged()
 	}
 	d.wanted = d.wanted[:0]
 }
@@ -180,19 +188,30 @@
 	d.hearAt = now.Add(hearEvery)
 }
 
-// releaseDue makes the releases that are due, and passes on what the ledger reports.
+// releaseDue makes the releases that are due, and passes on what the ledger reports. What is owed is looked through
+// only when something of it has changed, or is due: there may be thousands.
 func (d *Driver) releaseDue() {
-	if !d.held.Busy() {
+	now := time.Now()
+	if !d.held.Busy() || now.Before(d.heldAt) {
 		return
 	}
-	now := time.Now()
 	if !now.Before(d.hearAt) {
 		d.hear()
 	}
 	d.makeReleases(d.held.Due(now))
 	d.reportHeld()
+	d.lookedAt, d.heldAt = now, now.Add(time.Hour)
+	if next := d.held.Next(); !next.IsZero() {
+		d.heldAt = next
+	}
+	if len(d.held.Unheard()) > 0 && d.hearAt.Before(d.heldAt) {
+		d.heldAt = d.hearAt
+	}
 }
 
+// heldChanged has what is owed looked through again, soon.
+func (d *Driver) heldChanged() { d.heldAt = d.lookedAt.Add(lookEvery) }
+
 func (d *Driver) reportHeld() {
 	for _, r := range d.held.Reports() {
 		if d.cfg.Owed != nil {
@@ -213,14 +232,7 @@
 	if !d.held.Busy() {
 		return time.Hour
 	}
-	in := time.Hour
-	if next := d.held.Next(); !next.IsZero() {
-		in = time.Until(next)
-	}
-	if len(d.held.Unheard()) > 0 {
-		in = min(in, time.Until(d.hearAt))
-	}
-	return in
+	return time.Until(d.heldAt)
 }
 
 // makeReleases makes releases on goroutines of their own.
@@ -269,6 +281,7 @@
 		r = attempt.Released{Taken: true, Sent: time.Now()}
 	}
 	d.held.Released(call, heldstate.Result(r), time.Now())
+	d.heldChanged()
 }
 
 // Linger sets until when Run goes on letting go of what is held after its context has ended.
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -38,7 +38,7 @@
 	maxProbe   = 400 * time.Millisecond // well under the limit: a server that is back is heard in time
 	maxProbes  = 8                      // probes out at once
 
-	maxOwed     = 4096            // entries; beyond them the oldest is forgotten
+	maxOwed     = 2048            // entries; beyond them the oldest is forgotten
 	maxAge      = 2 * time.Minute // for which an entry is owed at the most
 	maxReleases = 32              // releases out at once
 )
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -576,3 +576,18 @@
 		}
 	}
 }
+
+// What a look through the ledger costs with as much owed as there may be, and an event where something is owed.
+func BenchmarkOwed(b *testing.B) {
+	now, l := time.Unix(1000, 0), New()
+	for i := range maxOwed {
+		key, server := fmt.Sprint("k", i), fmt.Sprint("s", i%64)
+		l.Began(key, shared, server, true, now)
+		l.ReadEnded(key, server, Closed, now)
+		l.Over(key, now)
+	}
+	for b.Loop() {
+		l.Due(now)
+		l.Next()
+	}
+}
