serve tells what is still held; the soak does not judge a key's window by a hung worker

serve gave the driver no monitor: what engines may hold and is not let go, or given up, is in its log now, and violations of the guard are.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"gannethook/internal/driver"
 	"gannethook/internal/engine"
 	"gannethook/internal/front"
+	"gannethook/internal/guard"
 	"gannethook/internal/handover"
 	"gannethook/internal/intake"
 	"gannethook/internal/life"
@@ -139,7 +140,8 @@
 	}
 	d.client = engine.NewClient(cfg.EngineLimits())
 	d.driver, err = driver.New(driver.Config{Settings: cfg.Module(), Decider: decider, Name: cfg.Name, Seed: cfg.Seed,
-		Inbox: cfg.Limits.Inbox, MaxOpen: cfg.Limits.Open, Engines: d.client, Done: d.done})
+		Inbox: cfg.Limits.Inbox, MaxOpen: cfg.Limits.Open, Engines: d.client, Done: d.done,
+		Guard: guard.NewMonitor(d.denied), Owed: d.owed, Forgot: d.forgot})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/daemon/held.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"go.uber.org/zap"
+
+	"gannethook/internal/guard"
+	"gannethook/internal/heldstate"
+)
+
+// What engines may hold for requests is told where it is not let go in time, and what the router may not do is counted
+// and told as on the platform.
+
+// owed logs what has been owed for half of its time.
+func (d *Daemon) owed(r heldstate.Report) {
+	d.log.Info("still held", zap.String("request", r.Request), zap.Duration("owed", r.Owed), zap.Int("releases", r.Releases),
+		zap.Strings("at", r.Holders), zap.Strings("unheard", r.Unheard))
+}
+
+// forgot logs what is given up without proof that nothing is held.
+func (d *Daemon) forgot(f heldstate.Forgotten) {
+	d.log.Warn("held, and given up", zap.String("request", f.Request), zap.Duration("owed", f.Owed), zap.Strings("at", f.Servers),
+		zap.Stringer("why", f.Why))
+}
+
+// denied logs what the guard denied that should never have been asked for: a fault of this program.
+func (d *Daemon) denied(denial guard.Denial) {
+	if denial.Violation {
+		d.log.Error("denied", zap.Stringer("action", denial.Action), zap.Stringer("reason", denial.Reason), zap.String("request", denial.Request))
+	}
+}
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -51,8 +51,7 @@
 	Gap    time.Duration // between two events
 	Break  bool          // the connection breaks behind the events
 
-	EndsWell bool // a read that is called off ends well before the close is noticed
-	Hangs    bool // the worker hangs with the attempt in its queue, and notices nothing until it runs again
+	Hangs bool // the worker hangs with the attempt in its queue, and notices nothing until it runs again
 }
 
 // Fleet is the platform. Its methods may be called from anywhere.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -127,7 +127,7 @@
 func (l *Ledger) judgeEffect(q *request) {
 	var runs []arrival
 	for _, a := range q.arrived {
-		if a.ran {
+		if a.ran && !(q.effect == Keyed && a.lateBegun) { // a keyed one was sent in its window, and can't be called back
 			runs = append(runs, a)
 		}
 	}
