A release follows each server that is heard, whatever others do, and beside a write that is out

A release is due again each time a server is heard; where the request's write is out it is made beside it, which spares what the write waits for, and such an entry's servers are probed as well. TestTwoServersInDoubt (fails without its line), TestHeardBesideAWrite. TestBesideAReadThatArrived looks at Beside where it looked at Busy, which is true now while any server is in doubt.

--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -87,9 +87,11 @@
 	wanted    bool      // all is to be let go
 	over      bool      // no attempt follows
 	streamed  bool      // the answer has begun: what was held went with it
-	stale     bool      // a read is out beside what earlier attempts left,
-	readAt    string    // at this server,
+	writes    bool      // the attempt that is out answers: a release beside it spares what it waits for
+	stale     bool      // an attempt is out beside what earlier ones left,
+	readAt    string    // at this server, if it reads,
 	readSent  time.Time // sent then
+	besideDue time.Time // when a release is made beside it; zero: when a read should have arrived
 	quietAt   time.Time // when the last attempt ended or place was answered
 	settledAt time.Time // a release that is sent from then on finds no attempt waiting
 	owedAt    time.Time // since when it is owed; zero: it is not
@@ -111,7 +113,7 @@
 type Ledger struct {
 	entries  map[string]*entry
 	owed     []*entry            // in the order in which they came to be owed
-	beside   []*entry            // with a read out beside what earlier attempts left
+	beside   []*entry            // with an attempt out beside what earlier ones left
 	unheard  map[string]*unheard // servers that some entry is in doubt about
 	inFlight int
 	probes   int
@@ -175,6 +177,7 @@
 	e := l.open(key, terms)
 	e.out++
 	l.resume(e)
+	e.writes = !reads
 	e.stale = reads && len(e.doubts) > 0 && l.unheard[server] != nil
 	if reads {
 		e.hold(server)
@@ -263,10 +266,10 @@
 	return e
 }
 
-// notBeside notes that no read is out any more beside what earlier attempts left.
+// notBeside notes that nothing is to be let go any more beside the attempt that is out.
 func (l *Ledger) notBeside(e *entry) {
 	if e.stale {
-		e.stale = false
+		e.stale, e.besideDue = false, time.Time{}
 		l.beside = slices.DeleteFunc(l.beside, func(o *entry) bool { return o == e })
 	}
 }
@@ -327,6 +330,7 @@
 	if e == nil {
 		return
 	}
+	l.notBeside(e)
 	e.streamed, e.wanted, e.holders = true, true, nil
 	if now.Before(e.settledAt) { // a server that was heard a moment ago may still leave something
 		e.holders = e.lately
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -31,6 +31,9 @@
 // besideAt is when a release is made beside a read that is still out. What was written to a server that is silent
 // has not arrived, and does not stop the clock of what earlier attempts left; what the read itself waits for is spared.
 func (e *entry) besideAt() time.Time {
+	if !e.besideDue.IsZero() {
+		return e.besideDue
+	}
 	return e.quietAt.Add(time.Duration(besidePart * float64(e.pin())))
 }
 
@@ -45,7 +48,9 @@
 func (l *Ledger) Beside() []string {
 	var list []string
 	for _, e := range l.beside {
-		list = append(list, e.readAt)
+		if e.besideDue.IsZero() {
+			list = append(list, e.readAt)
+		}
 	}
 	return list
 }
@@ -54,14 +59,14 @@
 // arrived. A release beside a read that has would cost its request the state.
 func (l *Ledger) Reached(server string, at time.Time) {
 	for _, e := range slices.Clone(l.beside) {
-		if e.readAt == server && !at.Before(e.readSent) {
+		if e.besideDue.IsZero() && e.readAt == server && !at.Before(e.readSent) {
 			l.notBeside(e)
 		}
 	}
 }
 
 // Busy tells whether Due may have something in time.
-func (l *Ledger) Busy() bool { return len(l.owed) > 0 || len(l.beside) > 0 }
+func (l *Ledger) Busy() bool { return len(l.owed) > 0 || len(l.beside) > 0 || len(l.unheard) > 0 }
 
 // dueProbes returns a call to each server that entries wait to hear, if none is
 // out: the release of one of them, which that server alone is to answer.
@@ -83,8 +88,12 @@
 	return calls
 }
 
-// waitsToHear tells whether an entry that is owed has nothing else to wait for.
+// waitsToHear tells whether an entry that is owed has nothing else to wait for, or one has a write out, which may not
+// have arrived, beside what servers in doubt may leave.
 func (e *entry) waitsToHear() bool {
+	if e.out > 0 && e.writes && !e.streamed {
+		return true
+	}
 	return !e.owedAt.IsZero() && e.releasing == 0 && e.next.IsZero()
 }
 
@@ -107,7 +116,7 @@
 			sooner(e.owedAt.Add(e.evidenceAfter()))
 		}
 	}
-	if len(l.owed) > 0 && l.probes < maxProbes {
+	if l.probes < maxProbes {
 		for _, u := range l.unheard {
 			if !u.probing && slices.ContainsFunc(u.entries, (*entry).waitsToHear) {
 				sooner(u.next)
@@ -253,6 +262,14 @@
 		e.lately = append(e.lately, server)
 	}
 	e.settledAt = later(e.settledAt, settledAt)
+	if leaves && e.out > 0 && e.writes && !e.streamed { // which may be at a server that is silent
+		if !e.stale {
+			e.stale = true
+			l.beside = append(l.beside, e)
+		}
+		e.besideDue = e.settledAt
+	}
+	e.calls = min(e.calls, 1) // a release is due again, whichever other servers are in doubt
 	l.schedule(e, now)
 }
 
