Two writers in a row that fall silent have the time of one for a state that waits

The time runs from the read now, and at least 0.2 of the limit from the write that is looked for, which has arrived by then if it does. With 0.5 s the first look had come before a time-out.

--- a/router.go
+++ b/router.go
@@ -31,17 +31,18 @@
 	holdTries  = 2    // ours: writers asked for a place per read
 	arrivePart = 0.9  // ours: part of the pin limit in which a writer that was sent a state is to be heard
 
-	paceLoss   = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
-	partGain   = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
-	turnedBad  = 0.2   // ours: part of a flow's sends to writers turned away above which no place is held
-	dialsBad   = 0.4   // ours: part of the dials that fail above which open connections are preferred
-	dialCost   = 0.5   // ours: freeness taken off a server without one then
-	chargeMax  = 4.0   // ours: most that failures take off a server's freeness
-	chargeFade = 6000  // ours: ms in which a charge fades to 1/e
-	heldBack   = 0.3   // ours: freeness taken off a writer that refused a place
-	fullFade   = 3     // ours: windows in which being turned away fades to 1/e
-	lateGain   = 0.5   // ours: charge for a success that is a whole aim late
-	chargeKeep = 0.7   // ours: what a success leaves of a charge
+	arriveLeast = 0.2   // ours: the same at the least, from when it was sent
+	paceLoss    = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
+	partGain    = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
+	turnedBad   = 0.2   // ours: part of a flow's sends to writers turned away above which no place is held
+	dialsBad    = 0.4   // ours: part of the dials that fail above which open connections are preferred
+	dialCost    = 0.5   // ours: freeness taken off a server without one then
+	chargeMax   = 4.0   // ours: most that failures take off a server's freeness
+	chargeFade  = 6000  // ours: ms in which a charge fades to 1/e
+	heldBack    = 0.3   // ours: freeness taken off a writer that refused a place
+	fullFade    = 3     // ours: windows in which being turned away fades to 1/e
+	lateGain    = 0.5   // ours: charge for a success that is a whole aim late
+	chargeKeep  = 0.7   // ours: what a success leaves of a charge
 
 	admitFloor = 0.6   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
@@ -130,6 +131,8 @@
 	asked         int       // writers asked during this read
 	tried         []*server // servers not to try again
 	idle          Millis    // last outcome
+	readAt        Millis    // when its prompt was last read
+	arriveBy      Millis    // when a writer that was sent the state is to be heard
 	ranOn         *server   // where it may have run first
 	ranAt         Millis    // and when; where it is not known to, when it was last sent to where it may
 	stream, ended bool
@@ -470,8 +473,8 @@
 	}
 	r.send(q, attempt{on: w}, timeout)
 	if q.set.SparesWaited && q.set.PinLimit > 0 {
-		due := max(q.idle+arrivePart*q.set.PinLimit-r.now, 0)
-		r.do(Wake{In: due, Ref: uint64(q.ID)*refStep + refArrival})
+		q.arriveBy = max(q.readAt+arrivePart*q.set.PinLimit, r.now+arriveLeast*q.set.PinLimit)
+		r.do(Wake{In: q.arriveBy - r.now, Ref: uint64(q.ID)*refStep + refArrival})
 	}
 }
 
@@ -481,7 +484,7 @@
 // anew. Harms by a call for each answer that is slow to begin.
 func (r *Router) checkArrival(q *request) {
 	if q == nil || !q.set.SparesWaited || q.stream || q.state == nil || len(q.out) != 1 || q.out[0].reads ||
-		r.now < q.idle+arrivePart*q.set.PinLimit {
+		r.now < q.arriveBy {
 		return
 	}
 	q.state = nil
@@ -571,7 +574,7 @@
 		q.ended = true
 		r.drop(q)
 	case ev.Outcome == ReadDone:
-		q.state = a.on
+		q.state, q.readAt = a.on, r.now
 		r.route(q)
 	case ev.Outcome == Moot, ev.Outcome == Served:
 		r.finish(q)
--- a/unreached_test.go
+++ b/unreached_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// Two writers in a row that fall silent have the time of one: a write that timed out may never have arrived.
+func TestTwoSilentWritersShareTheTime(t *testing.T) {
+	set := fleet(func(set *Settings) { set.SparesWaited, set.Holds, set.PinLimit, set.MaxAttempts = true, false, 1000, 7 })
+	s := newScript(t, set, at("r1", 0, 0, 0), at("w1", 1, 0, 0), at("w2", 1, 0, 0))
+	s.on(1, Request{ID: 1, Class: 0, Budget: 5000, Prompt: 100})
+	s.on(50, Ended{ID: 1, Attempt: 0, Server: "r1", Outcome: ReadDone})
+	var again Millis
+	for _, a := range s.on(800, Ended{ID: 1, Attempt: 1, Server: "w1", Outcome: TimedOut}) {
+		if wake, ok := a.(Wake); ok && wake.Ref == refStep+refArrival {
+			again = wake.In
+		}
+	}
+	if again <= 0 || again > 300 { // 1,100 ms after the read at the most, and not before it can have arrived
+		t.Fatalf("looked at %v ms after the second write", again)
+	}
+	s.on(again, Wakeup{Ref: refStep + refArrival})
+	s.want("release 1")
+}
+
 // The same where the request has had its answer and its attempt may not be called off.
 func TestStateOfUnheardWriterIsLetGoOnceAnswered(t *testing.T) {
 	set := fleet(func(set *Settings) { set.SparesWaited, set.Cancel, set.Holds = true, false, false })
