Nothing is let go beside a write that may be on its way

A release that meets a write on its way takes its state. It is made at the earliest 0.8 of the pin limit after the write now, and no server is probed by the key of a request that goes on.

--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -89,8 +89,8 @@
 	streamed  bool      // the answer has begun: what was held went with it
 	writes    bool      // the attempt that is out answers: a release beside it spares what it waits for
 	stale     bool      // an attempt is out beside what earlier ones left,
-	readAt    string    // at this server, if it reads,
-	readSent  time.Time // sent then
+	readAt    string    // at this server, if it reads
+	sentAt    time.Time // when the last attempt was sent
 	besideDue time.Time // when a release is made beside it; zero: when a read should have arrived
 	quietAt   time.Time // when the last attempt ended or place was answered
 	settledAt time.Time // a release that is sent from then on finds no attempt waiting
@@ -177,13 +177,13 @@
 	e := l.open(key, terms)
 	e.out++
 	l.resume(e)
-	e.writes = !reads
+	e.writes, e.sentAt = !reads, now
 	e.stale = reads && len(e.doubts) > 0 && l.unheard[server] != nil
 	if reads {
 		e.hold(server)
 	}
 	if e.stale {
-		e.readAt, e.readSent = server, now
+		e.readAt = server
 		l.beside = append(l.beside, e)
 	}
 }
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -34,9 +34,12 @@
 	if !e.besideDue.IsZero() {
 		return e.besideDue
 	}
-	return e.quietAt.Add(time.Duration(besidePart * float64(e.pin())))
+	return e.quietAt.Add(e.besideSpan())
 }
 
+// besideSpan is how long an attempt has to arrive before anything is let go beside it.
+func (e *entry) besideSpan() time.Duration { return time.Duration(besidePart * float64(e.pin())) }
+
 // Stale tells whether a read is out at a server that is in doubt itself, beside what an earlier attempt may leave. Such
 // a read is best sent by a new connection: once that is up the read arrives.
 func (l *Ledger) Stale(key string) bool {
@@ -59,7 +62,7 @@
 // arrived. A release beside a read that has would cost its request the state.
 func (l *Ledger) Reached(server string, at time.Time) {
 	for _, e := range slices.Clone(l.beside) {
-		if e.besideDue.IsZero() && e.readAt == server && !at.Before(e.readSent) {
+		if e.besideDue.IsZero() && e.readAt == server && !at.Before(e.sentAt) {
 			l.notBeside(e)
 		}
 	}
@@ -88,12 +91,8 @@
 	return calls
 }
 
-// waitsToHear tells whether an entry that is owed has nothing else to wait for, or one has a write out, which may not
-// have arrived, beside what servers in doubt may leave.
+// waitsToHear tells whether an entry that is owed has nothing else to wait for.
 func (e *entry) waitsToHear() bool {
-	if e.out > 0 && e.writes && !e.streamed {
-		return true
-	}
 	return !e.owedAt.IsZero() && e.releasing == 0 && e.next.IsZero()
 }
 
@@ -116,7 +115,7 @@
 			sooner(e.owedAt.Add(e.evidenceAfter()))
 		}
 	}
-	if l.probes < maxProbes {
+	if len(l.owed) > 0 && l.probes < maxProbes {
 		for _, u := range l.unheard {
 			if !u.probing && slices.ContainsFunc(u.entries, (*entry).waitsToHear) {
 				sooner(u.next)
@@ -262,12 +261,12 @@
 		e.lately = append(e.lately, server)
 	}
 	e.settledAt = later(e.settledAt, settledAt)
-	if leaves && e.out > 0 && e.writes && !e.streamed { // which may be at a server that is silent
+	if leaves && e.out > 0 && e.writes && !e.streamed { // to a server that may be silent; else it is to arrive first
 		if !e.stale {
 			e.stale = true
 			l.beside = append(l.beside, e)
 		}
-		e.besideDue = e.settledAt
+		e.besideDue = later(e.settledAt, e.sentAt.Add(e.besideSpan()))
 	}
 	e.calls = min(e.calls, 1) // a release is due again, whichever other servers are in doubt
 	l.schedule(e, now)
