--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -627,3 +627,22 @@
 		l.Next()
 	}
 }
+
+// While a server that may hold something is in doubt, a release goes out from time to time: another server's place may have
+// been spared for its read, and what waited there may have ended without anybody's being heard.
+func TestReleaseIsRepeatedInDoubt(t *testing.T) {
+	c := newClock(t)
+	unheardWriter(c)
+	releases := 0
+	for end := c.now.Add(5 * time.Second); c.now.Before(end); c.pass(ms) {
+		for _, call := range c.l.Due(c.now) {
+			if !call.Probe {
+				releases++
+			}
+			c.l.Released(call, Result{Taken: !call.Probe, Server: "another", Sent: c.now}, c.now)
+		}
+	}
+	if releases < 5 {
+		t.Errorf("%d releases in 5 s, with a pin limit of 0.5 s", releases)
+	}
+}
