--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -35,6 +35,7 @@
 	maxRetry   = 2 * time.Second
 
 	firstProbe = 100 * time.Millisecond // after a probe of an unheard server that failed; doubled each time
+	maxRepeats = 64                     // releases of an entry while a server is in doubt; then it waits for one to be heard
 	maxProbe   = 400 * time.Millisecond // well under the limit: a server that is back is heard in time
 	maxProbes  = 8                      // probes out at once
 
@@ -84,22 +85,23 @@
 	out     int // attempts that are out
 	asking  int // places that are asked for
 
-	wanted    bool      // all is to be let go
-	over      bool      // no attempt follows
-	streamed  bool      // the answer has begun: what was held went with it
-	writes    bool      // the attempt that is out answers: a release beside it spares what it waits for
-	stale     bool      // an attempt is out beside what earlier ones left,
-	readAt    string    // at this server, if it reads
-	sentAt    time.Time // when the last attempt was sent
-	besideDue time.Time // when a release is made beside it; zero: when a read should have arrived
-	quietAt   time.Time // when the last attempt ended or place was answered
-	settledAt time.Time // a release that is sent from then on finds no attempt waiting
-	owedAt    time.Time // since when it is owed; zero: it is not
-	calls     int       // releases that were answered
-	releasing int       // releases that are out
-	retry     time.Duration
-	next      time.Time // of the next release; zero: when something is heard
-	reported  bool
+	wanted     bool      // all is to be let go
+	over       bool      // no attempt follows
+	streamed   bool      // the answer has begun: what was held went with it
+	writes     bool      // the attempt that is out answers: a release beside it spares what it waits for
+	stale      bool      // an attempt is out beside what earlier ones left,
+	readAt     string    // at this server, if it reads
+	sentAt     time.Time // when the last attempt was sent
+	besideDue  time.Time // when a release is made beside it; zero: when a read should have arrived
+	quietAt    time.Time // when the last attempt ended or place was answered
+	settledAt  time.Time // a release that is sent from then on finds no attempt waiting
+	owedAt     time.Time // since when it is owed; zero: it is not
+	calls      int       // releases that were answered
+	releasedAt time.Time // when the last was
+	releasing  int       // releases that are out
+	retry      time.Duration
+	next       time.Time // of the next release; zero: when something is heard
+	reported   bool
 }
 
 // doubt is a server that may not have noticed yet that a connection was closed.
@@ -418,8 +420,10 @@
 		if len(e.doubts) > 0 {
 			e.next = later(now, e.quietAt.Add(e.grace()))
 		}
-	case len(e.doubts) > 0 && e.calls > 1:
+	case len(e.doubts) > 0 && e.calls > maxRepeats:
 		e.next = time.Time{}
+	case len(e.doubts) > 0 && e.calls > 1: // what it spared may have been left by now, unheard
+		e.next = later(now, e.releasedAt.Add(e.besideSpan()))
 	default:
 		e.next = later(e.settledAt, e.quietAt.Add(time.Duration(repeatPart*float64(e.pin()))))
 	}
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -91,9 +91,9 @@
 	return calls
 }
 
-// waitsToHear tells whether an entry that is owed has nothing else to wait for.
+// waitsToHear tells whether an entry is owed of which only a server's being heard can prove anything.
 func (e *entry) waitsToHear() bool {
-	return !e.owedAt.IsZero() && e.releasing == 0 && e.next.IsZero()
+	return !e.owedAt.IsZero() && e.releasing == 0 && (e.calls > 1 || e.next.IsZero())
 }
 
 // Next is when Due may have something; zero: when something else has come.
@@ -156,7 +156,7 @@
 		}
 		return
 	}
-	e.retry = 0
+	e.retry, e.releasedAt = 0, now
 	if !r.Sent.Before(e.quietAt) { // else it was sent beside an attempt that has ended since
 		e.calls++
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -220,8 +220,11 @@
 	case Silent, Refuse, Trickle:
 		set := func(on bool) {
 			for _, px := range p.proxiesOf(workers) {
+				if t.Kind == Silent && !on { // first: nothing that waited passes
+					px.resetAll()
+				}
 				px.set(t.Kind, on)
-				if t.Kind == Refuse && on || t.Kind == Silent && !on {
+				if t.Kind == Refuse && on {
 					px.resetAll()
 				}
 			}
