--- a/internal/driver/held_test.go
+++ b/internal/driver/held_test.go
@@ -105,7 +105,9 @@
 			s.mu.Unlock()
 		}
 		time.Sleep(2 * time.Second)
-		if n := d.held.Len(); n != 0 {
+		left := make(chan int, 1)
+		d.post(func() { left <- d.held.Len() })
+		if n := <-left; n != 0 {
 			t.Errorf("%d entries are left", n)
 		}
 	})
