The ledger, not the driver, leaves a release before an attempt to any server

Second reading: the driver dropped the servers of each release that goes before an attempt, also of one that only its own server knows; such a call would have had no address. No caller reaches it today (a new read has a new key), so nothing was seen to fail. TestFlushNamesTheServer.

--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -242,9 +242,6 @@
 		for _, server := range call.Servers {
 			list = append(list, attempt.Held{Addr: server, Key: call.Key})
 		}
-		if call.Flush { // whoever answers soonest
-			list = list[:0]
-		}
 		if len(list) == 0 {
 			list = append(list, attempt.Held{Key: call.Key})
 		}
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -364,6 +364,9 @@
 	calls := l.release(e)
 	for i := range calls {
 		calls[i].Flush = true
+		if e.terms.Shared { // whoever answers soonest
+			calls[i].Servers = nil
+		}
 		for _, d := range e.doubts {
 			calls[i].After = later(calls[i].After, d.since.Add(e.grace()))
 		}
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -303,7 +303,7 @@
 		c.l.ReadEnded("k", "reader", Closed, c.now)
 		c.l.Want("k", c.now)
 		flushed := c.l.Flush("k")
-		if len(flushed) != 1 || flushed[0].After != c.now.Add(25*ms) {
+		if len(flushed) != 1 || len(flushed[0].Servers) != 0 || flushed[0].After != c.now.Add(25*ms) {
 			t.Fatalf("%+v", flushed)
 		}
 		c.l.Began("k", shared, "silent", true, c.now)
@@ -645,3 +645,15 @@
 		t.Errorf("%d releases in 5 s, with a pin limit of 0.5 s", releases)
 	}
 }
+
+// Before an attempt, a server that knows only what it holds itself is told of it; of others whoever answers soonest.
+func TestFlushNamesTheServer(t *testing.T) {
+	c := newClock(t)
+	terms := Terms{Request: "1", Pin: 500 * ms}
+	c.l.Began("k", terms, "reader", true, c.now)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Want("k", c.now)
+	if flushed := c.l.Flush("k"); len(flushed) != 1 || !slices.Equal(flushed[0].Servers, []string{"reader"}) {
+		t.Errorf("%+v", flushed)
+	}
+}
