Log line for a request of which nothing is heard while something may be held

The line 'still held' comes from the ledger, which did not know that it owed anything: an attempt that was sent counted as out. Change: internal/holdwatch, pure, follows the calls alone (reads, writes, reservations, releases; sent and ended) and reports a key of which no server was heard for half of the pin limit, also while its request is open; 'nothing heard' in the log, within the bound on such lines, at debug in serve.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,7 +141,7 @@
 	d.client = engine.NewClient(cfg.EngineLimits())
 	d.driver, err = driver.New(driver.Config{Settings: cfg.Module(), Decider: decider, Name: cfg.Name, Seed: cfg.Seed,
 		Inbox: cfg.Limits.Inbox, MaxOpen: cfg.Limits.Open, Engines: d.client, Done: d.done,
-		Guard: guard.NewMonitor(d.denied), Owed: d.owed, Forgot: d.forgot})
+		Guard: guard.NewMonitor(d.denied), Owed: d.owed, Forgot: d.forgot, Silent: d.silent})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/held.go
+++ b/internal/daemon/held.go
@@ -5,6 +5,7 @@
 
 	"gannethook/internal/guard"
 	"gannethook/internal/heldstate"
+	"gannethook/internal/holdwatch"
 )
 
 // What engines may hold for requests is told where it is not let go in time, and what the router may not do is counted
@@ -16,6 +17,12 @@
 		zap.Strings("at", r.Holders), zap.Strings("unheard", r.Unheard))
 }
 
+// silent logs of which request nothing was heard although something may be held for it. Prompts may take long here, so it
+// is told at debug alone.
+func (d *Daemon) silent(r holdwatch.Report) {
+	d.log.Debug("nothing heard", zap.String("request", r.Request), zap.Duration("silent", r.Silent), zap.Strings("calls", r.Calls))
+}
+
 // forgot logs what is given up without proof that nothing is held.
 func (d *Daemon) forgot(f heldstate.Forgotten) {
 	d.log.Warn("held, and given up", zap.String("request", f.Request), zap.Duration("owed", f.Owed), zap.Strings("at", f.Servers),
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -18,6 +18,7 @@
 	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/heldstate"
+	"gannethook/internal/holdwatch"
 )
 
 // Config sets a driver up.
@@ -37,6 +38,7 @@
 	Took     func(time.Duration)
 	Owed     func(heldstate.Report)    // called for what has been owed for half of its time
 	Forgot   func(heldstate.Forgotten) // called for what left without proof that nothing is held
+	Silent   func(holdwatch.Report)    // called for what servers may hold and of which nothing was heard for half of its time
 }
 
 // Driver runs one router.
@@ -61,6 +63,7 @@
 	calls    map[gannethook.RequestID]*Call
 	roles    map[gannethook.ServerID]gannethook.Role
 	held     *heldstate.Ledger
+	watch    *holdwatch.Watch
 	wanted   []string                 // keys of which all is to be let go, since the last event
 	going    map[string]chan struct{} // closed once the last release by a key has gone out
 	lookedAt time.Time                // when what is owed was looked through last
@@ -89,7 +92,7 @@
 		start: now, startMS: float64(wall.UnixMicro()) / 1000,
 		boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
 		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{},
-		held: heldstate.New(), going: map[string]chan struct{}{}}
+		held: heldstate.New(), watch: holdwatch.New(), going: map[string]chan struct{}{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
 }
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -12,6 +12,7 @@
 	"gannethook/internal/faults"
 	"gannethook/internal/guard"
 	"gannethook/internal/heldstate"
+	"gannethook/internal/holdwatch"
 )
 
 // The ledger of internal/heldstate decides when what servers hold is released.
@@ -43,7 +44,9 @@
 	c.beside = c.beside && !a.reads
 	d.makeReleases(d.held.Flush(a.key))
 	d.heldChanged()
-	d.held.Began(a.key, c.terms(), string(a.server), a.reads, time.Now())
+	terms := c.terms()
+	d.held.Began(a.key, terms, string(a.server), a.reads, time.Now())
+	d.watch.Sent(a.key, terms.Request, terms.Pin, a.watched(), string(a.server), time.Now())
 	return d.going[a.key]
 }
 
@@ -57,9 +60,31 @@
 	default:
 		c.d.held.WriteEnded(a.key, string(a.server), endOf(r), time.Now())
 	}
+	c.d.watch.Ended(a.key, a.watched(), string(a.server), watchedEnd(endOf(r)), time.Now())
 	c.d.heldChanged()
 }
 
+// watched is the attempt's kind in reports of silence.
+func (a *try) watched() holdwatch.Kind {
+	if a.reads {
+		return holdwatch.Read
+	}
+	return holdwatch.Write
+}
+
+// watchedEnd is an end in reports of silence.
+func watchedEnd(end heldstate.End) holdwatch.Outcome {
+	switch end {
+	case heldstate.NeverArrived:
+		return holdwatch.NotSent
+	case heldstate.TurnedAway:
+		return holdwatch.TurnedAway
+	case heldstate.Answered:
+		return holdwatch.Answered
+	}
+	return holdwatch.Lost
+}
+
 // endOf tells what an attempt's outcome means for what it may have left.
 func endOf(r attempt.Result) heldstate.End {
 	switch r.Outcome {
@@ -88,7 +113,9 @@
 	call := &attempt.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
 		Class: c.job.ClassName, Sent: c.attempts[n].sent}
 	reader, epoch, h := string(c.reader), c.releases, attempt.Held{Addr: string(w), Key: c.key}
-	c.d.held.Asked(h.Key, c.terms(), h.Addr)
+	terms := c.terms()
+	c.d.held.Asked(h.Key, terms, h.Addr)
+	c.d.watch.Sent(h.Key, terms.Request, terms.Pin, holdwatch.Reservation, h.Addr, time.Now())
 	c.d.work.Go(func() {
 		place := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
 		if !c.d.post(func() { c.granted(h, n, epoch, place) }) {
@@ -108,6 +135,7 @@
 		end = heldstate.Closed
 	}
 	c.d.held.Placed(h.Key, h.Addr, end, place != attempt.Denied, time.Now())
+	c.d.watch.Ended(h.Key, holdwatch.Reservation, h.Addr, watchedEnd(end), time.Now())
 	c.d.heldChanged()
 	if c.forgotten || epoch != c.releases {
 		return
@@ -141,6 +169,7 @@
 	c.releases++
 	c.d.hear()
 	c.d.held.Streaming(c.key, time.Now())
+	c.d.watch.Streaming(c.key)
 	c.d.heldChanged()
 }
 
@@ -192,6 +221,7 @@
 // only when something of it has changed, or is due: there may be thousands.
 func (d *Driver) releaseDue() {
 	now := time.Now()
+	d.reportSilence(now)
 	if !d.held.Busy() || now.Before(d.heldAt) {
 		return
 	}
@@ -209,6 +239,15 @@
 	}
 }
 
+// reportSilence passes on which requests nothing was heard of although servers may hold something for them.
+func (d *Driver) reportSilence(now time.Time) {
+	for _, r := range d.watch.Due(now) {
+		if d.cfg.Silent != nil {
+			d.cfg.Silent(r)
+		}
+	}
+}
+
 // heldChanged has what is owed looked through again, soon.
 func (d *Driver) heldChanged() { d.heldAt = d.lookedAt.Add(lookEvery) }
 
@@ -229,10 +268,14 @@
 
 // nextRelease is in how long the ledger may have something to do.
 func (d *Driver) nextRelease() time.Duration {
-	if !d.held.Busy() {
-		return time.Hour
+	wait := time.Hour
+	if next := d.watch.Next(); !next.IsZero() {
+		wait = time.Until(next)
 	}
-	return time.Until(d.heldAt)
+	if d.held.Busy() {
+		wait = min(wait, time.Until(d.heldAt))
+	}
+	return wait
 }
 
 // makeReleases makes releases on goroutines of their own.
@@ -252,6 +295,7 @@
 			})
 			continue
 		}
+		d.watch.Sent(call.Key, "", 0, holdwatch.Release, "", time.Now())
 		earlier, gone := d.going[call.Key], make(chan struct{})
 		d.going[call.Key] = gone
 		d.work.Go(func() {
@@ -278,6 +322,13 @@
 		r = attempt.Released{Taken: true, Sent: time.Now()}
 	}
 	d.held.Released(call, heldstate.Result(r), time.Now())
+	if !call.Probe {
+		how := holdwatch.Lost
+		if r.Taken {
+			how = holdwatch.Answered
+		}
+		d.watch.Ended(call.Key, holdwatch.Release, r.Server, how, time.Now())
+	}
 	d.heldChanged()
 }
 
--- a/internal/platform/evidence.go
+++ b/internal/platform/evidence.go
@@ -8,6 +8,7 @@
 
 	"gannethook/internal/driver"
 	"gannethook/internal/heldstate"
+	"gannethook/internal/holdwatch"
 )
 
 // Lines of requests that ended badly, at the level that the router ships with. They are bounded: on an overloaded day
@@ -70,6 +71,13 @@
 	}
 }
 
+// silent writes of which request nothing was heard although something may be held for it.
+func (e *evidence) silent(r holdwatch.Report) {
+	if e.allows() {
+		e.log.Info("nothing heard", zap.String("id", r.Request), zap.Duration("silent", r.Silent), zap.Strings("calls", r.Calls))
+	}
+}
+
 // forgot writes what is given up.
 func (e *evidence) forgot(f heldstate.Forgotten) {
 	if e.allows() {
