--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -33,7 +33,6 @@
 	Gone        func() bool             // whether its client has left; nil: not known. Nothing begins for one that has
 	Unsafe      bool                    // it may not be made again once it may have run
 	Left        int                     // attempts that its request may make after it; negative: any number
-	Fresh       bool                    // it goes by a new connection, which shows that its server can be reached
 	Traced      bool                    // somebody logs what became of it
 	Via         string                  // told by the way out: the connection that it went by, for the log
 	Sent        *Mark                   // set when the request's last byte is written; nil: nobody asks
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -39,7 +39,6 @@
 	reader   gannethook.ServerID
 	writer   gannethook.ServerID
 	releases int         // how often all was let go: tells late grants
-	beside   bool        // all was let go beside an attempt that was out, and nothing was read since
 	lets     []time.Time // when something was, for the log
 	reads    int         // prompts read for it, and tokens of these that were found kept
 	kept     float64
@@ -149,7 +148,6 @@
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
 	before := c.beginHolding(a)
-	call.Fresh = c.d.held.Stale(a.key)
 	c.d.work.Go(func() {
 		if before != nil {
 			select {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -55,23 +55,24 @@
 	work    sync.WaitGroup // attempts, holds and releases on their way
 
 	// Of the goroutine alone:
-	ctx      context.Context
-	set      *gannethook.Settings // of requests that come now
-	names    Names
-	lastID   uint64
-	loose    []*Call // answered, or an attempt ended: perhaps to be forgotten
-	calls    map[gannethook.RequestID]*Call
-	roles    map[gannethook.ServerID]gannethook.Role
-	held     *heldstate.Ledger
-	watch    *holdwatch.Watch
-	wanted   []string                 // keys of which all is to be let go, since the last event
-	going    map[string]chan struct{} // closed once the last release by a key has gone out
-	lookedAt time.Time                // when what is owed was looked through last
-	heldAt   time.Time                // when what is owed is looked through next
-	hearAt   time.Time                // when servers that are in doubt are looked at next
-	timers   timers
-	turn     uint64
-	over     bool // nothing more is taken
+	ctx       context.Context
+	set       *gannethook.Settings // of requests that come now
+	names     Names
+	lastID    uint64
+	loose     []*Call // answered, or an attempt ended: perhaps to be forgotten
+	calls     map[gannethook.RequestID]*Call
+	roles     map[gannethook.ServerID]gannethook.Role
+	held      *heldstate.Ledger
+	watch     *holdwatch.Watch
+	oldFaults oldFaults
+	wanted    []string                 // keys of which all is to be let go, since the last event
+	going     map[string]chan struct{} // closed once the last release by a key has gone out
+	lookedAt  time.Time                // when what is owed was looked through last
+	heldAt    time.Time                // when what is owed is looked through next
+	hearAt    time.Time                // when servers that are in doubt are looked at next
+	timers    timers
+	turn      uint64
+	over      bool // nothing more is taken
 
 	lingerUntil atomic.Pointer[time.Time] // until when Run lets go of what is held after its context has ended; nil: lingerShort
 }
@@ -92,7 +93,7 @@
 		start: now, startMS: float64(wall.UnixMicro()) / 1000,
 		boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
 		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{},
-		held: heldstate.New(), watch: holdwatch.New(), going: map[string]chan struct{}{}}
+		held: heldstate.New(), watch: holdwatch.New(), oldFaults: oldFaults{}, going: map[string]chan struct{}{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
 }
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -26,7 +26,7 @@
 
 // terms are those of what is held for the request.
 func (c *Call) terms() heldstate.Terms {
-	return heldstate.Terms{Request: cmp.Or(c.job.Name, strconv.FormatUint(uint64(c.id), 10)), Shared: c.job.Name != "",
+	return heldstate.Terms{Request: cmp.Or(c.job.Name, strconv.FormatUint(uint64(c.id), 10)), Shared: c.job.Name != "", Spared: c.set.SparesWaited,
 		Pin: time.Duration(float64(c.set.PinLimit) * float64(time.Millisecond))}
 }
 
@@ -41,7 +41,9 @@
 		c.keys = append(c.keys, c.key)
 	}
 	d := c.d
-	c.beside = c.beside && !a.reads
+	if a.reads {
+		delete(d.oldFaults, a.key)
+	}
 	d.makeReleases(d.held.Flush(a.key))
 	d.heldChanged()
 	terms := c.terms()
@@ -104,7 +106,8 @@
 	return heldstate.Answered
 }
 
-// hold asks for a place on a goroutine of its own.
+// hold asks for a place on a goroutine of its own, where servers share what they know once the read is written: what may be
+// held counts from when it is asked for.
 func (c *Call) hold(w gannethook.ServerID) {
 	n := len(c.attempts) - 1
 	if n < 0 || c.key == "" {
@@ -113,10 +116,20 @@
 	call := &attempt.Call{Addr: string(w), Key: c.key, PromptSize: c.job.PromptSize, MaxTokens: c.job.MaxTokens,
 		Class: c.job.ClassName, Sent: c.attempts[n].sent}
 	reader, epoch, h := string(c.reader), c.releases, attempt.Held{Addr: string(w), Key: c.key}
-	terms := c.terms()
-	c.d.held.Asked(h.Key, terms, h.Addr)
-	c.d.watch.Sent(h.Key, terms.Request, terms.Pin, holdwatch.Reservation, h.Addr, time.Now())
 	c.d.work.Go(func() {
+		asks := make(chan bool, 1)
+		written := c.job.Name == "" || call.Sent.Came(c.d.ctx)
+		if !c.d.post(func() { asks <- c.ask(h, n, epoch, written) }) {
+			return
+		}
+		select {
+		case ask := <-asks:
+			if !ask {
+				return
+			}
+		case <-c.d.stopped: // the driver may have ended before it came to that
+			return
+		}
 		place := c.d.cfg.Engines.Hold(c.d.ctx, call, reader)
 		if !c.d.post(func() { c.granted(h, n, epoch, place) }) {
 			c.d.cfg.Engines.Release(context.WithoutCancel(c.d.ctx), []attempt.Held{h})
@@ -124,22 +137,24 @@
 	})
 }
 
-// granted takes the answer to a hold that was asked for during attempt n. Where all was let go meanwhile
-// the ledger has it let go as well.
-func (c *Call) granted(h attempt.Held, n, epoch int, place attempt.Place) {
-	end := heldstate.Answered
-	switch place {
-	case attempt.Denied:
-		end = heldstate.TurnedAway
-	case attempt.Unheard:
-		end = heldstate.Closed
-	}
-	c.d.held.Placed(h.Key, h.Addr, end, place != attempt.Denied, time.Now())
-	c.d.watch.Ended(h.Key, holdwatch.Reservation, h.Addr, watchedEnd(end), time.Now())
+// ask notes that a place is asked for, unless its read was not written, or has ended meanwhile.
+func (c *Call) ask(h attempt.Held, n, epoch int, written bool) bool {
+	if c.forgotten || epoch != c.releases || !c.attempts[n].out {
+		return false
+	}
+	if !written {
+		c.tellPlace(n, attempt.Denied)
+		return false
+	}
+	terms, now := c.terms(), time.Now()
+	c.d.held.Asked(h.Key, terms, h.Addr, now)
+	c.d.watch.Sent(h.Key, terms.Request, terms.Pin, holdwatch.Reservation, h.Addr, now)
 	c.d.heldChanged()
-	if c.forgotten || epoch != c.releases {
-		return
-	}
+	return true
+}
+
+// tellPlace tells the module how the asking for a place ended.
+func (c *Call) tellPlace(n int, place attempt.Place) {
 	// A named request has one place at most: while it is not known whether it is held, no other is asked for.
 	known := place == attempt.Granted || place == attempt.Denied
 	if c.attempts[n].out && (known || c.job.Name == "") {
@@ -147,6 +162,26 @@
 	}
 }
 
+// grants is what the answers to a request for a place mean for what may be held, and for reports of silence.
+var grants = map[attempt.Place]struct {
+	grant   heldstate.Grant
+	outcome holdwatch.Outcome
+}{
+	attempt.Denied:  {heldstate.Denied, holdwatch.TurnedAway},
+	attempt.Granted: {heldstate.Granted, holdwatch.Answered},
+	attempt.Unknown: {heldstate.Unknown, holdwatch.Answered},
+	attempt.Unheard: {heldstate.Unheard, holdwatch.Lost},
+}
+
+// granted takes the answer to a hold that was asked for during attempt n. Where all was let go meanwhile
+// the ledger has it let go as well.
+func (c *Call) granted(h attempt.Held, n, epoch int, place attempt.Place) {
+	c.d.placed(h.Key, h.Addr, place)
+	if !c.forgotten && epoch == c.releases {
+		c.tellPlace(n, place)
+	}
+}
+
 // release has all let go that may be held.
 func (c *Call) release() {
 	c.params = nil
@@ -154,12 +189,11 @@
 	if c.key == "" {
 		return
 	}
-	if faults.Broken(faults.BreakBeside) && c.out > 0 || faults.Broken(faults.BreakForget) && c.beside {
+	if c.d.oldFaults.forgets(c.key) {
 		return
 	}
-	c.beside = c.out > 0
 	c.lets = append(c.lets, time.Now())
-	c.d.makeReleases(c.d.held.Want(c.key, time.Now()))
+	c.d.held.Want(c.key, time.Now())
 	c.d.wanted = append(c.d.wanted, c.key)
 }
 
@@ -175,11 +209,10 @@
 
 // owe has the ledger let go of all that is left of the request, now or later.
 func (c *Call) owe() {
-	if faults.Broken(faults.BreakForget) && c.beside {
-		return
-	}
 	for _, key := range c.keys {
-		c.d.held.Over(key, time.Now())
+		if !c.d.oldFaults.forgets(key) {
+			c.d.held.Over(key, time.Now())
+		}
 	}
 	c.d.heldChanged()
 }
@@ -209,11 +242,6 @@
 			d.held.Heard(server, sent, answered, now)
 		}
 	}
-	for _, server := range d.held.Beside() {
-		if at := d.cfg.Engines.Reached(server); !at.IsZero() {
-			d.held.Reached(server, at)
-		}
-	}
 	d.hearAt = now.Add(hearEvery)
 }
 
@@ -281,6 +309,14 @@
 // makeReleases makes releases on goroutines of their own.
 func (d *Driver) makeReleases(calls []heldstate.Call) {
 	for _, call := range calls {
+		if call.Renew {
+			d.renew(call)
+			continue
+		}
+		if d.oldFaults.leavesOut(call) {
+			d.held.Released(call, heldstate.Result{Taken: true, Sent: time.Now()}, time.Now())
+			continue
+		}
 		list := make([]attempt.Held, 0, len(call.Servers)+1)
 		for _, server := range call.Servers {
 			list = append(list, attempt.Held{Addr: server, Key: call.Key})
@@ -317,6 +353,24 @@
 	}
 }
 
+// renew asks a server again for the place that it holds.
+func (d *Driver) renew(call heldstate.Call) {
+	server := call.Servers[0]
+	d.watch.Sent(call.Key, "", 0, holdwatch.Reservation, server, time.Now())
+	d.work.Go(func() {
+		place := d.cfg.Engines.Hold(d.ctx, &attempt.Call{Addr: server, Key: call.Key}, "")
+		d.post(func() { d.placed(call.Key, server, place) })
+	})
+}
+
+// placed notes how the asking for a place ended.
+func (d *Driver) placed(key, server string, place attempt.Place) {
+	end, now := grants[place], time.Now()
+	d.held.Placed(key, server, end.grant, now)
+	d.watch.Ended(key, holdwatch.Reservation, server, end.outcome, now)
+	d.heldChanged()
+}
+
 func (d *Driver) released(call heldstate.Call, r attempt.Released) {
 	if !r.Taken && !call.Probe && faults.Broken(faults.BreakGiveUp) {
 		r = attempt.Released{Taken: true, Sent: time.Now()}
--- /dev/null
+++ b/internal/driver/oldfaults.go
@@ -0,0 +1,34 @@
+package driver
+
+import (
+	"gannethook/internal/faults"
+	"gannethook/internal/heldstate"
+)
+
+// oldFaults are the keys beside whose write a release was made, in a build that brings back a fault that was once made: with
+// forget and spared such a release counted as the last one that is needed. In the shipped build nothing is ever added.
+type oldFaults map[string]bool
+
+// leavesOut tells whether a release is not made, as in the fault that is brought back.
+func (o oldFaults) leavesOut(c heldstate.Call) bool {
+	if !faults.Enabled || c.Probe {
+		return false
+	}
+	switch {
+	case faults.Broken(faults.BreakBeside):
+		return c.Beside == heldstate.BesideWrite
+	case faults.Broken(faults.BreakInFlight):
+		return c.Beside == heldstate.BesideRead
+	case faults.Broken(faults.BreakSpared) && c.Beside != heldstate.Alone && o[c.Key]:
+		return true
+	}
+	if c.Beside == heldstate.BesideWrite && (faults.Broken(faults.BreakSpared) || faults.Broken(faults.BreakForget)) {
+		o[c.Key] = true
+	}
+	return false
+}
+
+// forgets tells whether nothing more is let go by a key, as in the fault that is brought back.
+func (o oldFaults) forgets(key string) bool {
+	return faults.Broken(faults.BreakForget) && o[key]
+}
--- a/internal/driver/types.go
+++ b/internal/driver/types.go
@@ -31,8 +31,6 @@
 	ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released
 	// Heard is when the last call was sent that a server has answered, and when it was answered; zero: not known.
 	Heard(server string) (sent, answered time.Time)
-	// Reached is when a server last answered, or a connection to it last came up; zero: not known.
-	Reached(server string) time.Time
 }
 
 // Decider decides; gannethook.Router does. A baseline may stand in for it in comparisons.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -339,9 +339,6 @@
 	return attempt.Released{Taken: c.release(ctx, h) == nil, Server: h.Addr, Sent: sent}
 }
 
-// Reached is not known.
-func (c *Client) Reached(string) time.Time { return time.Time{} }
-
 // Heard is not known beside what a release tells.
 func (c *Client) Heard(string) (sent, answered time.Time) { return time.Time{}, time.Time{} }
 
--- a/internal/faults/doc.go
+++ b/internal/faults/doc.go
@@ -21,12 +21,14 @@
 	BreakStart   = "start"   // servers in slow start are used as if they were warm
 
 	// Faults that were once made.
-	BreakForget   = "forget"   // a release that was sent beside an attempt counts as made
-	BreakOvertake = "overtake" // a release does not allow for a close that is noticed late
-	BreakUnheard  = "unheard"  // nothing is owed to servers that have not been heard since a close
-	BreakGiveUp   = "give-up"  // a release that no server took is not made again
-	BreakBeside   = "beside"   // nothing is released beside a write that may not have arrived
-	BreakReload   = "reload"   // a configuration that can't be read is not read again
-	BreakBuffers  = "buffers"  // one failed write ends a client's answer
-	BreakRoom     = "room"     // an attempt fails at once where no connection can be had
+	BreakForget   = "forget"    // a release that was sent beside an attempt counts as made
+	BreakOvertake = "overtake"  // a release does not allow for a close that is noticed late
+	BreakUnheard  = "unheard"   // nothing is owed to servers that have not been heard since a close
+	BreakGiveUp   = "give-up"   // a release that no server took is not made again
+	BreakBeside   = "beside"    // nothing is released beside a write that may not have arrived
+	BreakInFlight = "in-flight" // nothing is released beside a read that may not have arrived
+	BreakSpared   = "spared"    // a release that was spared for a write is not repeated beside the next attempt
+	BreakReload   = "reload"    // a configuration that can't be read is not read again
+	BreakBuffers  = "buffers"   // one failed write ends a client's answer
+	BreakRoom     = "room"      // an attempt fails at once where no connection can be had
 )
--- a/internal/faults/on.go
+++ b/internal/faults/on.go
@@ -83,10 +83,24 @@
 		err := plan.pick(syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.ENOMEM)
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
 	}
+	if plan.strikes("hang") {
+		hang(ctx, d)
+	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	return wrap(nc, true), err
 }
 
+// hang has a connection come up late, up to a second, or not in its time.
+func hang(ctx context.Context, d *net.Dialer) {
+	until := time.After(time.Duration(plan.upTo(1000)) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, d.Deadline)
+	defer cancel()
+	select {
+	case <-until:
+	case <-ctx.Done():
+	}
+}
+
 // Listener is the listener with failing calls of accept.
 func Listener(ln net.Listener) net.Listener { return &listener{ln} }
 
--- /dev/null
+++ b/internal/heldstate/entry.go
@@ -0,0 +1,295 @@
+package heldstate
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// kind is what a holding is.
+type kind uint8
+
+const (
+	readState   kind = iota // the state that a read leaves
+	place                   // a place that was asked for
+	queuedWrite             // nothing by itself: while it waits in its server's queue, releases spare what it waits for
+)
+
+// holding is one thing that a server may hold.
+type holding struct {
+	server  string
+	kind    kind
+	pending bool      // its call is in flight
+	asked   time.Time // of a place: when
+	closed  time.Time // since when its server may not have noticed that the connection was closed; zero: it has, or was not
+	settled time.Time // a release that is sent from then on finds it
+	granted bool      // of a place: its server has said so
+}
+
+// settle notes that whatever is held is held by a time.
+func (h *holding) settle(at time.Time) { h.pending, h.closed, h.settled = false, time.Time{}, at }
+
+// unheard tells whether its server may not have noticed a close.
+func (h *holding) unheard() bool { return !h.closed.IsZero() }
+
+// held tells whether something may be held. An attempt in flight by itself holds nothing that the router could let go: its
+// server has not answered, and its time is not up.
+func (h *holding) held() bool { return !h.pending || h.kind == place }
+
+// goesWithStream tells whether it is gone with the first event of an answer: not what comes later, from a call that is in
+// flight, a server that has not noticed a close, or one that was heard a moment ago.
+func (h *holding) goesWithStream(now time.Time) bool {
+	return h.kind == queuedWrite || !h.pending && !h.unheard() && !h.settled.After(now)
+}
+
+// entry is what may be held under one key.
+type entry struct {
+	key      string
+	terms    Terms
+	holdings []holding
+
+	wanted   bool      // all is to be let go
+	wantedAt time.Time // since when
+	over     bool      // no attempt follows
+	streamed bool      // the answer has begun: what was held went with it
+
+	proven    time.Time // until when an answer proves that the pin limit did not run
+	quietAt   time.Time // when the last attempt ended that may have arrived
+	taken     time.Time // when the last release was sent that servers have answered
+	takes     int       // releases that were answered since something last ended
+	releasing int       // releases in flight
+	round     round     // of the releases in flight
+	retry     time.Duration
+	retryAt   time.Time // of a release that nobody took; zero: it was taken
+	renewed   time.Time // what was proven when the place was last asked for again
+
+	owedAt   time.Time // since when it is owed; zero: it is not
+	reported bool
+	lookAt   time.Time // when it has something to do
+	position int       // in the agenda
+}
+
+// round is what came of the releases that are made together, one at each server.
+type round struct {
+	sent   time.Time // when the first of them was sent
+	failed bool      // nobody took one of them
+}
+
+// prove notes that an answer proves that the pin limit did not run until a time.
+func (e *entry) prove(at time.Time) { e.proven = later(e.proven, at) }
+
+func (e *entry) want(now time.Time) {
+	if !e.wanted {
+		e.wanted, e.wantedAt = true, now
+	}
+}
+
+// grace is for how long a server may take to notice a close; a short pin limit leaves less room to allow for it.
+func (e *entry) grace() time.Duration { return min(NoticeGrace, e.terms.pin()/4) }
+
+// pending is the holding of a kind at a server whose call is in flight; -1: there is none.
+func (e *entry) pending(server string, kind kind) int {
+	return slices.IndexFunc(e.holdings, func(h holding) bool { return h.pending && h.kind == kind && h.server == server })
+}
+
+func (e *entry) remove(i int) { e.holdings = slices.Delete(e.holdings, i, i+1) }
+
+// mayHold tells whether a server may hold something.
+func (e *entry) mayHold() bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.held() })
+}
+
+// inFlight tells whether an attempt is in flight that may wait for something, as far as the router knows.
+func (e *entry) inFlight() bool { return e.beside() != Alone }
+
+// beside is which attempt is in flight.
+func (e *entry) beside() Beside {
+	beside := Alone
+	for _, h := range e.holdings {
+		switch {
+		case h.pending && h.kind == readState:
+			return BesideRead
+		case h.pending && h.kind == queuedWrite:
+			beside = BesideWrite
+		}
+	}
+	return beside
+}
+
+// inDoubt tells whether some server may not have noticed a close, and doubts whether one may not have.
+func (e *entry) inDoubt() bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() })
+}
+
+func (e *entry) doubts(server string) bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() && h.server == server })
+}
+
+// doubted is which servers may not have noticed a close.
+func (e *entry) doubted() (servers []string) {
+	for _, h := range e.holdings {
+		if h.unheard() && !slices.Contains(servers, h.server) {
+			servers = append(servers, h.server)
+		}
+	}
+	return servers
+}
+
+// nextLook is when the entry has something to do; zero: when something is heard.
+func (e *entry) nextLook() time.Time {
+	at := sooner(e.nextRelease(), e.nextRenewal())
+	if e.owedAt.IsZero() {
+		return at
+	}
+	at = sooner(at, e.owedAt.Add(maxAge+time.Millisecond))
+	if !e.reported {
+		at = sooner(at, e.owedAt.Add(e.part(evidencePart)))
+	}
+	return at
+}
+
+// nextRelease is when the next release is made; zero: when something is heard.
+func (e *entry) nextRelease() time.Time {
+	switch {
+	case e.releasing > 0 || !e.mayHold():
+		return time.Time{}
+	case !e.retryAt.IsZero():
+		return e.retryAt
+	case e.inFlight() && !e.terms.Spared && !e.over:
+		return time.Time{} // it would take what the attempt waits for
+	}
+	due := e.proven.Add(e.part(releasePart))
+	if settled := e.settledAt(); e.taken.Before(settled) {
+		return sooner(due, settled)
+	}
+	if e.takes > maxRepeats {
+		return time.Time{}
+	}
+	return due
+}
+
+// nextRenewal is when the place is asked for again that a read in flight has; zero: there is no need.
+func (e *entry) nextRenewal() time.Time {
+	asking := slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == place && h.pending })
+	switch {
+	case asking || e.wanted || e.renewed.Equal(e.proven) || e.beside() != BesideRead || e.granted() == "":
+		return time.Time{}
+	case !e.terms.Shared || !e.terms.Spared: // the answer would prove nothing, and nothing is released beside the read
+		return time.Time{}
+	}
+	return e.proven.Add(e.part(renewPart))
+}
+
+// granted is the server that holds a place by its own word; "": none does.
+func (e *entry) granted() string {
+	for _, h := range e.holdings {
+		if h.kind == place && h.granted && !h.unheard() {
+			return h.server
+		}
+	}
+	return ""
+}
+
+// settledAt is from when on a release finds all that is to be let go; zero: nothing is, or only what is not there yet.
+func (e *entry) settledAt() (at time.Time) {
+	if !e.wanted {
+		return at
+	}
+	if e.inFlight() {
+		return e.wantedAt
+	}
+	for _, h := range e.holdings {
+		switch {
+		case h.unheard():
+			at = later(at, h.closed.Add(e.grace()))
+		case !h.pending:
+			at = later(at, h.settled)
+		}
+	}
+	if at.IsZero() {
+		return at
+	}
+	return later(at, later(e.wantedAt, e.quietAt))
+}
+
+// heardHolders is which servers may hold something and are not in doubt: one that hangs would keep the release waiting.
+func (e *entry) heardHolders() []string {
+	return slices.DeleteFunc(e.where(), e.doubts)
+}
+
+// where is which servers may hold something, those that hold it by now first.
+func (e *entry) where() []string {
+	var list []string
+	add := func(wanted func(holding) bool) {
+		for _, h := range e.holdings {
+			if h.held() && h.kind != queuedWrite && wanted(h) && !slices.Contains(list, h.server) {
+				list = append(list, h.server)
+			}
+		}
+	}
+	add(func(h holding) bool { return !h.unheard() })
+	add(func(h holding) bool { return h.unheard() })
+	for _, h := range e.holdings { // whoever spares something
+		if h.kind == queuedWrite && h.unheard() && !slices.Contains(list, h.server) {
+			list = append(list, h.server)
+		}
+	}
+	return list
+}
+
+// let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight.
+func (e *entry) let(server string, sent time.Time) {
+	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
+		return !h.pending && !h.unheard() && !h.settled.After(sent) && (e.terms.Shared || h.server == server)
+	})
+}
+
+// part is a part of the pin limit.
+func (e *entry) part(part float64) time.Duration {
+	return time.Duration(part * float64(e.terms.pin()))
+}
+
+// agenda is the entries that have something to do at a time, the next one first.
+type agenda []*entry
+
+// notQueued is the position of an entry that is not in the agenda.
+const notQueued = -1
+
+// set sets when an entry has something to do; zero: it is not in the agenda.
+func (a *agenda) set(e *entry, at time.Time) {
+	e.lookAt = at
+	switch {
+	case at.IsZero() && e.position != notQueued:
+		heap.Remove(a, e.position)
+	case at.IsZero():
+	case e.position == notQueued:
+		heap.Push(a, e)
+	default:
+		heap.Fix(a, e.position)
+	}
+}
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].lookAt.Before(a[j].lookAt) }
+
+func (a agenda) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].position, a[j].position = i, j
+}
+
+// Push and Pop are for container/heap.
+func (a *agenda) Push(x any) {
+	e := x.(*entry)
+	e.position = len(*a)
+	*a = append(*a, e)
+}
+
+// Pop takes out the last entry.
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*a = old[:len(old)-1]
+	last.position = notQueued
+	return last
+}
--- /dev/null
+++ b/internal/heldstate/probe.go
@@ -0,0 +1,75 @@
+package heldstate
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// unheard is a server about which entries are in doubt.
+type unheard struct {
+	entries []*entry
+	probing bool
+	retry   time.Duration
+	next    time.Time // of the next probe
+}
+
+// Unheard is which servers entries wait to hear, in order.
+func (l *Ledger) Unheard() []string { return slices.Sorted(maps.Keys(l.unheard)) }
+
+// dueProbes returns a call to each server that entries wait to hear, if none is
+// in flight: the release of one of them, which that server alone is to answer.
+func (l *Ledger) dueProbes(now time.Time) []Call {
+	var calls []Call
+	for _, server := range l.Unheard() {
+		u := l.unheard[server]
+		if u.probing || u.next.After(now) || l.probes >= maxProbes {
+			continue
+		}
+		// A release by the key of a request that goes on would let go of what it needs.
+		if i := slices.IndexFunc(u.entries, (*entry).waitsToHear); i >= 0 {
+			u.probing = true
+			l.probes++
+			calls = append(calls, Call{Key: u.entries[i].key, Servers: []string{server}, Probe: true})
+		}
+	}
+	return calls
+}
+
+// waitsToHear tells whether an entry is owed of which only a server's being heard can prove more.
+func (e *entry) waitsToHear() bool {
+	return !e.owedAt.IsZero() && e.releasing == 0 && e.takes > 1
+}
+
+// nextProbe is when a probe is due; zero: when something else has come.
+func (l *Ledger) nextProbe() (next time.Time) {
+	if len(l.owed) == 0 || l.probes >= maxProbes {
+		return next
+	}
+	for _, u := range l.unheard {
+		if !u.probing && slices.ContainsFunc(u.entries, (*entry).waitsToHear) {
+			next = sooner(next, u.next)
+		}
+	}
+	return next
+}
+
+// probed notes the end of a probe.
+func (l *Ledger) probed(server string, answered bool, now time.Time) {
+	l.probes--
+	u := l.unheard[server]
+	if u == nil {
+		return
+	}
+	u.probing = false
+	if answered {
+		u.retry = 0
+		u.next = now.Add(NoticeGrace)
+	} else {
+		u.retry = min(max(2*u.retry, firstProbe), maxProbe)
+		u.next = now.Add(u.retry)
+	}
+	if len(u.entries) == 0 {
+		delete(l.unheard, server)
+	}
+}
--- /dev/null
+++ b/internal/heldstate/report.go
@@ -0,0 +1,62 @@
+package heldstate
+
+import (
+	"slices"
+	"time"
+)
+
+// Forgotten is an entry that left without proof.
+type Forgotten struct {
+	Request, Key string
+	Owed         time.Duration
+	Servers      []string
+	Why          Why
+}
+
+// Why tells why an entry was forgotten.
+type Why uint8
+
+// The reasons.
+const (
+	TooMany Why = iota // the ledger was full
+	TooOld             // its servers were not heard for too long
+	Stopped            // the router ended
+)
+
+func (w Why) String() string {
+	return [...]string{"too many owed", "owed for too long", "the router ends"}[w]
+}
+
+// Report tells of an entry that has been owed for half of its time.
+type Report struct {
+	Request, Key string
+	Owed         time.Duration
+	Releases     int      // that were answered
+	Holders      []string // servers that may hold something
+	Unheard      []string // servers that may not have noticed a close
+}
+
+// Forgotten returns what left without proof since the last call.
+func (l *Ledger) Forgotten() []Forgotten {
+	list := l.forgot
+	l.forgot = nil
+	return list
+}
+
+// report notes an entry that has been owed for half of its time, once.
+func (l *Ledger) report(e *entry, now time.Time) {
+	if e.reported || now.Sub(e.owedAt) < e.part(evidencePart) {
+		return
+	}
+	e.reported = true
+	r := Report{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Releases: e.takes, Unheard: e.doubted()}
+	r.Holders = slices.DeleteFunc(e.where(), e.doubts)
+	l.reports = append(l.reports, r)
+}
+
+// Reports returns the entries that have been owed for half of their time since the last call.
+func (l *Ledger) Reports() []Report {
+	list := l.reports
+	l.reports = nil
+	return list
+}
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -56,13 +56,10 @@
 		return nil, err
 	}
 	ctl := strings.HasPrefix(path, HoldsPath)
-	cn, err := c.pool.acquire(ctx, addr, ctl, !ctl && (call.Fresh || c.wantsNewConn(call)))
+	cn, err := c.pool.acquire(ctx, addr, ctl, !ctl && c.wantsNewConn(call))
 	if err != nil {
 		return nil, err
 	}
-	if cn.Unused == 0 {
-		c.connected(id)
-	}
 	if err := c.mayBegin(ctx, id, method, call); err != nil {
 		if errors.Is(err, errDraining) {
 			cn.Close()
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -43,8 +43,8 @@
 // How a release goes on until a worker has taken it.
 const (
 	releaseWithin   = 2 * time.Second       // then the servers' own limits let go of what is held
-	releaseHedge    = 60 * time.Millisecond // a worker that has not answered by then is probably silent: the next is asked beside it,
-	hedgeGrowth     = 8                     // and the one after that an eighth later, so that lost workers cost few calls
+	releaseHedge    = 60 * time.Millisecond // a worker that has not answered by then is probably silent: others are asked beside it,
+	maxWave         = 32                    // twice as many each time, up to so many: one that answers is found soon among many silent ones
 	releasePause    = 5 * time.Millisecond  // after a try that failed at once,
 	maxReleasePause = 50 * time.Millisecond // doubled up to this
 	probeWithin     = time.Second           // for which one worker alone is waited for
@@ -85,25 +85,6 @@
 	return time.Time{}, time.Time{}
 }
 
-// Reached is when a worker last answered, or a connection to it last came up; zero: never.
-func (c *Client) Reached(id string) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w := c.byID[id]; w != nil {
-		return w.reached
-	}
-	return time.Time{}
-}
-
-// connected notes that a connection to a worker has come up.
-func (c *Client) connected(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w := c.byID[id]; w != nil {
-		w.reached = time.Now()
-	}
-}
-
 // taken is how one worker took a release.
 type taken struct {
 	id   string
@@ -111,59 +92,112 @@
 	ok   bool
 }
 
-// releaseOne asks one worker after another until one has let go of all that a
-// request holds, and those that may hold it have been asked as well, or the time
-// is over. Whoever has failed lately is asked last.
+// releaseOne asks one worker, and more and more others while none answers, until one has let go of all that a
+// request holds, and those that may hold it have been asked as well, or the time is over. Whoever has failed lately
+// is asked last.
 func (c *Client) releaseOne(ctx context.Context, name string, holders []string) attempt.Released {
 	ctx, cancel := context.WithCancel(ctx) // ends the tries that are still out
-	var tries sync.WaitGroup
-	defer tries.Wait()
+	r := &releasing{c: c, name: name, holders: holders, results: make(chan taken), asked: map[string]int{}, answered: map[string]bool{}}
+	defer r.tries.Wait()
 	defer cancel()
-	results := make(chan taken)
-	asked, answered := map[string]int{}, map[string]bool{}
-	var first taken // that took it
-	hedge := releaseHedge
-	for pause := releasePause; ctx.Err() == nil; {
-		id, ok := c.nextToRelease(holders, asked)
-		if first.ok {
-			if id, ok = c.nextHolder(holders, asked); !ok {
-				break
-			}
-		}
-		if !ok { // no worker is listed just now
-			pause = sleep(ctx, pause)
-			continue
-		}
-		asked[id]++
-		tries.Go(func() {
-			each, cancel := context.WithTimeout(ctx, c.lim.Load().ReleaseTimeout)
-			defer cancel()
-			sent, ok := c.release(each, id, name)
-			select {
-			case results <- taken{id: id, sent: sent, ok: ok}:
-			case <-ctx.Done():
-			}
-		})
+	wave, waited := 1, false
+	r.askMore(ctx, wave)
+	hedge := time.NewTicker(releaseHedge)
+	defer hedge.Stop()
+	for pause := releasePause; ctx.Err() == nil && !r.over(waited); {
 		select {
-		case by := <-results:
-			switch {
-			case !by.ok:
-				pause = sleep(ctx, pause)
-			case !first.ok:
-				first = by
-				fallthrough
-			default:
-				answered[by.id] = true
+		case by := <-r.results:
+			if r.take(by); by.ok && by == r.first {
+				hedge.Reset(releaseHedge)
 			}
-		case <-time.After(hedge):
-			hedge += hedge / hedgeGrowth
+		case <-hedge.C:
+			waited = r.first.ok
+			wave = min(2*wave, maxWave, max(c.listed(), 1))
+			r.askMore(ctx, wave)
 		case <-ctx.Done():
 		}
+		switch {
+		case r.first.ok:
+			r.askMore(ctx, len(holders))
+		case r.pending == 0: // all have failed at once, or none is listed just now
+			pause = sleep(ctx, pause)
+			r.askMore(ctx, 1)
+		}
 	}
-	if !first.ok {
+	if !r.first.ok {
 		return attempt.Released{}
 	}
-	return attempt.Released{Taken: true, Server: first.id, Sent: first.sent, Silent: c.silent(holders, asked, answered)}
+	return attempt.Released{Taken: true, Server: r.first.id, Sent: r.first.sent, Silent: c.silent(holders, r.asked, r.answered)}
+}
+
+// releasing is one release that is under way.
+type releasing struct {
+	c        *Client
+	name     string
+	holders  []string
+	tries    sync.WaitGroup
+	results  chan taken
+	pending  int            // tries that are under way
+	asked    map[string]int // how often each worker was
+	answered map[string]bool
+	first    taken // that took it
+}
+
+// askMore asks up to n workers more: once one has taken the release, those that may hold something and were not asked.
+func (r *releasing) askMore(ctx context.Context, n int) {
+	wave := map[string]bool{} // none is asked twice in it
+	for range n {
+		id, ok := r.next(wave)
+		if !ok {
+			break
+		}
+		wave[id] = true
+		r.asked[id]++
+		r.pending++
+		r.tries.Go(func() { r.try(ctx, id) })
+	}
+}
+
+func (r *releasing) next(wave map[string]bool) (id string, ok bool) {
+	if r.first.ok {
+		return r.c.nextHolder(r.holders, r.asked)
+	}
+	return r.c.nextToRelease(r.holders, r.asked, wave)
+}
+
+func (r *releasing) try(ctx context.Context, id string) {
+	each, cancel := context.WithTimeout(ctx, r.c.lim.Load().ReleaseTimeout)
+	defer cancel()
+	sent, ok := r.c.release(each, id, r.name)
+	select {
+	case r.results <- taken{id: id, sent: sent, ok: ok}:
+	case <-ctx.Done():
+	}
+}
+
+// over tells whether the release is taken, and each worker that may hold something has answered or was waited for.
+func (r *releasing) over(waited bool) bool {
+	awaited := slices.ContainsFunc(r.holders, func(id string) bool { return r.asked[id] > 0 && !r.answered[id] })
+	return r.first.ok && (waited || !awaited)
+}
+
+// take notes how a worker took the release.
+func (r *releasing) take(by taken) {
+	r.pending--
+	if !by.ok {
+		return
+	}
+	if !r.first.ok {
+		r.first = by
+	}
+	r.answered[by.id] = true
+}
+
+// listed is how many workers there are.
+func (c *Client) listed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byID)
 }
 
 // nextHolder is a worker that may hold something and was not asked yet: whoever has taken the release may not reach
@@ -201,15 +235,18 @@
 	return min(2*pause, maxReleasePause)
 }
 
-// nextToRelease is the worker to ask next: of those asked least often so far the
+// nextToRelease is the worker to ask next, but for some: of those asked least often so far the
 // one that most likely answers at once.
-func (c *Client) nextToRelease(first []string, asked map[string]int) (id string, ok bool) {
+func (c *Client) nextToRelease(first []string, asked map[string]int, except map[string]bool) (id string, ok bool) {
 	unused := c.pool.idle.Names()
 	now := time.Now()
 	var best releaseChoice
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for candidate, w := range c.byID {
+		if except[candidate] {
+			continue
+		}
 		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr],
 			missed: now.Sub(w.missed) < missedLately && w.heard.Before(w.missed)}
 		choice.holds = choice.unused && slices.Contains(first, candidate)
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -44,7 +44,6 @@
 		return
 	}
 	w.heard = time.Now()
-	w.reached = w.heard
 	if sent.After(w.asked) {
 		w.asked, w.askedHeard = sent, w.heard
 	}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -39,7 +39,6 @@
 	draining   bool      // nothing new may begin
 	heard      time.Time // when it last answered anything
 	asked      time.Time // when the last call was sent that it has answered,
-	reached    time.Time // when it last answered anything, or a connection to it came up
 	askedHeard time.Time // and when it was answered
 	missed     time.Time // when it last failed to take a release
 	stats      Stats
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net"
 	"slices"
 	"time"
 )
@@ -23,12 +24,17 @@
 	return slices.ContainsFunc(q.arrived, func(a arrival) bool { return !a.reads && a.over == 0 && !a.fetched && !l.isCut(a.worker) })
 }
 
-// keep notes that a prompt was read: its state waits at a worker, or where a held place has drawn it.
-func (l *Ledger) keep(id, worker string) {
+// keep notes that a prompt was read: its state waits at its worker, or where a held place has drawn it. With a release beside
+// it, it leaves none.
+func (l *Ledger) keep(id string, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.requests[id]
-	if q.stateAt = worker; q.placeAt != "" && !l.isCut(worker) && !l.isCut(q.placeAt) {
+	a := q.arrived[n]
+	if a.voided {
+		return
+	}
+	if q.stateAt = a.worker; q.placeAt != "" && !l.isCut(a.worker) && !l.isCut(q.placeAt) {
 		q.stateAt = q.placeAt
 	}
 }
@@ -76,6 +82,19 @@
 	return true
 }
 
+// holdUnknown has a worker hold a place although it knows of no read.
+func (l *Ledger) holdUnknown(id, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.requests[id]
+	if q == nil {
+		return
+	}
+	if q.placeAt = worker; q.out == 0 && q.heldAt == 0 {
+		q.heldAt = l.Now()
+	}
+}
+
 // release notes that a worker was asked to let go of all. What is at a worker that is cut off stays.
 func (l *Ledger) release(id, by string) {
 	l.mu.Lock()
@@ -93,6 +112,11 @@
 	if q.placeAt != "" && reached(q.placeAt) && !l.readOut(q) {
 		q.placeAt = ""
 	}
+	for i := range q.arrived {
+		if a := &q.arrived[i]; a.reads && a.over == 0 && reached(a.worker) {
+			a.voided = true
+		}
+	}
 	if q.held() && q.out == 0 {
 		q.heldAt = l.Now()
 	}
@@ -156,25 +180,43 @@
 	}
 }
 
-// answerLost is until when an attempt is still out for its router, since its answer was lost in a cut: until it is back,
-// or the request has ended for its client at the latest. 0: none is.
+// mutedLink is a connection that has fallen silent.
+type mutedLink struct{ from, closed time.Duration } // closed by its router; 0: it was not
+
+// muted notes that a connection to a worker falls silent, or that its router has closed it.
+func (l *Ledger) muted(worker net.Addr, closed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	link := l.mutes[worker.String()]
+	if link == nil {
+		link = &mutedLink{from: l.Now()}
+		l.mutes[worker.String()] = link
+	}
+	if closed {
+		link.closed = l.Now()
+	}
+}
+
+// answerLost is until when a read is out for its router on an open connection, since its answer was lost as that fell silent,
+// and its state waits where it was read. 0: none is.
 func (l *Ledger) answerLost(q *request) time.Duration {
 	if len(q.arrived) == 0 {
 		return 0
 	}
 	last := q.arrived[len(q.arrived)-1]
-	for _, c := range l.cuts {
-		if c.worker == last.worker && q.heldAt >= c.from && q.heldAt < c.until {
-			end := min(c.until, l.Now())
-			if q.endAt != 0 {
-				end = min(end, q.endAt)
-			}
-			return end
-		}
+	link := l.mutes[last.conn]
+	switch {
+	case link == nil || !last.reads || last.over == 0 || link.from > last.over+muteLag || q.stateAt != last.worker:
+		return 0
+	case link.closed != 0:
+		return link.closed
 	}
-	return 0
+	return l.Now()
 }
 
+// muteLag is by how much a worker's end of a read comes before its answer is at the proxy.
+const muteLag = 20 * time.Millisecond
+
 // isCut tells whether a worker is cut off now.
 func (l *Ledger) isCut(worker string) bool {
 	return slices.ContainsFunc(l.cuts, func(c *cut) bool { return c.worker == worker && c.until == math.MaxInt64 })
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -21,8 +21,9 @@
 	starts   map[startKey]time.Duration
 	lives    []*routerLife
 	cuts     []*cut
-	late     time.Duration // sum by which this process's timers went off late
-	latest   time.Duration // the most at once
+	mutes    map[string]*mutedLink // by the address that the worker sees
+	late     time.Duration         // sum by which this process's timers went off late
+	latest   time.Duration         // the most at once
 	breaks   []Break
 	releases int // calls that let go of what is held
 }
@@ -90,6 +91,8 @@
 	neverRan  bool          // the worker said so
 	wroteLast bool          // its stream was written to its end
 	fetched   bool          // a write that has passed its writer's queue: it waits for the state no more
+	conn      string        // its connection, as the worker sees it
+	voided    bool          // a read beside which all was let go: it leaves no state
 	lateBegun bool          // it waited in the socket of a worker that hung
 }
 
@@ -135,7 +138,7 @@
 func NewLedger(plan Plan) *Ledger {
 	breaks := slices.ContainsFunc(plan.Troubles, func(t Trouble) bool { return !slices.Contains(harmless, t.Kind) })
 	return &Ledger{terms: NewTerms(plan.Seed), breaksStreams: breaks, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{},
-		starts: map[startKey]time.Duration{}}
+		starts: map[startKey]time.Duration{}, mutes: map[string]*mutedLink{}}
 }
 
 // harmless are the kinds of trouble that break no stream.
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -47,7 +47,7 @@
 	t.Sockets = []int{64, 128, 256}[rnd.IntN(3)]
 	t.KeyWindow = []time.Duration{250 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond}[rnd.IntN(3)]
 	t.Deadline = []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}[rnd.IntN(3)]
-	t.Pin = []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second}[rnd.IntN(3)]
+	t.Pin = []time.Duration{250 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second}[rnd.IntN(4)]
 	return t
 }
 
@@ -107,7 +107,7 @@
 	for i := range routers {
 		var row []*proxy
 		for _, w := range p.workers {
-			px, err := newProxy(w.ln.Addr().String())
+			px, err := newProxy(w.ln.Addr().String(), l.muted)
 			if err != nil {
 				return p, err
 			}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -16,11 +17,16 @@
 	links  map[*link]bool
 	closed bool
 
-	silent, refuses, trickles atomic.Bool
+	silent, dark, mutes, refuses, trickles atomic.Bool
+
+	muted func(worker net.Addr, closed bool) // told when a link falls silent, and when its router has closed it
 }
 
 // link is one connection through a proxy.
-type link struct{ near, far net.Conn }
+type link struct {
+	near, far net.Conn
+	mute      atomic.Bool // it says nothing more, and nobody hears that it was closed
+}
 
 func (k *link) close() {
 	k.near.Close()
@@ -42,6 +48,10 @@
 	switch kind {
 	case Silent:
 		p.silent.Store(on)
+	case Blackout:
+		p.dark.Store(on)
+	case Mute:
+		p.mutes.Store(on)
 	case Refuse:
 		p.refuses.Store(on)
 	case Trickle:
@@ -49,12 +59,12 @@
 	}
 }
 
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string, muted func(worker net.Addr, closed bool)) (*proxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, links: map[*link]bool{}}
+	p := &proxy{ln: ln, target: target, links: map[*link]bool{}, muted: muted}
 	go p.run()
 	return p, nil
 }
@@ -77,7 +87,7 @@
 			near.Close()
 			continue
 		}
-		k := &link{near, far}
+		k := &link{near: near, far: far}
 		if !p.add(k) {
 			k.close()
 			return
@@ -109,9 +119,17 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		for p.silent.Load() && p.alive(k) { // what was read goes nowhere: the link is reset once the cut is over
+		for (p.silent.Load() || p.dark.Load()) && p.alive(k) { // what was read goes nowhere: the link is reset once the cut is over
 			time.Sleep(silentLook)
 		}
+		p.fallSilent(k, n)
+		if k.mute.Load() {
+			if err == nil {
+				continue
+			}
+			p.awaitVoice(k, from)
+			break
+		}
 		if n > 0 && p.alive(k) {
 			if p.pass(to, buf[:n]) != nil {
 				break
@@ -127,6 +145,26 @@
 	p.mu.Unlock()
 }
 
+// muteRate is the part of the messages after which a connection falls silent.
+const muteRate = 0.03
+
+// fallSilent has a link fall silent with a message now and then.
+func (p *proxy) fallSilent(k *link, n int) {
+	if n > 0 && p.mutes.Load() && rand.Float64() < muteRate && !k.mute.Swap(true) {
+		p.muted(k.far.LocalAddr(), false)
+	}
+}
+
+// awaitVoice keeps a silent link's close to itself until the trouble is over.
+func (p *proxy) awaitVoice(k *link, from net.Conn) {
+	if from == k.near {
+		p.muted(k.far.LocalAddr(), true)
+	}
+	for p.mutes.Load() && p.alive(k) {
+		time.Sleep(silentLook)
+	}
+}
+
 func (p *proxy) pass(to net.Conn, text []byte) error {
 	for len(text) > 0 {
 		part := text
@@ -149,12 +187,22 @@
 }
 
 // resetAll resets every open connection.
-func (p *proxy) resetAll() {
+func (p *proxy) resetAll() { p.resetIf(func(*link) bool { return true }) }
+
+// resetMuted resets every connection that has fallen silent.
+func (p *proxy) resetMuted() { p.resetIf(func(k *link) bool { return k.mute.Load() }) }
+
+func (p *proxy) resetIf(picked func(*link) bool) {
+	var list []*link
 	p.mu.Lock()
-	links := p.links
-	p.links = map[*link]bool{}
+	for k := range p.links {
+		if picked(k) {
+			list = append(list, k)
+			delete(p.links, k)
+		}
+	}
 	p.mu.Unlock()
-	for k := range links {
+	for _, k := range list {
 		k.reset()
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -91,7 +91,7 @@
 	rnd := rand.New(rand.NewPCG(plan.Seed, uint64(router)+50))
 	var faults []string
 	if t, ok := plan.find(Calls); ok {
-		faults = append(faults, fmt.Sprintf("accept=%.3f,dial=%.3f,short=%.2f,broken=%.4f,peek=%.3f,write=%.3f", 0.2*t.Part, 0.2*t.Part, t.Part, 0.01*t.Part, 0.2*t.Part, 0.1*t.Part))
+		faults = append(faults, fmt.Sprintf("accept=%.3f,dial=%.3f,short=%.2f,broken=%.4f,peek=%.3f,write=%.3f,hang=%.3f", 0.2*t.Part, 0.2*t.Part, t.Part, 0.01*t.Part, 0.2*t.Part, 0.1*t.Part, 0.2*t.Part))
 	}
 	if t, ok := plan.find(Files); ok {
 		faults = append(faults, fmt.Sprintf("file=%.2f", t.Part))
@@ -242,6 +242,23 @@
 			p.ledger.joined(w.uid, t.Kind)
 			w.set(t.Kind, false)
 		}
+	case Blackout:
+		for !over() {
+			dark := p.mostOf(rnd)
+			p.cutOff(dark, t.Kind)
+			pause(ctx, min(leastDark+time.Duration(rnd.Int64N(int64(mostDark-leastDark))), max(t.Until-p.ledger.Now(), 0)))
+			p.join(dark, t.Kind)
+			pause(ctx, darkGap)
+		}
+	case Mute:
+		for _, px := range p.proxiesOf(p.workers) {
+			px.set(t.Kind, true)
+		}
+		rest()
+		for _, px := range p.proxiesOf(p.workers) {
+			px.set(t.Kind, false)
+			px.resetMuted()
+		}
 	case Resets:
 		for !over() {
 			for _, px := range p.proxiesOf(workers) {
@@ -262,6 +279,54 @@
 	}
 }
 
+// How long most workers of a role are cut off, and the time between two cuts.
+const (
+	leastDark = time.Second
+	mostDark  = 3 * time.Second
+	darkGap   = 600 * time.Millisecond
+	darkPart  = 0.8 // of the workers of a role
+)
+
+// mostOf draws four in five workers of one role, or of both.
+func (p *platform) mostOf(rnd *rand.Rand) (list []*worker) {
+	roles := []bool{rnd.IntN(2) == 0}
+	if rnd.IntN(3) == 0 {
+		roles = []bool{true, false}
+	}
+	for _, reads := range roles {
+		var all []*worker
+		for _, w := range p.workers {
+			if w.reads == reads {
+				all = append(all, w)
+			}
+		}
+		for _, i := range rnd.Perm(len(all))[:int(darkPart*float64(len(all)))] {
+			list = append(list, all[i])
+		}
+	}
+	return list
+}
+
+// cutOff cuts workers off from all routers, and join ends that: connections are reset, and nothing that waited passes.
+func (p *platform) cutOff(workers []*worker, kind Kind) {
+	for _, w := range workers {
+		p.ledger.cutOff(w.uid, kind)
+	}
+	for _, px := range p.proxiesOf(workers) {
+		px.set(kind, true)
+	}
+}
+
+func (p *platform) join(workers []*worker, kind Kind) {
+	for _, px := range p.proxiesOf(workers) {
+		px.resetAll()
+		px.set(kind, false)
+	}
+	for _, w := range workers {
+		p.ledger.joined(w.uid, kind)
+	}
+}
+
 // How routers are stopped and started.
 const (
 	stopStagger = 150 * time.Millisecond // between two that are told to end
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -122,7 +122,7 @@
 	w.mu.Lock()
 	life := w.life
 	w.mu.Unlock()
-	a := arrival{worker: w.uid, reads: w.reads, toldMS: told, lateBegun: hung}
+	a := arrival{worker: w.uid, reads: w.reads, toldMS: told, lateBegun: hung, conn: req.RemoteAddr}
 	if w.trickles.Load() {
 		a.transit = trickled
 	}
@@ -146,7 +146,7 @@
 	}
 	defer w.leave()
 	if w.reads {
-		w.read(rw, req, id)
+		w.read(rw, req, id, n)
 		return
 	}
 	end = w.write(rw, req, id, n)
@@ -203,17 +203,17 @@
 }
 
 // read reads a prompt. Where it is called off it may have ended well before the worker notices.
-func (w *worker) read(rw http.ResponseWriter, req *http.Request, id string) {
+func (w *worker) read(rw http.ResponseWriter, req *http.Request, id string, n int) {
 	called := wait(req, w.pause(3*time.Millisecond, 60*time.Millisecond))
 	w.awaitRun()
 	if !called {
 		if w.pause(0, 2) == 0 {
-			w.ledger.keep(id, w.uid)
+			w.ledger.keep(id, n)
 		}
 		w.notice()
 		return
 	}
-	w.ledger.keep(id, w.uid)
+	w.ledger.keep(id, n)
 	rw.WriteHeader(http.StatusAccepted)
 	io.WriteString(rw, `{"cached_tokens":0}`)
 }
@@ -279,7 +279,10 @@
 		case w.ledger.hold(id, w.uid, w.pause(0, 4) > 0):
 		case w.pause(0, 2) == 0:
 			rw.WriteHeader(http.StatusConflict)
-		default:
+		default: // not known: held all the same in one of two
+			if w.pause(0, 2) == 0 {
+				w.ledger.holdUnknown(id, w.uid)
+			}
 			time.Sleep(holdUnknown)
 			rw.WriteHeader(http.StatusNoContent)
 		}
