A read that a writer knew of is proven by its server's being heard, not by its place

Ruled out: states lost (3 answers of 410), refusals. Change: the server of such a read is probed by the key of a request that is over (a release, which is free), at 0.75 of the pin limit; its being heard proves that the read's own answer would be heard. Until a router's first request is over there is nothing to ask by and such a read is let be. The release is made at 0.9 of the limit (0.8 before), after the probe.

--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -234,7 +234,7 @@
 // hear tells the ledger which of the servers that are in doubt have answered.
 func (d *Driver) hear() {
 	now := time.Now()
-	for _, server := range d.held.Unheard() {
+	for _, server := range d.held.Awaited() {
 		if faults.Broken(faults.BreakUnheard) {
 			d.held.Heard(server, now, now.Add(-time.Second), now)
 		}
@@ -309,10 +309,6 @@
 // makeReleases makes releases on goroutines of their own.
 func (d *Driver) makeReleases(calls []heldstate.Call) {
 	for _, call := range calls {
-		if call.Renew {
-			d.renew(call)
-			continue
-		}
 		if d.oldFaults.leavesOut(call) {
 			d.held.Released(call, heldstate.Result{Taken: true, Sent: time.Now()}, time.Now())
 			continue
@@ -353,16 +349,6 @@
 	}
 }
 
-// renew asks a server again for the place that it holds.
-func (d *Driver) renew(call heldstate.Call) {
-	server := call.Servers[0]
-	d.watch.Sent(call.Key, "", 0, holdwatch.Reservation, server, time.Now())
-	d.work.Go(func() {
-		place := d.cfg.Engines.Hold(d.ctx, &attempt.Call{Addr: server, Key: call.Key}, "")
-		d.post(func() { d.placed(call.Key, server, place) })
-	})
-}
-
 // placed notes how the asking for a place ended.
 func (d *Driver) placed(key, server string, place attempt.Place) {
 	end, now := grants[place], time.Now()
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -23,7 +23,7 @@
 	asked   time.Time // of a place: when
 	closed  time.Time // since when its server may not have noticed that the connection was closed; zero: it has, or was not
 	settled time.Time // a release that is sent from then on finds it
-	granted bool      // of a place: its server has said so
+	arrived bool      // of a read in flight: it has, by the word of a writer that granted a place
 }
 
 // settle notes that whatever is held is held by a time.
@@ -61,7 +61,7 @@
 	round     round     // of the releases in flight
 	retry     time.Duration
 	retryAt   time.Time // of a release that nobody took; zero: it was taken
-	renewed   time.Time // what was proven when the place was last asked for again
+	probedAt  time.Time // what was proven when the server of its read was last probed
 
 	owedAt   time.Time // since when it is owed; zero: it is not
 	reported bool
@@ -135,17 +135,23 @@
 	return servers
 }
 
-// nextLook is when the entry has something to do; zero: when something is heard.
-func (e *entry) nextLook() time.Time {
-	at := sooner(e.nextRelease(), e.nextRenewal())
-	if e.owedAt.IsZero() {
-		return at
+// readsArrived notes that a writer knew of the read that is in flight.
+func (e *entry) readsArrived() {
+	for i := range e.holdings {
+		if h := &e.holdings[i]; h.pending && h.kind == readState {
+			h.arrived = true
+		}
 	}
-	at = sooner(at, e.owedAt.Add(maxAge+time.Millisecond))
-	if !e.reported {
-		at = sooner(at, e.owedAt.Add(e.part(evidencePart)))
+}
+
+// arrivedAt is the server of a read in flight that has arrived; "": there is none.
+func (e *entry) arrivedAt() string {
+	for _, h := range e.holdings {
+		if h.pending && h.arrived {
+			return h.server
+		}
 	}
-	return at
+	return ""
 }
 
 // nextRelease is when the next release is made; zero: when something is heard.
@@ -168,28 +174,6 @@
 	return due
 }
 
-// nextRenewal is when the place is asked for again that a read in flight has; zero: there is no need.
-func (e *entry) nextRenewal() time.Time {
-	asking := slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == place && h.pending })
-	switch {
-	case asking || e.wanted || e.renewed.Equal(e.proven) || e.beside() != BesideRead || e.granted() == "":
-		return time.Time{}
-	case !e.terms.Shared || !e.terms.Spared: // the answer would prove nothing, and nothing is released beside the read
-		return time.Time{}
-	}
-	return e.proven.Add(e.part(renewPart))
-}
-
-// granted is the server that holds a place by its own word; "": none does.
-func (e *entry) granted() string {
-	for _, h := range e.holdings {
-		if h.kind == place && h.granted && !h.unheard() {
-			return h.server
-		}
-	}
-	return ""
-}
-
 // settledAt is from when on a release finds all that is to be let go; zero: nothing is, or only what is not there yet.
 func (e *entry) settledAt() (at time.Time) {
 	if !e.wanted {
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -10,9 +10,11 @@
 // answer proves that the limit did not run or began anew. Only answers move it:
 // of an attempt, of a place whose server knew that the read was in flight, of a
 // release. While anything may be held, a release is made whenever so much of the
-// limit has passed since, whatever the router has sent meanwhile. A release takes
-// the state of a read that it comes beside; so a read that takes its time is
-// proven to be in flight, by asking for its place again.
+// limit has passed since, whatever the router has sent meanwhile.
+//
+// A release takes the state of a read that it comes beside. So it is held back
+// for a read of which a writer knew as it granted a place, as long as the read's
+// server is heard from time to time: the read's own answer would be heard too.
 //
 // An entry leaves the ledger by proof alone: its answer's first event, which
 // takes all that is held; a release that was answered while no attempt was in
@@ -36,8 +38,8 @@
 	NoticeGrace = 25 * time.Millisecond
 
 	defaultPin   = 500 * time.Millisecond // taken where the settings name no limit
-	releasePart  = 0.8                    // part of the pin limit after which a release is made, counted from what was last proven
-	renewPart    = 0.4                    // part of it after which a place is asked for again, whose answer proves that its read is in flight
+	releasePart  = 0.9                    // part of the pin limit after which a release is made, counted from what was last proven
+	reachPart    = 0.75                   // part of it after which the server of a read is probed that a writer knew of
 	confirmPart  = 0.4                    // part of it after a close before which no release is the last: it may be noticed later than it should
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
@@ -49,6 +51,7 @@
 	maxRepeats = 64                     // releases of an entry while a server is in doubt; then it waits for one to be heard
 	maxProbe   = 400 * time.Millisecond // well under the limit: a server that is back is heard in time
 	maxProbes  = 8                      // probes in flight at once
+	maxReaches = 64                     // the same, of servers of reads
 
 	maxOwed     = 2048            // entries; beyond them the oldest is forgotten
 	maxAge      = 2 * time.Minute // for which an entry is owed at the most
@@ -108,12 +111,12 @@
 	BesideWrite               // a write alone
 )
 
-// Call is a release to be made, or a place to be asked for again.
+// Call is a release to be made.
 type Call struct {
 	Key     string
 	Servers []string // which may hold something; where the entry is shared any server may be asked, and there may be none
 	Probe   bool     // only the one server is to be asked: what counts is to hear it
-	Renew   bool     // the one server is asked for the place again that it holds
+	Reach   bool     // such a probe by the key of a request that is over
 	Beside  Beside
 
 	After time.Time // it is not sent before: a close is on its way; zero: at once
@@ -123,9 +126,12 @@
 // Ledger keeps the entries. It is not safe for concurrent use.
 type Ledger struct {
 	entries  map[string]*entry
-	agenda   agenda              // entries that have something to do at a time
-	owed     []*entry            // in the order in which they came to be owed
-	unheard  map[string]*unheard // servers that some entry is in doubt about
+	agenda   agenda               // entries that have something to do at a time
+	owed     []*entry             // in the order in which they came to be owed
+	unheard  map[string]*unheard  // servers that some entry is in doubt about
+	reached  map[string]time.Time // when the last call was sent that a server has answered
+	reaching map[string]bool      // servers of reads that are probed
+	finished string               // a request that is over, and for which nothing is held
 	inFlight int
 	probes   int
 	forgot   []Forgotten
@@ -134,7 +140,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{entries: map[string]*entry{}, unheard: map[string]*unheard{}}
+	return &Ledger{entries: map[string]*entry{}, unheard: map[string]*unheard{}, reached: map[string]time.Time{}, reaching: map[string]bool{}}
 }
 
 // Owed is how many entries wait for proof with no attempt to come.
@@ -247,12 +253,8 @@
 	h := &e.holdings[i]
 	if e.terms.Shared {
 		e.prove(h.asked)
+		e.readsArrived()
 	}
-	if e.granted() == h.server { // it was asked for again
-		e.remove(i)
-		return
-	}
-	h.granted = true
 	h.settle(now)
 }
 
@@ -329,6 +331,9 @@
 		e.want(now)
 		l.schedule(e, now)
 	}
+	if l.entries[key] == nil {
+		l.finished = key
+	}
 }
 
 // schedule sets when an entry's next release is made, and drops an entry that
@@ -344,7 +349,7 @@
 	if l.entries[e.key] != e { // forgotten: too many are owed
 		return
 	}
-	l.agenda.set(e, e.nextLook())
+	l.agenda.set(e, l.nextLook(e))
 }
 
 // owe notes that an entry waits for proof with no attempt to come.
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -17,6 +17,52 @@
 // Unheard is which servers entries wait to hear, in order.
 func (l *Ledger) Unheard() []string { return slices.Sorted(maps.Keys(l.unheard)) }
 
+// Awaited is which servers' being heard may prove something: those that entries wait to hear, and those of reads in flight that
+// have arrived.
+func (l *Ledger) Awaited() []string {
+	servers := slices.Collect(maps.Keys(l.unheard))
+	for _, e := range l.agenda {
+		if server := e.arrivedAt(); server != "" && e.mayHold() {
+			servers = append(servers, server)
+		}
+	}
+	slices.Sort(servers)
+	return slices.Compact(servers)
+}
+
+// proveByReader notes that the server of a read in flight was heard: the read had not been answered then, and the answer would
+// have been heard.
+func (l *Ledger) proveByReader(e *entry, now time.Time) {
+	server := e.arrivedAt()
+	if server == "" {
+		return
+	}
+	if l.finished == "" { // nothing to ask it by yet, and no read would ever be answered if each were let go
+		e.prove(now)
+	}
+	e.prove(l.reached[server])
+}
+
+// nextReach is when the server of a read in flight is probed; zero: there is no need.
+func (l *Ledger) nextReach(e *entry) time.Time {
+	server := e.arrivedAt()
+	switch {
+	case server == "" || e.wanted || !e.mayHold() || e.probedAt.Equal(e.proven):
+		return time.Time{}
+	case !e.terms.Shared || !e.terms.Spared || l.finished == "" || l.reaching[server] || len(l.reaching) >= maxReaches:
+		return time.Time{}
+	}
+	return e.proven.Add(e.part(reachPart))
+}
+
+// reach has the server of a read in flight probed.
+func (l *Ledger) reach(e *entry) Call {
+	server := e.arrivedAt()
+	e.probedAt = e.proven
+	l.reaching[server] = true
+	return Call{Key: l.finished, Servers: []string{server}, Probe: true, Reach: true}
+}
+
 // dueProbes returns a call to each server that entries wait to hear, if none is
 // in flight: the release of one of them, which that server alone is to answer.
 func (l *Ledger) dueProbes(now time.Time) []Call {
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -23,8 +23,9 @@
 		}
 		l.report(e, now)
 	}
-	if at := e.nextRenewal(); !at.IsZero() && !at.After(now) {
-		calls = append(calls, e.renew(now))
+	l.proveByReader(e, now)
+	if at := l.nextReach(e); !at.IsZero() && !at.After(now) {
+		calls = append(calls, l.reach(e))
 	}
 	next := e.nextRelease()
 	switch {
@@ -35,17 +36,21 @@
 	default:
 		calls = append(calls, l.release(e)...)
 	}
-	l.agenda.set(e, e.nextLook())
+	l.agenda.set(e, l.nextLook(e))
 	return calls
 }
 
-// renew has the place asked for again that a read in flight has. How that ends is noted by Placed; the call may be begun
-// late, as the first one.
-func (e *entry) renew(now time.Time) Call {
-	server := e.granted()
-	e.renewed = e.proven
-	e.holdings = append(e.holdings, holding{server: server, kind: place, pending: true, asked: now})
-	return Call{Key: e.key, Servers: []string{server}, Renew: true}
+// nextLook is when an entry has something to do; zero: when something is heard.
+func (l *Ledger) nextLook(e *entry) time.Time {
+	at := sooner(e.nextRelease(), l.nextReach(e))
+	if e.owedAt.IsZero() {
+		return at
+	}
+	at = sooner(at, e.owedAt.Add(maxAge+time.Millisecond))
+	if !e.reported {
+		at = sooner(at, e.owedAt.Add(e.part(evidencePart)))
+	}
+	return at
 }
 
 // Busy tells whether Due may have something in time.
@@ -73,7 +78,11 @@
 	if r.Taken {
 		l.Heard(r.Server, r.Sent, now, now)
 	}
-	if c.Probe {
+	switch {
+	case c.Reach:
+		delete(l.reaching, c.Servers[0])
+		return
+	case c.Probe:
 		l.probed(c.Servers[0], r.Taken, now)
 		return
 	}
@@ -132,6 +141,7 @@
 // Heard notes that a server answered a call that was sent at a time. It ran
 // since: it notices what was closed before within the grace.
 func (l *Ledger) Heard(server string, sent, answered, now time.Time) {
+	l.reached[server] = later(l.reached[server], sent)
 	u := l.unheard[server]
 	if u == nil {
 		return
@@ -144,6 +154,7 @@
 // Gone notes that a server has left the list, or has started anew: nothing
 // waits there, and nothing is held there.
 func (l *Ledger) Gone(server string, now time.Time) {
+	delete(l.reached, server)
 	if u := l.unheard[server]; u != nil {
 		for _, e := range slices.Clone(u.entries) {
 			l.resolve(e, server, now, now, func(*holding) bool { return true })
