After a release beside it, all that is held waits for a read

Once one was answered, either the read was in flight, and what is held waits for it, or nothing is held: from then on it counts like one that a writer knew of. The 300 histories pass.

--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -23,7 +23,7 @@
 	asked   time.Time // of a place: when
 	closed  time.Time // since when its server may not have noticed that the connection was closed; zero: it has, or was not
 	settled time.Time // a release that is sent from then on finds it
-	arrived bool      // of a read in flight: it has, by the word of a writer that granted a place
+	sole    bool      // of a read in flight: what is held waits for it, or it has not arrived and nothing is held
 }
 
 // settle notes that whatever is held is held by a time.
@@ -135,19 +135,19 @@
 	return servers
 }
 
-// readsArrived notes that a writer knew of the read that is in flight.
-func (e *entry) readsArrived() {
+// soleReads notes that whatever is held waits for the read in flight.
+func (e *entry) soleReads() {
 	for i := range e.holdings {
 		if h := &e.holdings[i]; h.pending && h.kind == readState {
-			h.arrived = true
+			h.sole = true
 		}
 	}
 }
 
-// arrivedAt is the server of a read in flight that has arrived; "": there is none.
-func (e *entry) arrivedAt() string {
+// soleReader is the server of a read in flight for which all waits that is held; "": there is none.
+func (e *entry) soleReader() string {
 	for _, h := range e.holdings {
-		if h.pending && h.arrived {
+		if h.pending && h.sole {
 			return h.server
 		}
 	}
@@ -221,6 +221,13 @@
 	return list
 }
 
+// settledBy tells whether all that may be held was held by a time, and no server is in doubt.
+func (e *entry) settledBy(at time.Time) bool {
+	return !slices.ContainsFunc(e.holdings, func(h holding) bool {
+		return h.unheard() || h.held() && (h.pending || h.settled.After(at))
+	})
+}
+
 // let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight.
 func (e *entry) let(server string, sent time.Time) {
 	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -12,9 +12,11 @@
 // release. While anything may be held, a release is made whenever so much of the
 // limit has passed since, whatever the router has sent meanwhile.
 //
-// A release takes the state of a read that it comes beside. So it is held back
-// for a read of which a writer knew as it granted a place, as long as the read's
-// server is heard from time to time: the read's own answer would be heard too.
+// A release takes the state of a read that it comes beside. So none is made
+// while all that is held waits for the read, or nothing is held since it has not
+// arrived, as long as the read's server is heard from time to time: the read's
+// own answer would be heard too. That is so once a writer that knew of the read
+// has granted a place, and once a release was answered beside it.
 //
 // An entry leaves the ledger by proof alone: its answer's first event, which
 // takes all that is held; a release that was answered while no attempt was in
@@ -39,7 +41,7 @@
 
 	defaultPin   = 500 * time.Millisecond // taken where the settings name no limit
 	releasePart  = 0.9                    // part of the pin limit after which a release is made, counted from what was last proven
-	reachPart    = 0.75                   // part of it after which the server of a read is probed that a writer knew of
+	reachPart    = 0.75                   // part of it after which the server of a read is probed for which all waits that is held
 	confirmPart  = 0.4                    // part of it after a close before which no release is the last: it may be noticed later than it should
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
@@ -253,7 +255,7 @@
 	h := &e.holdings[i]
 	if e.terms.Shared {
 		e.prove(h.asked)
-		e.readsArrived()
+		e.soleReads()
 	}
 	h.settle(now)
 }
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -158,7 +158,6 @@
 			c.l.Asked("k", terms, "writer", c.now)
 		},
 		"a place whose read was known, and its answer lost": func(c *clock, terms Terms) {
-			c.l.Over("finished", c.now)
 			read(c, terms, "reader")
 			c.l.Asked("k", terms, "writer", c.now)
 			c.l.Placed("k", "writer", Granted, c.now)
@@ -192,6 +191,7 @@
 			c := newClock(t)
 			terms := shared
 			terms.Pin = pin
+			c.l.Over("finished", c.now)
 			play(c, terms)
 			part := pin * 9 / 10
 			if got, want := c.released(3*part+ms), []time.Duration{part, 2 * part, 3 * part}; !slices.Equal(got, want) {
@@ -293,15 +293,27 @@
 		t.Fatalf("%+v after %v", call, c.now.Sub(proven))
 	}
 	c.l.Heard("reader", c.now, c.now, c.now)
+	c.l.ReadEnded("k", "reader", Answered, c.now)
+	c.l.Streaming("k", c.now)
 	c.l.Began("k2", shared, "reader", true, c.now) // of another that a writer did not know of, its server's being heard proves nothing
 	c.l.Asked("k2", shared, "writer", c.now)
 	c.l.Placed("k2", "writer", Unknown, c.now)
 	c.pass(449 * ms)
 	c.l.Heard("reader", c.now, c.now, c.now)
 	c.pass(ms)
-	if call := c.due(1)[0]; call.Key != "k2" {
+	call := c.due(1)[0]
+	if call.Key != "k2" || call.Probe {
 		t.Fatalf("%+v", call)
 	}
+	c.take(call, "writer") // it has let go of the place, unless the read had arrived
+	c.pass(450*ms - ms)
+	c.l.Heard("reader", c.now, c.now, c.now)
+	c.pass(ms)
+	for _, call := range c.l.Due(c.now) {
+		if !call.Reach {
+			t.Errorf("%+v", call)
+		}
+	}
 }
 
 // Where no request is over yet there is nothing to probe by: a read that a writer knew of is let be.
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -17,12 +17,12 @@
 // Unheard is which servers entries wait to hear, in order.
 func (l *Ledger) Unheard() []string { return slices.Sorted(maps.Keys(l.unheard)) }
 
-// Awaited is which servers' being heard may prove something: those that entries wait to hear, and those of reads in flight that
-// have arrived.
+// Awaited is which servers' being heard may prove something: those that entries wait to hear, and those of reads in flight for
+// which all waits that is held.
 func (l *Ledger) Awaited() []string {
 	servers := slices.Collect(maps.Keys(l.unheard))
 	for _, e := range l.agenda {
-		if server := e.arrivedAt(); server != "" && e.mayHold() {
+		if server := e.soleReader(); server != "" && e.mayHold() {
 			servers = append(servers, server)
 		}
 	}
@@ -33,7 +33,7 @@
 // proveByReader notes that the server of a read in flight was heard: the read had not been answered then, and the answer would
 // have been heard.
 func (l *Ledger) proveByReader(e *entry, now time.Time) {
-	server := e.arrivedAt()
+	server := e.soleReader()
 	if server == "" {
 		return
 	}
@@ -45,7 +45,7 @@
 
 // nextReach is when the server of a read in flight is probed; zero: there is no need.
 func (l *Ledger) nextReach(e *entry) time.Time {
-	server := e.arrivedAt()
+	server := e.soleReader()
 	switch {
 	case server == "" || e.wanted || !e.mayHold() || e.probedAt.Equal(e.proven):
 		return time.Time{}
@@ -57,7 +57,7 @@
 
 // reach has the server of a read in flight probed.
 func (l *Ledger) reach(e *entry) Call {
-	server := e.arrivedAt()
+	server := e.soleReader()
 	e.probedAt = e.proven
 	l.reaching[server] = true
 	return Call{Key: l.finished, Servers: []string{server}, Probe: true, Reach: true}
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -110,8 +110,11 @@
 	for _, server := range r.Silent {
 		l.doubtReach(e, server, now)
 	}
-	if c.Beside == Alone && !e.inDoubt() {
+	switch {
+	case c.Beside == Alone && !e.inDoubt():
 		e.let(r.Server, r.Sent)
+	case c.Beside == BesideRead && e.terms.Shared && e.settledBy(r.Sent):
+		e.soleReads()
 	}
 }
 
