--- a/internal/driver/held_test.go
+++ b/internal/driver/held_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"gannethook"
 	"gannethook/internal/attempt"
 	"gannethook/internal/heldstate"
 )
@@ -143,6 +144,69 @@
 	}
 }
 
+// lostWrites are engines whose writes never arrive: nothing waits for the state, and a release lets go of it.
+type lostWrites struct{ *sparing }
+
+func (s lostWrites) Write(ctx context.Context, _ *attempt.Call, _ func() bool, _ func([]byte) bool) attempt.Result {
+	s.fake.mu.Lock()
+	s.fake.writes++
+	s.fake.mu.Unlock()
+	<-ctx.Done()
+	return calledOff
+}
+
+// A state is let go in time beside writes that never arrive, by one or more in a row, while its request is open, and once it
+// has been answered where nothing may be called off. The writes go on. Where releases would take what a write waits for none
+// is made before its end.
+func TestStateBesideWritesThatNeverArrive(t *testing.T) {
+	for name, c := range map[string]struct {
+		class    int
+		attempts int
+		giveUp   time.Duration
+		change   func(*gannethook.Settings)
+		released bool
+	}{
+		"one, unsafe":                              {1, 4, 3 * time.Second, nil, true},
+		"one after another":                        {0, 7, 3 * time.Second, nil, true},
+		"out of its answered request":              {1, 4, 300 * ms, func(set *gannethook.Settings) { set.Cancel = false }, true},
+		"a release takes what the write waits for": {1, 4, 3 * time.Second, func(set *gannethook.Settings) { set.SparesWaited = false }, false},
+	} {
+		s := lostWrites{&sparing{fake: newFake()}}
+		s.fake.holdOK, s.fake.read = false, 10*ms
+		set := testSettings()
+		set.SparesWaited, set.MaxAttempts = true, c.attempts
+		if c.change != nil {
+			c.change(&set)
+		}
+		runOn(t, s, set, func(d *Driver) {
+			sink, j := newSink(t), job(c.class)
+			j.Name, j.GiveUp = "a", c.giveUp
+			if _, err := d.Submit(j, sink); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * ms)
+			if len(s.leftOver()) == 0 {
+				t.Errorf("%s: no state", name)
+			}
+			time.Sleep(490 * ms)
+			if left := s.leftOver(); len(left) > 0 == c.released {
+				t.Errorf("%s: left 500 ms after the read: %v", name, left)
+			}
+			s.fake.mu.Lock()
+			writes := s.fake.writes
+			s.fake.mu.Unlock()
+			if writes == 0 || c.class == 1 && writes != 1 {
+				t.Errorf("%s: %d writes", name, writes)
+			}
+			<-sink.done
+			time.Sleep(time.Second)
+			if left := s.leftOver(); len(left) > 0 {
+				t.Errorf("%s: left at the end: %v", name, left)
+			}
+		})
+	}
+}
+
 // What is owed is told once it has been so for half of its time, and what a stop leaves behind is told as given up.
 func TestOwedIsTold(t *testing.T) {
 	s := &sparing{fake: newFake()}
--- a/router.go
+++ b/router.go
@@ -29,20 +29,18 @@
 	patience   = 0.5  // ours: part of the aim that an attempt may take at the least
 	meanGain   = 0.1  // ours: least weight of one sample in the mean times to read and to the first token
 	holdTries  = 2    // ours: writers asked for a place per read
-	arrivePart = 0.9  // ours: part of the pin limit in which a writer that was sent a state is to be heard
-
-	arriveLeast = 0.2   // ours: the same at the least, from when it was sent
-	paceLoss    = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
-	partGain    = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
-	turnedBad   = 0.2   // ours: part of a flow's sends to writers turned away above which no place is held
-	dialsBad    = 0.4   // ours: part of the dials that fail above which open connections are preferred
-	dialCost    = 0.5   // ours: freeness taken off a server without one then
-	chargeMax   = 4.0   // ours: most that failures take off a server's freeness
-	chargeFade  = 6000  // ours: ms in which a charge fades to 1/e
-	heldBack    = 0.3   // ours: freeness taken off a writer that refused a place
-	fullFade    = 3     // ours: windows in which being turned away fades to 1/e
-	lateGain    = 0.5   // ours: charge for a success that is a whole aim late
-	chargeKeep  = 0.7   // ours: what a success leaves of a charge
+
+	paceLoss   = 1.001 // ours: by how much each read raises the best pace, so that an old one is forgotten
+	partGain   = 0.25  // ours: weight of one dial, or one send to a writer, in the part of them that fails
+	turnedBad  = 0.2   // ours: part of a flow's sends to writers turned away above which no place is held
+	dialsBad   = 0.4   // ours: part of the dials that fail above which open connections are preferred
+	dialCost   = 0.5   // ours: freeness taken off a server without one then
+	chargeMax  = 4.0   // ours: most that failures take off a server's freeness
+	chargeFade = 6000  // ours: ms in which a charge fades to 1/e
+	heldBack   = 0.3   // ours: freeness taken off a writer that refused a place
+	fullFade   = 3     // ours: windows in which being turned away fades to 1/e
+	lateGain   = 0.5   // ours: charge for a success that is a whole aim late
+	chargeKeep = 0.7   // ours: what a success leaves of a charge
 
 	admitFloor = 0.6   // ours: freeness of the best reader below which a request is refused
 	admitRamp  = 0.5   // ours: freeness below the floor at which all are refused
@@ -72,7 +70,6 @@
 	refDeadline // of a request, as the others
 	refPatience
 	refStep
-	refArrival = refSweep
 )
 
 // server is what the router knows of one server.
@@ -131,8 +128,6 @@
 	asked         int       // writers asked during this read
 	tried         []*server // servers not to try again
 	idle          Millis    // last outcome
-	readAt        Millis    // when its prompt was last read
-	arriveBy      Millis    // when a writer that was sent the state is to be heard
 	ranOn         *server   // where it may have run first
 	ranAt         Millis    // and when; where it is not known to, when it was last sent to where it may
 	stream, ended bool
@@ -238,11 +233,7 @@
 	case Wakeup:
 		switch q := r.requests[RequestID(ev.Ref/refStep)]; ev.Ref % refStep {
 		case refSweep:
-			if ev.Ref >= refStep {
-				r.checkArrival(q)
-			} else {
-				r.sweep()
-			}
+			r.sweep()
 		case refAsk:
 			r.do(Subscribe{})
 		case refDeadline: // guards rule 1: whatever became of the attempts, the last answer goes out in time
@@ -472,23 +463,6 @@
 		timeout = r.span(q, w.role, r.opening.v)
 	}
 	r.send(q, attempt{on: w}, timeout)
-	if q.set.SparesWaited && q.set.PinLimit > 0 {
-		q.arriveBy = max(q.readAt+arrivePart*q.set.PinLimit, r.now+arriveLeast*q.set.PinLimit)
-		r.do(Wake{In: q.arriveBy - r.now, Ref: uint64(q.ID)*refStep + refArrival})
-	}
-}
-
-// checkArrival lets go of a state whose writer was not heard in time. Guards rule 5 against open connections
-// that fall silent: what was written to one has not arrived, and the state waits on. Where it has arrived the
-// release spares what it waits for; where it arrives later the writer finds no state, and the prompt is read
-// anew. Harms by a call for each answer that is slow to begin.
-func (r *Router) checkArrival(q *request) {
-	if q == nil || !q.set.SparesWaited || q.stream || q.state == nil || len(q.out) != 1 || q.out[0].reads ||
-		r.now < q.arriveBy {
-		return
-	}
-	q.state = nil
-	r.do(Release{ID: q.ID})
 }
 
 // span is how long an attempt may take that usually takes so many ms, or 0 to let it be: where all are slow,
@@ -574,7 +548,7 @@
 		q.ended = true
 		r.drop(q)
 	case ev.Outcome == ReadDone:
-		q.state, q.readAt = a.on, r.now
+		q.state = a.on
 		r.route(q)
 	case ev.Outcome == Moot, ev.Outcome == Served:
 		r.finish(q)
