--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -99,6 +99,11 @@
 	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.held() })
 }
 
+// answered tells whether something may be held whose call has ended.
+func (e *entry) answered() bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return !h.pending })
+}
+
 // inFlight tells whether an attempt is in flight that may wait for something, as far as the router knows.
 func (e *entry) inFlight() bool { return e.beside() != Alone }
 
--- a/internal/heldstate/report.go
+++ b/internal/heldstate/report.go
@@ -49,6 +49,9 @@
 		return
 	}
 	e.reported = true
+	if !e.answered() {
+		return // a place that is asked for, and nothing else: its answer may be slow
+	}
 	r := Report{Request: e.terms.Request, Key: e.key, Owed: now.Sub(e.owedAt), Releases: e.takes, Unheard: e.doubted()}
 	r.Holders = slices.DeleteFunc(e.where(), e.doubts)
 	l.reports = append(l.reports, r)
