--- a/internal/driver/oldfaults.go
+++ b/internal/driver/oldfaults.go
@@ -19,7 +19,9 @@
 		return c.Beside == heldstate.BesideWrite
 	case faults.Broken(faults.BreakInFlight):
 		return c.Beside == heldstate.BesideRead
-	case faults.Broken(faults.BreakSpared) && c.Beside != heldstate.Alone && o[c.Key]:
+	case faults.Broken(faults.BreakSpared) && o[c.Key]:
+		return c.Beside != heldstate.Alone || c.Flush
+	case o.forgets(c.Key):
 		return true
 	}
 	if c.Beside == heldstate.BesideWrite && (faults.Broken(faults.BreakSpared) || faults.Broken(faults.BreakForget)) {
