A place that is asked for anew ends what a release beside a read had proven

Cause, by rereading: after a release was answered beside a read, all that is held waits for it or nothing is; a further place, asked for later, may be held although the read has not arrived, and went on counting as proven by the reader's being heard. Change: asking for a place ends that, until it is granted; servers of which it is known when they were heard are bounded at 4,096.

--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -140,11 +140,11 @@
 	return servers
 }
 
-// soleReads notes that whatever is held waits for the read in flight.
-func (e *entry) soleReads() {
+// setSole notes whether whatever is held waits for the read in flight.
+func (e *entry) setSole(sole bool) {
 	for i := range e.holdings {
 		if h := &e.holdings[i]; h.pending && h.kind == readState {
-			h.sole = true
+			h.sole = sole
 		}
 	}
 }
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -58,6 +58,7 @@
 	maxOwed     = 2048            // entries; beyond them the oldest is forgotten
 	maxAge      = 2 * time.Minute // for which an entry is owed at the most
 	maxReleases = 32              // releases in flight at once
+	maxReached  = 4096            // servers of which it is known when they were heard; beyond them all are forgotten, and probed again
 )
 
 // Terms are those of an entry.
@@ -171,6 +172,7 @@
 	if !e.mayHold() {
 		e.prove(now)
 	}
+	e.setSole(false)
 	e.holdings = append(e.holdings, holding{server: server, kind: place, pending: true, asked: now})
 	l.schedule(e, now)
 }
@@ -255,7 +257,7 @@
 	h := &e.holdings[i]
 	if e.terms.Shared {
 		e.prove(h.asked)
-		e.soleReads()
+		e.setSole(true)
 	}
 	h.settle(now)
 }
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -314,6 +314,17 @@
 			t.Errorf("%+v", call)
 		}
 	}
+	c.l.Asked("k2", shared, "second", c.now) // which may be held although the read has not arrived
+	c.l.Placed("k2", "second", Unknown, c.now)
+	for end := c.now.Add(450 * ms); c.now.Before(end); c.pass(ms) {
+		c.l.Heard("reader", c.now, c.now, c.now)
+		for _, call := range c.l.Due(c.now) {
+			if !call.Probe {
+				return
+			}
+		}
+	}
+	t.Error("nothing is released behind a second place")
 }
 
 // KNOWN-RED: a read's answer is lost as its connection alone falls silent, and its server is heard on others. Whether the read
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -114,7 +114,7 @@
 	case c.Beside == Alone && !e.inDoubt():
 		e.let(r.Server, r.Sent)
 	case c.Beside == BesideRead && e.terms.Shared && e.settledBy(r.Sent):
-		e.soleReads()
+		e.setSole(true)
 	}
 }
 
@@ -144,6 +144,9 @@
 // Heard notes that a server answered a call that was sent at a time. It ran
 // since: it notices what was closed before within the grace.
 func (l *Ledger) Heard(server string, sent, answered, now time.Time) {
+	if len(l.reached) >= maxReached {
+		clear(l.reached)
+	}
 	l.reached[server] = later(l.reached[server], sent)
 	u := l.unheard[server]
 	if u == nil {
