--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -50,6 +50,7 @@
 	Body     json.RawMessage // of one-stage work that is done
 	Detail   string          // why, for the log
 	Cut      bool            // the connection ended before the answer had come whole: its server may not have noticed
+	Begun    time.Time       // by when its server has begun it, if it has arrived; zero: not known
 }
 
 // Held is a state or place that may be held for a request. Without an address any server may be asked.
--- a/internal/attempt/mark.go
+++ b/internal/attempt/mark.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Mark is something that happens once, or turns out not to, and that others wait for.
@@ -10,6 +11,7 @@
 	once sync.Once
 	done chan struct{}
 	came bool
+	at   time.Time
 }
 
 // NewMark returns a mark that is not set.
@@ -19,7 +21,7 @@
 func (m *Mark) Set(came bool) {
 	if m != nil {
 		m.once.Do(func() {
-			m.came = came
+			m.came, m.at = came, time.Now()
 			close(m.done)
 		})
 	}
@@ -37,3 +39,18 @@
 		return false
 	}
 }
+
+// When is when it came; zero: it did not, has not yet, or nobody asks.
+func (m *Mark) When() time.Time {
+	if m == nil {
+		return time.Time{}
+	}
+	select {
+	case <-m.done:
+		if m.came {
+			return m.at
+		}
+	default:
+	}
+	return time.Time{}
+}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -147,7 +147,7 @@
 	if s.Timeout > 0 {
 		c.d.after(time.Duration(float64(s.Timeout)*1e6), timer{call: c, n: a.n})
 	}
-	before := c.beginHolding(a)
+	before := c.beginHolding(a, call.Until)
 	c.d.work.Go(func() {
 		if before != nil {
 			select {
@@ -202,7 +202,9 @@
 	c.d.post(func() {
 		a.via = call.Via
 		if a.off != nil && r.Outcome == gannethook.Cancelled {
+			begun := r.Begun
 			r = *a.off
+			r.Begun = begun
 		}
 		c.finish(a.n, r)
 	})
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -30,9 +30,9 @@
 		Pin: time.Duration(float64(c.set.PinLimit) * float64(time.Millisecond))}
 }
 
-// beginHolding notes that an attempt is sent. It returns what closes once the attempt may be
+// beginHolding notes that an attempt is sent, whose server is told how long it is waited for. It returns what closes once the attempt may be
 // written: a release lets go of all that a named request holds, also of what comes after it, and goes first.
-func (c *Call) beginHolding(a *try) (before chan struct{}) {
+func (c *Call) beginHolding(a *try, until time.Time) (before chan struct{}) {
 	if c.oneStage() {
 		return nil
 	}
@@ -47,6 +47,7 @@
 	d.makeReleases(d.held.Flush(a.key))
 	d.heldChanged()
 	terms := c.terms()
+	terms.Left = max(time.Until(until), time.Millisecond)
 	d.held.Began(a.key, terms, string(a.server), a.reads, time.Now())
 	d.watch.Sent(a.key, terms.Request, terms.Pin, a.watched(), string(a.server), time.Now())
 	return d.going[a.key]
@@ -54,15 +55,19 @@
 
 // endHolding notes how an attempt ended.
 func (c *Call) endHolding(a *try, r attempt.Result) {
-	switch {
-	case a.key == "":
+	if a.key == "" {
 		return
-	case a.reads:
-		c.d.held.ReadEnded(a.key, string(a.server), endOf(r), time.Now())
-	default:
-		c.d.held.WriteEnded(a.key, string(a.server), endOf(r), time.Now())
 	}
-	c.d.watch.Ended(a.key, a.watched(), string(a.server), watchedEnd(endOf(r)), time.Now())
+	end := endOf(r)
+	if end == heldstate.Closed && !r.Begun.IsZero() {
+		c.d.held.Begun(a.key, string(a.server), a.reads, r.Begun)
+	}
+	if a.reads {
+		c.d.held.ReadEnded(a.key, string(a.server), end, time.Now())
+	} else {
+		c.d.held.WriteEnded(a.key, string(a.server), end, time.Now())
+	}
+	c.d.watch.Ended(a.key, a.watched(), string(a.server), watchedEnd(end), time.Now())
 	c.d.heldChanged()
 }
 
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -21,25 +21,63 @@
 	kind    kind
 	pending bool      // its call is in flight
 	asked   time.Time // of a place: when
-	closed  time.Time // since when its server may not have noticed that the connection was closed; zero: it has, or was not
 	settled time.Time // a release that is sent from then on finds it
 	sole    bool      // of a read in flight: what is held waits for it, or it has not arrived and nothing is held
+
+	left    time.Duration // of an attempt that has not ended for certain: for which its server was told that the answer is waited for
+	begun   time.Time     // by when its server has begun it, if it has arrived; zero: not known
+	closed  time.Time     // since when its server may not have noticed that the connection was closed; zero: it has, or was not
+	noticed time.Time     // when its server has noticed it, unless the close was lost; zero: the server was not heard since
+	ends    time.Time     // when all is over that its server may still do, also where the close was lost; zero: the same
 }
 
 // settle notes that whatever is held is held by a time.
-func (h *holding) settle(at time.Time) { h.pending, h.closed, h.settled = false, time.Time{}, at }
+func (h *holding) settle(at time.Time) {
+	h.pending, h.settled = false, at
+	h.left, h.begun, h.closed, h.noticed, h.ends = 0, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+}
+
+// unheard tells whether its server was not heard since its connection was closed.
+func (h *holding) unheard() bool { return !h.closed.IsZero() && h.ends.IsZero() }
 
-// unheard tells whether its server may not have noticed a close.
-func (h *holding) unheard() bool { return !h.closed.IsZero() }
+// halfOpen tells whether its server runs and may not have noticed the close all the same: the connection alone may have fallen
+// silent.
+func (h *holding) halfOpen() bool { return !h.ends.IsZero() }
+
+// endsAfter is when all that its server may still do is over, once that has answered a call sent behind the close. What that
+// proves of another connection is only that the server runs. So an attempt may go on until its own time is up: a server ends it
+// then, as the router told it how long it waits.
+func (h *holding) endsAfter(answered time.Time) time.Time {
+	if h.left == 0 {
+		return answered
+	}
+	from := answered
+	if !h.begun.IsZero() {
+		from = h.begun
+	}
+	return later(answered, from.Add(h.left+toldSlack))
+}
 
 // held tells whether something may be held. An attempt in flight by itself holds nothing that the router could let go: its
 // server has not answered, and its time is not up.
 func (h *holding) held() bool { return !h.pending || h.kind == place }
 
 // goesWithStream tells whether it is gone with the first event of an answer: not what comes later, from a call that is in
-// flight, a server that has not noticed a close, or one that was heard a moment ago.
+// flight, a server that may not have noticed a close, or one that was heard a moment ago.
 func (h *holding) goesWithStream(now time.Time) bool {
-	return h.kind == queuedWrite || !h.pending && !h.unheard() && !h.settled.After(now)
+	if h.kind == queuedWrite {
+		return h.closed.IsZero() // it has passed its queue, or ended
+	}
+	return !h.pending && h.closed.IsZero() && !h.settled.After(now)
+}
+
+// leavesWithStream takes out what is gone with the first event of an answer. A write that may still wait in a queue is kept only
+// for what it may have releases spare.
+func (e *entry) leavesWithStream(now time.Time) {
+	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool { return h.goesWithStream(now) })
+	if !slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind != queuedWrite }) {
+		e.holdings = nil
+	}
 }
 
 // entry is what may be held under one key.
@@ -51,7 +89,7 @@
 	wanted   bool      // all is to be let go
 	wantedAt time.Time // since when
 	over     bool      // no attempt follows
-	streamed bool      // the answer has begun: what was held went with it
+	streamed time.Time // when the answer began: what was held went with it; zero: it has not
 
 	proven    time.Time // until when an answer proves that the pin limit did not run
 	quietAt   time.Time // when the last attempt ended that may have arrived
@@ -64,7 +102,7 @@
 	probedAt  time.Time // what was proven when the server of its read was last probed
 
 	owedAt   time.Time // since when it is owed; zero: it is not
-	reported bool
+	reportAt time.Time // when that is told; zero: it was
 	lookAt   time.Time // when it has something to do
 	position int       // in the agenda
 }
@@ -121,16 +159,21 @@
 	return beside
 }
 
-// inDoubt tells whether some server may not have noticed a close, and doubts whether one may not have.
+// inDoubt tells whether some server may not have noticed a close, and doubts whether one was not heard since.
 func (e *entry) inDoubt() bool {
-	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() })
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return !h.closed.IsZero() })
 }
 
 func (e *entry) doubts(server string) bool {
 	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() && h.server == server })
 }
 
-// doubted is which servers may not have noticed a close.
+// readGoesOn tells whether a server may go on with a read whose connection was closed.
+func (e *entry) readGoesOn() bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == readState && !h.closed.IsZero() })
+}
+
+// doubted is which servers were not heard since a close.
 func (e *entry) doubted() (servers []string) {
 	for _, h := range e.holdings {
 		if h.unheard() && !slices.Contains(servers, h.server) {
@@ -170,8 +213,10 @@
 		return time.Time{} // it would take what the attempt waits for
 	}
 	due := e.proven.Add(e.part(releasePart))
-	if settled := e.settledAt(); e.taken.Before(settled) {
-		return sooner(due, settled)
+	for _, settled := range []time.Time{e.settledAt(), e.closesEnd()} {
+		if e.taken.Before(settled) {
+			return sooner(due, settled)
+		}
 	}
 	if e.takes > maxRepeats {
 		return time.Time{}
@@ -179,7 +224,8 @@
 	return due
 }
 
-// settledAt is from when on a release finds all that is to be let go; zero: nothing is, or only what is not there yet.
+// settledAt is from when on a release finds all that is to be let go, where each server notices a close in its time; zero:
+// nothing is, or only what is not there yet.
 func (e *entry) settledAt() (at time.Time) {
 	if !e.wanted {
 		return at
@@ -191,6 +237,9 @@
 		switch {
 		case h.unheard():
 			at = later(at, h.closed.Add(e.grace()))
+		case h.halfOpen() && !h.noticed.After(e.streamed): // what it held went with the stream
+		case h.halfOpen():
+			at = later(at, h.noticed)
 		case !h.pending:
 			at = later(at, h.settled)
 		}
@@ -201,6 +250,57 @@
 	return later(at, later(e.wantedAt, e.quietAt))
 }
 
+// closesEnd is from when on a release finds all, also where closes were lost; zero: none may have been.
+func (e *entry) closesEnd() (at time.Time) {
+	for _, h := range e.holdings {
+		at = later(at, h.ends)
+	}
+	return at
+}
+
+// onlyHalfOpen tells whether nothing may be held but what attempts leave whose closes were lost: a release has found the rest.
+func (e *entry) onlyHalfOpen() bool {
+	return !e.closesEnd().IsZero() && len(e.doubted()) == 0 && !e.taken.Before(e.settledAt())
+}
+
+// endAttempts notes that a server goes on with nothing whose connection was closed, and tells whether it might have.
+func (e *entry) endAttempts(server string) (any bool) {
+	for i := range e.holdings {
+		h := &e.holdings[i]
+		if h.server != server || h.closed.IsZero() || h.left == 0 {
+			continue
+		}
+		h.left, any = 0, true
+		if h.halfOpen() {
+			h.ends = h.noticed
+		}
+	}
+	return any
+}
+
+// endCloses notes that servers have ended what they may have gone on with behind a close. What a write in its queue had releases
+// spare may be let go from then on.
+func (e *entry) endCloses(now time.Time) {
+	var ended time.Time
+	for i := range e.holdings {
+		if h := &e.holdings[i]; h.halfOpen() && !h.ends.After(now) {
+			ended = later(ended, h.ends)
+			h.settle(h.ends)
+		}
+	}
+	if ended.IsZero() {
+		return
+	}
+	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
+		return h.kind == queuedWrite && !h.pending && h.closed.IsZero()
+	})
+	for i := range e.holdings {
+		h := &e.holdings[i]
+		h.settled = later(h.settled, ended)
+	}
+	e.takes = 0
+}
+
 // heardHolders is which servers may hold something and are not in doubt: one that hangs would keep the release waiting.
 func (e *entry) heardHolders() []string {
 	return slices.DeleteFunc(e.where(), e.doubts)
@@ -219,7 +319,7 @@
 	add(func(h holding) bool { return !h.unheard() })
 	add(func(h holding) bool { return h.unheard() })
 	for _, h := range e.holdings { // whoever spares something
-		if h.kind == queuedWrite && h.unheard() && !slices.Contains(list, h.server) {
+		if h.kind == queuedWrite && !h.closed.IsZero() && !slices.Contains(list, h.server) {
 			list = append(list, h.server)
 		}
 	}
@@ -229,14 +329,14 @@
 // settledBy tells whether all that may be held was held by a time, and no server is in doubt.
 func (e *entry) settledBy(at time.Time) bool {
 	return !slices.ContainsFunc(e.holdings, func(h holding) bool {
-		return h.unheard() || h.held() && (h.pending || h.settled.After(at))
+		return !h.closed.IsZero() || h.held() && (h.pending || h.settled.After(at))
 	})
 }
 
 // let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight.
 func (e *entry) let(server string, sent time.Time) {
 	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
-		return !h.pending && !h.unheard() && !h.settled.After(sent) && (e.terms.Shared || h.server == server)
+		return !h.pending && h.closed.IsZero() && !h.settled.After(sent) && (e.terms.Shared || h.server == server)
 	})
 }
 
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -24,6 +24,12 @@
 // that might hold something. What is not proven stays owed beyond its request,
 // and is released again.
 //
+// A close is proof of nothing, and a server that answers on another connection
+// proves only that it runs: the connection that was closed may have fallen
+// silent alone, so that the server goes on with the attempt. It does so until
+// the time is up for which it was told that the answer is waited for, and until
+// then releases are repeated.
+//
 // The package is pure: it does no I/O and reads no clock. Its methods take the
 // time, and what to do comes back from Due.
 package heldstate
@@ -43,6 +49,8 @@
 	releasePart  = 0.9                    // part of the pin limit after which a release is made, counted from what was last proven
 	reachPart    = 0.75                   // part of it after which the server of a read is probed for which all waits that is held
 	confirmPart  = 0.4                    // part of it after a close before which no release is the last: it may be noticed later than it should
+	toldSlack    = 150 * time.Millisecond // by which a server may end an attempt later than it was told: the router is held up before it writes
+	maxLeft      = 30 * time.Second       // for which an attempt goes on behind a lost close at the most, or where its server was told no time
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
 	firstRetry = 50 * time.Millisecond  // after a release that nobody took; doubled each time
@@ -67,6 +75,14 @@
 	Shared  bool          // servers know all that is held by the entry's key, and any of them takes its release
 	Spared  bool          // a release spares what an attempt that has arrived waits for, so that one may be made beside it
 	Pin     time.Duration // for how long something may be held with no attempt in flight; 0: not told
+	Left    time.Duration // of an attempt: for which its server is told that the answer is waited for, from its sending; 0: not told
+}
+
+func (t Terms) left() time.Duration {
+	if t.Left > 0 {
+		return min(t.Left, maxLeft)
+	}
+	return maxLeft
 }
 
 func (t Terms) pin() time.Duration {
@@ -156,9 +172,12 @@
 // state there if it ends well.
 func (l *Ledger) Began(key string, terms Terms, server string, reads bool, now time.Time) {
 	e := l.open(key, terms)
-	e.wanted, e.over, e.streamed, e.takes = false, false, false, 0
+	e.wanted, e.over, e.streamed, e.takes = false, false, time.Time{}, 0
 	l.notOwed(e)
 	h := holding{server: server, kind: queuedWrite, pending: true}
+	if terms.Shared { // where each server knows what it holds itself, a release there calls the attempt off
+		h.left = terms.left()
+	}
 	if reads {
 		h.kind = readState
 	}
@@ -186,6 +205,20 @@
 	return e
 }
 
+// Begun notes by when the server of an attempt in flight has begun it, if it has arrived: the server has answered a call that
+// was sent behind it.
+func (l *Ledger) Begun(key, server string, reads bool, by time.Time) {
+	kind := queuedWrite
+	if reads {
+		kind = readState
+	}
+	if e := l.entries[key]; e != nil {
+		if i := e.pending(server, kind); i >= 0 {
+			e.holdings[i].begun = by
+		}
+	}
+}
+
 // ReadEnded notes how an attempt ended that reads.
 func (l *Ledger) ReadEnded(key, server string, end End, now time.Time) {
 	l.attemptEnded(key, server, readState, end, now)
@@ -257,7 +290,7 @@
 	h := &e.holdings[i]
 	if e.terms.Shared {
 		e.prove(h.asked)
-		e.setSole(true)
+		e.setSole(!e.readGoesOn()) // else it may have known of an earlier one
 	}
 	h.settle(now)
 }
@@ -265,7 +298,7 @@
 // doubt notes that a server may not have noticed yet that a connection was closed.
 func (l *Ledger) doubt(e *entry, i int, now time.Time) {
 	h := &e.holdings[i]
-	h.pending, h.closed = false, now
+	h.pending, h.closed, h.noticed, h.ends = false, now, time.Time{}, time.Time{}
 	u := l.unheard[h.server]
 	if u == nil {
 		u = &unheard{next: now.Add(e.grace())}
@@ -284,10 +317,10 @@
 		return
 	}
 	e.prove(now)
-	e.streamed = true
+	e.streamed = now
 	e.want(now)
 	doubted := e.doubted()
-	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool { return h.goesWithStream(now) })
+	e.leavesWithStream(now)
 	l.forgetDoubts(e, doubted)
 	l.schedule(e, now)
 }
@@ -313,7 +346,7 @@
 			calls[i].Servers = nil
 		}
 		for _, h := range e.holdings {
-			if h.unheard() {
+			if !h.closed.IsZero() {
 				calls[i].After = later(calls[i].After, h.closed.Add(e.grace()))
 			}
 		}
@@ -343,8 +376,7 @@
 // schedule sets when an entry's next release is made, and drops an entry that
 // holds nothing.
 func (l *Ledger) schedule(e *entry, now time.Time) {
-	if e.wanted && len(e.holdings) == 0 && e.releasing == 0 {
-		l.drop(e)
+	if l.dropIfEmpty(e, now) {
 		return
 	}
 	if e.wanted && e.mayHold() && (e.over || !e.inFlight()) {
@@ -356,12 +388,22 @@
 	l.agenda.set(e, l.nextLook(e))
 }
 
+// dropIfEmpty drops an entry that holds nothing any more, and tells whether it did.
+func (l *Ledger) dropIfEmpty(e *entry, now time.Time) bool {
+	e.endCloses(now)
+	empty := e.wanted && len(e.holdings) == 0 && e.releasing == 0
+	if empty {
+		l.drop(e)
+	}
+	return empty
+}
+
 // owe notes that an entry waits for proof with no attempt to come.
 func (l *Ledger) owe(e *entry, now time.Time) {
 	if !e.owedAt.IsZero() {
 		return
 	}
-	e.owedAt = now
+	e.owedAt, e.reportAt = now, now.Add(e.part(evidencePart))
 	l.owed = append(l.owed, e)
 	if len(l.owed) > maxOwed {
 		l.forget(l.owed[0], TooMany, now)
@@ -372,7 +414,7 @@
 	if e.owedAt.IsZero() {
 		return
 	}
-	e.owedAt, e.reported = time.Time{}, false
+	e.owedAt, e.reportAt = time.Time{}, time.Time{}
 	l.owed = slices.DeleteFunc(l.owed, func(o *entry) bool { return o == e })
 }
 
--- a/internal/heldstate/lostclose_test.go
+++ b/internal/heldstate/lostclose_test.go
@@ -32,7 +32,10 @@
 // leaves its state afterwards.
 //
 // Callers saw a state that stayed for good: 15 to 19 of some 800 requests of a black-box run in which single connections fell
-// silent, for 2 to 15 s, to the end of the run.
+// silent, for 2 to 15 s, to the end of the run. The cause: an answer on any connection of a server counted as proof that it had
+// noticed the close of another, so that no release followed the one made 0.4 of the limit behind the close. The router on loopback
+// of TestStateBehindALostClose logged no release after the writer's next answer, and kept the state until it was stopped; of the
+// drawn histories of the platform with lost closes 17 of 300 failed so.
 func TestAttemptGoesOnBehindALostClose(t *testing.T) {
 	const goesOn = 2400 * ms // counted from the close
 	for name, play := range map[string]func(c *clock){
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -23,6 +23,9 @@
 		}
 		l.report(e, now)
 	}
+	if l.dropIfEmpty(e, now) {
+		return nil
+	}
 	l.proveByReader(e, now)
 	if at := l.nextReach(e); !at.IsZero() && !at.After(now) {
 		calls = append(calls, l.reach(e))
@@ -47,10 +50,7 @@
 		return at
 	}
 	at = sooner(at, e.owedAt.Add(maxAge+time.Millisecond))
-	if !e.reported {
-		at = sooner(at, e.owedAt.Add(e.part(evidencePart)))
-	}
-	return at
+	return sooner(at, e.reportAt)
 }
 
 // Busy tells whether Due may have something in time.
@@ -142,7 +142,8 @@
 }
 
 // Heard notes that a server answered a call that was sent at a time. It ran
-// since: it notices what was closed before within the grace.
+// since: what was closed before it notices within the grace, unless the close
+// was lost.
 func (l *Ledger) Heard(server string, sent, answered, now time.Time) {
 	if len(l.reached) >= maxReached {
 		clear(l.reached)
@@ -153,7 +154,12 @@
 		return
 	}
 	for _, e := range slices.Clone(u.entries) {
-		l.resolve(e, server, answered, now, func(h *holding) bool { return !sent.Before(h.closed.Add(e.grace())) })
+		l.resolve(e, server, now, func(h *holding) time.Time {
+			if sent.Before(h.closed.Add(e.grace())) {
+				return time.Time{}
+			}
+			return answered
+		})
 	}
 }
 
@@ -163,10 +169,14 @@
 	delete(l.reached, server)
 	if u := l.unheard[server]; u != nil {
 		for _, e := range slices.Clone(u.entries) {
-			l.resolve(e, server, now, now, func(*holding) bool { return true })
+			e.endAttempts(server)
+			l.resolve(e, server, now, func(*holding) time.Time { return now })
 		}
 	}
 	for _, e := range slices.Clone(l.owed) {
+		if e.endAttempts(server) {
+			l.schedule(e, now)
+		}
 		if !e.terms.Shared {
 			e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool { return h.server == server && !h.pending })
 			l.schedule(e, now)
@@ -174,32 +184,26 @@
 	}
 }
 
-// resolve ends an entry's doubts about a server. What waited there is let go, or left, by then, and what it spared elsewhere
-// may be let go from then on; not at once, since a close may be noticed later than it should.
-func (l *Ledger) resolve(e *entry, server string, answered, now time.Time, ended func(*holding) bool) {
-	settled, resolved := answered.Add(e.grace()), false
+// resolve ends an entry's doubt whether a server has run since it closed a connection to it; heard is when that is known, zero:
+// it is not. What waited there is let go, or left, by then; not at once, since a close may be noticed later than it should.
+func (l *Ledger) resolve(e *entry, server string, now time.Time, heard func(*holding) time.Time) {
+	resolved := false
 	for i := range e.holdings {
 		h := &e.holdings[i]
-		if h.server != server || !h.unheard() || !ended(h) {
+		if h.server != server || !h.unheard() {
 			continue
 		}
-		settled = later(settled, h.closed.Add(e.part(confirmPart)))
-		h.settle(settled)
-		resolved = true
-	}
-	if !resolved {
-		return
+		if at := heard(h); !at.IsZero() {
+			h.noticed = later(at.Add(e.grace()), h.closed.Add(e.part(confirmPart)))
+			h.ends = later(h.noticed, h.endsAfter(at).Add(e.grace()))
+			resolved = true
+		}
 	}
-	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
-		return h.kind == queuedWrite && !h.pending && !h.unheard()
-	})
-	for i := range e.holdings {
-		h := &e.holdings[i]
-		h.settled = later(h.settled, settled)
+	if resolved {
+		l.forgetDoubts(e, []string{server})
+		e.takes = 0
+		l.schedule(e, now)
 	}
-	l.forgetDoubts(e, []string{server})
-	e.takes = 0
-	l.schedule(e, now)
 }
 
 // Stop forgets all that is owed.
--- a/internal/heldstate/report.go
+++ b/internal/heldstate/report.go
@@ -45,10 +45,14 @@
 
 // report notes an entry that has been owed for half of its time, once.
 func (l *Ledger) report(e *entry, now time.Time) {
-	if e.reported || now.Sub(e.owedAt) < e.part(evidencePart) {
+	if e.reportAt.IsZero() || now.Before(e.reportAt) {
 		return
 	}
-	e.reported = true
+	if e.onlyHalfOpen() { // a suspicion, which each call that is given up leaves behind
+		e.reportAt = e.closesEnd().Add(e.part(evidencePart))
+		return
+	}
+	e.reportAt = time.Time{}
 	if !e.answered() {
 		return // a place that is asked for, and nothing else: its answer may be slow
 	}
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -47,6 +47,7 @@
 	if sent.After(w.asked) {
 		w.asked, w.askedHeard = sent, w.heard
 	}
+	w.answers.note(answer{sent, w.heard})
 	if cn.Unused > 0 {
 		w.stats.Kept++
 	}
@@ -75,6 +76,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w.stats.Out--
+	if written := call.Sent.When(); !written.IsZero() {
+		r.Begun = w.answers.begunBy(written)
+	}
 	switch r.Outcome {
 	case gannethook.Served, gannethook.ReadDone, gannethook.Cancelled, gannethook.Moot:
 	case gannethook.Full:
