--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -63,6 +63,7 @@
 	calls     map[gannethook.RequestID]*Call
 	roles     map[gannethook.ServerID]gannethook.Role
 	held      *heldstate.Ledger
+	probeKey  string // that no request has
 	watch     *holdwatch.Watch
 	oldFaults oldFaults
 	wanted    []string                 // keys of which all is to be let go, since the last event
@@ -93,7 +94,7 @@
 		start: now, startMS: float64(wall.UnixMicro()) / 1000,
 		boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,
 		calls: map[gannethook.RequestID]*Call{}, roles: map[gannethook.ServerID]gannethook.Role{},
-		held: heldstate.New(), watch: holdwatch.New(), oldFaults: oldFaults{}, going: map[string]chan struct{}{}}
+		held: heldstate.New(), probeKey: newProbeKey(), watch: holdwatch.New(), oldFaults: oldFaults{}, going: map[string]chan struct{}{}}
 	d.maxOpen.Store(int64(cfg.MaxOpen))
 	return d, nil
 }
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"slices"
 	"strconv"
 	"time"
@@ -227,6 +229,14 @@
 	return !c.streaming && slices.ContainsFunc(c.attempts, func(a *try) bool { return a.out && a.off == nil })
 }
 
+// newProbeKey returns a key of the form of the platform's request ids that no request has: a release by it lets go of nothing, and
+// its answer proves that the server runs.
+func newProbeKey() string {
+	var key [8]byte
+	rand.Read(key[:]) // never fails
+	return hex.EncodeToString(key[:])
+}
+
 // settleHeld schedules the releases that were asked for, where no attempt has followed.
 func (d *Driver) settleHeld() {
 	for _, key := range d.wanted {
@@ -325,6 +335,9 @@
 		if len(list) == 0 {
 			list = append(list, attempt.Held{Key: call.Key})
 		}
+		if call.Reach {
+			list[0].Key = d.probeKey
+		}
 		if call.Probe {
 			d.work.Go(func() {
 				r := d.cfg.Engines.ReleaseAt(context.WithoutCancel(d.ctx), list[0])
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -135,7 +135,7 @@
 	Key     string
 	Servers []string // which may hold something; where the entry is shared any server may be asked, and there may be none
 	Probe   bool     // only the one server is to be asked: what counts is to hear it
-	Reach   bool     // such a probe by the key of a request that is over
+	Reach   bool     // such a probe by a key that no request has, so that nothing is let go; there is no Key
 	Beside  Beside
 
 	After time.Time // it is not sent before: a close is on its way; zero: at once
@@ -150,7 +150,6 @@
 	unheard  map[string]*unheard  // servers that some entry is in doubt about
 	reached  map[string]time.Time // when the last call was sent that a server has answered
 	reaching map[string]bool      // servers of reads that are probed
-	finished string               // a request that is over, and for which nothing is held
 	inFlight int
 	probes   int
 	forgot   []Forgotten
@@ -368,9 +367,6 @@
 		e.want(now)
 		l.schedule(e, now)
 	}
-	if l.entries[key] == nil {
-		l.finished = key
-	}
 }
 
 // schedule sets when an entry's next release is made, and drops an entry that
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -208,7 +208,6 @@
 			c := newClock(t)
 			terms := shared
 			terms.Pin = pin
-			c.l.Over("finished", c.now)
 			play(c, terms)
 			part := pin * 9 / 10
 			if got, want := c.released(3*part+ms), []time.Duration{part, 2 * part, 3 * part}; !slices.Equal(got, want) {
@@ -243,7 +242,6 @@
 func TestOnlyAnswersMoveTheTime(t *testing.T) {
 	start := func() *clock {
 		c := newClock(t)
-		c.l.Over("finished", c.now)
 		c.l.Began("k", shared, "reader", true, c.now)
 		c.l.Asked("k", shared, "writer", c.now)
 		c.pass(300 * ms)
@@ -284,11 +282,10 @@
 	}
 }
 
-// A read that takes its time is not released beside while a writer knew of it and its server is heard: that is probed by a
-// request that is over, and the release is made in time once the server is not heard.
+// A read that takes its time is not released beside while a writer knew of it and its server is heard: that is probed by a key
+// that no request has, and the release is made in time once the server is not heard.
 func TestReadThatIsHeardOf(t *testing.T) {
 	c := newClock(t)
-	c.l.Over("finished", c.now)
 	c.l.Began("k", shared, "reader", true, c.now)
 	c.l.Asked("k", shared, "writer", c.now)
 	c.l.Placed("k", "writer", Granted, c.now)
@@ -297,7 +294,7 @@
 		c.due(0)
 		c.pass(ms)
 		call := c.due(1)[0]
-		if !call.Reach || call.Key != "finished" || !slices.Equal(call.Servers, []string{"reader"}) {
+		if !call.Reach || call.Key != "" || !slices.Equal(call.Servers, []string{"reader"}) {
 			t.Fatalf("%+v", call)
 		}
 		c.take(call, "reader")
@@ -348,7 +345,6 @@
 // is still in flight then is asked in docs/questions.md; by the stricter reading its state is to be let go in time.
 func TestAnswerLostOnOneConnection(t *testing.T) {
 	c := newClock(t)
-	c.l.Over("finished", c.now)
 	c.l.Began("k", shared, "reader", true, c.now)
 	c.l.Asked("k", shared, "writer", c.now)
 	c.l.Placed("k", "writer", Granted, c.now)
@@ -385,17 +381,6 @@
 	t.Error("nothing was released within 0.8 s of the end of the read")
 }
 
-// Where no request is over yet there is nothing to probe by: a read that a writer knew of is let be.
-func TestFirstReadIsLetBe(t *testing.T) {
-	c := newClock(t)
-	c.l.Began("k", shared, "reader", true, c.now)
-	c.l.Asked("k", shared, "writer", c.now)
-	c.l.Placed("k", "writer", Granted, c.now)
-	if got := c.released(5 * time.Second); len(got) > 0 {
-		t.Errorf("released after %v", got)
-	}
-}
-
 // Nothing is released beside an attempt where nothing is known to be held, or where releases take what attempts wait for.
 func TestNothingIsReleasedBeside(t *testing.T) {
 	c := newClock(t)
--- a/internal/heldstate/lostclose_test.go
+++ b/internal/heldstate/lostclose_test.go
@@ -34,8 +34,8 @@
 // Callers saw a state that stayed for good: 15 to 19 of some 800 requests of a black-box run in which single connections fell
 // silent, for 2 to 15 s, to the end of the run. The cause: an answer on any connection of a server counted as proof that it had
 // noticed the close of another, so that no release followed the one made 0.4 of the limit behind the close. The router on loopback
-// of TestStateBehindALostClose logged no release after the writer's next answer, and kept the state until it was stopped; of the
-// drawn histories of the platform with lost closes 17 of 300 failed so.
+// of TestStateBehindALostClose kept the state until it was stopped; of the drawn histories of the platform with lost closes 17 of
+// 300 failed so.
 func TestAttemptGoesOnBehindALostClose(t *testing.T) {
 	const goesOn = 2400 * ms // counted from the close
 	for name, play := range map[string]func(c *clock){
@@ -107,7 +107,9 @@
 // The first requests of a router, none of them over yet, with their readers cut off behind the reads' arrival: places are
 // granted, the reads end well, and their answers are lost in the cut. No server of a read is heard.
 //
-// Callers saw states that stayed for 1.2 to 4 s: 29 of 200 and 44 of 192 requests of routers that started inside a cut.
+// Callers saw states that stayed for 1.2 to 4 s: 29 of 200 and 44 of 192 requests of routers that started inside a cut. The cause:
+// the server of such a read was probed by the key of a request that was over, and while there was none each read counted as proven
+// at each look. With histories that begin in a cut the drawn histories failed 74 of 300 times on that ledger, 17 without.
 func TestFirstReadsInACut(t *testing.T) {
 	for _, pin := range []time.Duration{250 * ms, 500 * ms, time.Second} {
 		c := newClock(t)
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -32,15 +32,10 @@
 
 // proveByReader notes that the server of a read in flight was heard: the read had not been answered then, and the answer would
 // have been heard.
-func (l *Ledger) proveByReader(e *entry, now time.Time) {
-	server := e.soleReader()
-	if server == "" {
-		return
-	}
-	if l.finished == "" { // nothing to ask it by yet, and no read would ever be answered if each were let go
-		e.prove(now)
+func (l *Ledger) proveByReader(e *entry) {
+	if server := e.soleReader(); server != "" {
+		e.prove(l.reached[server])
 	}
-	e.prove(l.reached[server])
 }
 
 // nextReach is when the server of a read in flight is probed; zero: there is no need.
@@ -49,7 +44,7 @@
 	switch {
 	case server == "" || e.wanted || !e.mayHold() || e.probedAt.Equal(e.proven):
 		return time.Time{}
-	case !e.terms.Shared || !e.terms.Spared || l.finished == "" || l.reaching[server] || len(l.reaching) >= maxReaches:
+	case !e.terms.Shared || !e.terms.Spared || l.reaching[server] || len(l.reaching) >= maxReaches:
 		return time.Time{}
 	}
 	return e.proven.Add(e.part(reachPart))
@@ -60,7 +55,7 @@
 	server := e.soleReader()
 	e.probedAt = e.proven
 	l.reaching[server] = true
-	return Call{Key: l.finished, Servers: []string{server}, Probe: true, Reach: true}
+	return Call{Servers: []string{server}, Probe: true, Reach: true}
 }
 
 // dueProbes returns a call to each server that entries wait to hear, if none is
--- a/internal/heldstate/reference_test.go
+++ b/internal/heldstate/reference_test.go
@@ -210,6 +210,9 @@
 // letGo is a release as any server takes it.
 func (p *reference) letGo(key string) {
 	k := p.keys[key]
+	if k == nil { // no request has it
+		return
+	}
 	if slices.ContainsFunc(k.out, func(a *task) bool { return !a.reads && !a.over && !a.fetched }) {
 		return
 	}
@@ -546,12 +549,21 @@
 
 func newReference(t *testing.T, seed uint64) *reference {
 	p := &reference{clock: newClock(t), rnd: rand.New(rand.NewPCG(seed, 1)), steps: map[time.Time][]func(){}, keys: map[string]*refKey{}, going: map[string]int{}}
-	p.l.Over("finished", p.now) // before the first is, nothing can be probed by (TestFirstReadIsLetBe)
-	p.keys["finished"] = &refKey{over: true}
 	p.pin = []time.Duration{250 * ms, 500 * ms, time.Second}[p.rnd.IntN(3)]
 	for i := range 10 {
 		p.servers = append(p.servers, &refServer{name: fmt.Sprint("s", i), reads: i%2 == 0})
 	}
+	firstRequests := 5 * time.Second
+	if p.rnd.IntN(3) == 0 { // the router's first requests are in a cut of all readers
+		firstRequests = 20 * ms
+		p.after(30*ms, func() {
+			for _, s := range p.servers {
+				if s.reads {
+					s.silentUntil = p.now.Add(time.Second + p.upTo(3*time.Second))
+				}
+			}
+		})
+	}
 	for range 2 { // most of one role fall silent
 		reads := p.rnd.IntN(2) == 0
 		p.after(p.upTo(4*time.Second), func() {
@@ -566,7 +578,11 @@
 		p.servers[p.rnd.IntN(len(p.servers))].hungUntil = p.now.Add(p.upTo(3 * time.Second))
 	})
 	for i := range 12 {
-		p.after(p.upTo(5*time.Second), func() { p.request(fmt.Sprint("k", i)) })
+		within := 5 * time.Second
+		if i < 4 {
+			within = firstRequests
+		}
+		p.after(p.upTo(within), func() { p.request(fmt.Sprint("k", i)) })
 	}
 	return p
 }
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -26,7 +26,7 @@
 	if l.dropIfEmpty(e, now) {
 		return nil
 	}
-	l.proveByReader(e, now)
+	l.proveByReader(e)
 	if at := l.nextReach(e); !at.IsZero() && !at.After(now) {
 		calls = append(calls, l.reach(e))
 	}
