--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -66,6 +66,7 @@
 	probeKey  string // that no request has
 	watch     *holdwatch.Watch
 	oldFaults oldFaults
+	anyOver   bool                     // some request is over
 	wanted    []string                 // keys of which all is to be let go, since the last event
 	going     map[string]chan struct{} // closed once the last release by a key has gone out
 	lookedAt  time.Time                // when what is owed was looked through last
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -50,6 +50,9 @@
 	d.heldChanged()
 	terms := c.terms()
 	terms.Left = max(time.Until(until), time.Millisecond)
+	if faults.Broken(faults.BreakLost) || faults.Broken(faults.BreakUnheard) {
+		terms.Left = -1
+	}
 	d.held.Began(a.key, terms, string(a.server), a.reads, time.Now())
 	d.watch.Sent(a.key, terms.Request, terms.Pin, a.watched(), string(a.server), time.Now())
 	return d.going[a.key]
@@ -216,6 +219,7 @@
 
 // owe has the ledger let go of all that is left of the request, now or later.
 func (c *Call) owe() {
+	c.d.anyOver = true
 	for _, key := range c.keys {
 		if !c.d.oldFaults.forgets(key) {
 			c.d.held.Over(key, time.Now())
@@ -250,8 +254,11 @@
 func (d *Driver) hear() {
 	now := time.Now()
 	for _, server := range d.held.Awaited() {
-		if faults.Broken(faults.BreakUnheard) {
+		switch {
+		case faults.Broken(faults.BreakUnheard):
 			d.held.Heard(server, now, now.Add(-time.Second), now)
+		case faults.Broken(faults.BreakFirst) && !d.anyOver:
+			d.held.Heard(server, now, now, now)
 		}
 		if sent, answered := d.cfg.Engines.Heard(server); !sent.IsZero() {
 			d.held.Heard(server, sent, answered, now)
@@ -352,7 +359,7 @@
 			if wait := time.Until(call.After); !call.After.IsZero() && wait > 0 {
 				time.Sleep(wait)
 			}
-			r := d.cfg.Engines.Release(context.WithoutCancel(d.ctx), list)
+			r := d.release(call, list)
 			if earlier != nil {
 				<-earlier
 			}
@@ -367,6 +374,15 @@
 	}
 }
 
+// release makes one release.
+func (d *Driver) release(call heldstate.Call, list []attempt.Held) attempt.Released {
+	ctx := context.WithoutCancel(d.ctx)
+	if call.Suspect {
+		return d.cfg.Engines.ReleaseAt(ctx, attempt.Held{Key: call.Key})
+	}
+	return d.cfg.Engines.Release(ctx, list)
+}
+
 // placed notes how the asking for a place ended.
 func (d *Driver) placed(key, server string, place attempt.Place) {
 	end, now := grants[place], time.Now()
@@ -401,7 +417,7 @@
 	}
 	over := time.NewTimer(time.Until(end))
 	defer over.Stop()
-	for d.held.Owed() > 0 {
+	for d.held.Pending() {
 		d.releaseDue()
 		alarm.Reset(max(d.nextRelease(), 0))
 		select {
--- a/internal/driver/types.go
+++ b/internal/driver/types.go
@@ -27,7 +27,7 @@
 	Hold(ctx context.Context, call *attempt.Call, reader string) attempt.Place
 	// Release lets go of what is held under one key, with tries again of its own; it ends in bounded time.
 	Release(ctx context.Context, list []attempt.Held) attempt.Released
-	// ReleaseAt asks one server alone, once, and waits for it longer.
+	// ReleaseAt asks one server alone, once, and waits for it longer; one without an address asks whichever answered last.
 	ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released
 	// Heard is when the last call was sent that a server has answered, and when it was answered; zero: not known.
 	Heard(server string) (sent, answered time.Time)
--- a/internal/faults/doc.go
+++ b/internal/faults/doc.go
@@ -28,6 +28,8 @@
 	BreakBeside   = "beside"    // nothing is released beside a write that may not have arrived
 	BreakInFlight = "in-flight" // nothing is released beside a read that may not have arrived
 	BreakSpared   = "spared"    // a release that was spared for a write is not repeated beside the next attempt
+	BreakLost     = "lost"      // a server that answers on another connection counts as having noticed a close
+	BreakFirst    = "first"     // until a request is over, reads that a writer knew of count as in flight
 	BreakReload   = "reload"    // a configuration that can't be read is not read again
 	BreakBuffers  = "buffers"   // one failed write ends a client's answer
 	BreakRoom     = "room"      // an attempt fails at once where no connection can be had
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -28,13 +28,20 @@
 	begun   time.Time     // by when its server has begun it, if it has arrived; zero: not known
 	closed  time.Time     // since when its server may not have noticed that the connection was closed; zero: it has, or was not
 	noticed time.Time     // when its server has noticed it, unless the close was lost; zero: the server was not heard since
-	ends    time.Time     // when all is over that its server may still do, also where the close was lost; zero: the same
+	ends    time.Time     // when the time is up that its server was told, which ends it also where the close was lost; zero: the same
+	gone    time.Time     // when all is over, also where its server goes on for longer than it was told; zero: the same
 }
 
 // settle notes that whatever is held is held by a time.
 func (h *holding) settle(at time.Time) {
 	h.pending, h.settled = false, at
-	h.left, h.begun, h.closed, h.noticed, h.ends = 0, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	h.left, h.begun, h.closed, h.noticed = 0, time.Time{}, time.Time{}, time.Time{}
+	h.ends, h.gone = time.Time{}, time.Time{}
+}
+
+// goesOn tells whether its server may not have ended it by a time, although its connection was closed.
+func (h *holding) goesOn(at time.Time) bool {
+	return !h.closed.IsZero() && (h.ends.IsZero() || h.ends.After(at))
 }
 
 // unheard tells whether its server was not heard since its connection was closed.
@@ -44,9 +51,19 @@
 // silent.
 func (h *holding) halfOpen() bool { return !h.ends.IsZero() }
 
-// endsAfter is when all that its server may still do is over, once that has answered a call sent behind the close. What that
-// proves of another connection is only that the server runs. So an attempt may go on until its own time is up: a server ends it
-// then, as the router told it how long it waits.
+// heard notes that its server runs, which was heard at a time, and when it has noticed the close unless that was lost. An answer
+// on one connection proves nothing of another. So an attempt may go on until its own time is up, as the server was told how long
+// it is waited for; and where a server doesn't end it then, for as long as a connection may stay silent.
+func (h *holding) heard(at, noticed time.Time, grace time.Duration) {
+	h.noticed = noticed
+	h.ends = later(noticed, h.endsAfter(at).Add(grace))
+	h.gone = h.ends
+	if h.left > 0 {
+		h.gone = later(h.gone, h.closed.Add(maxSilence))
+	}
+}
+
+// endsAfter is when the time is up that its server was told, once that has answered a call sent behind the close.
 func (h *holding) endsAfter(answered time.Time) time.Time {
 	if h.left == 0 {
 		return answered
@@ -168,9 +185,9 @@
 	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() && h.server == server })
 }
 
-// readGoesOn tells whether a server may go on with a read whose connection was closed.
-func (e *entry) readGoesOn() bool {
-	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == readState && !h.closed.IsZero() })
+// readGoesOn tells whether a server may go on at a time with a read whose connection was closed, within the time that it was told.
+func (e *entry) readGoesOn(at time.Time) bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == readState && h.goesOn(at) })
 }
 
 // doubted is which servers were not heard since a close.
@@ -192,10 +209,12 @@
 	}
 }
 
-// soleReader is the server of a read in flight for which all waits that is held; "": there is none.
+// soleReader is the server of a read in flight for which all waits that is held, or beside which nothing is held but what is only
+// suspected; "": there is none.
 func (e *entry) soleReader() string {
+	suspected := e.onlySuspected()
 	for _, h := range e.holdings {
-		if h.pending && h.sole {
+		if h.pending && (h.sole || suspected && h.kind == readState) {
 			return h.server
 		}
 	}
@@ -213,12 +232,16 @@
 		return time.Time{} // it would take what the attempt waits for
 	}
 	due := e.proven.Add(e.part(releasePart))
-	for _, settled := range []time.Time{e.settledAt(), e.closesEnd()} {
+	if e.onlyHalfOpen() {
+		due = e.proven.Add(e.terms.pin() + suspectPause)
+	}
+	ends, gone := e.closesEnd()
+	for _, settled := range []time.Time{e.settledAt(), ends, gone} {
 		if e.taken.Before(settled) {
 			return sooner(due, settled)
 		}
 	}
-	if e.takes > maxRepeats {
+	if gone.IsZero() && e.takes > maxRepeats {
 		return time.Time{}
 	}
 	return due
@@ -250,17 +273,40 @@
 	return later(at, later(e.wantedAt, e.quietAt))
 }
 
-// closesEnd is from when on a release finds all, also where closes were lost; zero: none may have been.
-func (e *entry) closesEnd() (at time.Time) {
+// closesEnd is from when on a release finds all, also where closes were lost: with servers that end attempts as they were told, and
+// with any; zero: none may have been lost.
+func (e *entry) closesEnd() (ends, gone time.Time) {
 	for _, h := range e.holdings {
-		at = later(at, h.ends)
+		ends, gone = later(ends, h.ends), later(gone, h.gone)
 	}
-	return at
+	return ends, gone
 }
 
 // onlyHalfOpen tells whether nothing may be held but what attempts leave whose closes were lost: a release has found the rest.
 func (e *entry) onlyHalfOpen() bool {
-	return !e.closesEnd().IsZero() && len(e.doubted()) == 0 && !e.taken.Before(e.settledAt())
+	return e.restReleased(func(h holding) time.Time { return h.noticed })
+}
+
+// onlySuspected tells the same of attempts that go on for longer than their servers were told.
+func (e *entry) onlySuspected() bool {
+	return e.restReleased(func(h holding) time.Time { return h.ends })
+}
+
+// restReleased tells whether a release was answered that has found all that may be held, with half-open attempts ended at a time
+// each, and whether there are any of these.
+func (e *entry) restReleased(ended func(holding) time.Time) bool {
+	found, any := e.quietAt, false
+	for _, h := range e.holdings {
+		switch {
+		case h.pending && h.kind == place || h.unheard():
+			return false
+		case h.halfOpen():
+			found, any = later(found, ended(h)), true
+		case !h.pending:
+			found = later(found, h.settled)
+		}
+	}
+	return any && !later(e.taken, e.streamed).Before(found)
 }
 
 // endAttempts notes that a server goes on with nothing whose connection was closed, and tells whether it might have.
@@ -272,7 +318,7 @@
 		}
 		h.left, any = 0, true
 		if h.halfOpen() {
-			h.ends = h.noticed
+			h.ends, h.gone = h.noticed, h.noticed
 		}
 	}
 	return any
@@ -283,9 +329,9 @@
 func (e *entry) endCloses(now time.Time) {
 	var ended time.Time
 	for i := range e.holdings {
-		if h := &e.holdings[i]; h.halfOpen() && !h.ends.After(now) {
-			ended = later(ended, h.ends)
-			h.settle(h.ends)
+		if h := &e.holdings[i]; h.halfOpen() && !h.gone.After(now) {
+			ended = later(ended, h.gone)
+			h.settle(h.gone)
 		}
 	}
 	if ended.IsZero() {
@@ -329,7 +375,7 @@
 // settledBy tells whether all that may be held was held by a time, and no server is in doubt.
 func (e *entry) settledBy(at time.Time) bool {
 	return !slices.ContainsFunc(e.holdings, func(h holding) bool {
-		return !h.closed.IsZero() || h.held() && (h.pending || h.settled.After(at))
+		return h.goesOn(at) || h.held() && (h.pending || h.settled.After(at))
 	})
 }
 
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -28,7 +28,9 @@
 // proves only that it runs: the connection that was closed may have fallen
 // silent alone, so that the server goes on with the attempt. It does so until
 // the time is up for which it was told that the answer is waited for, and until
-// then releases are repeated.
+// then releases are repeated. They are beyond it, for as long as a connection may
+// stay silent, since no page says that a server has to end what it was told to:
+// but not beside a read whose server is heard, whose state they would take.
 //
 // The package is pure: it does no I/O and reads no clock. Its methods take the
 // time, and what to do comes back from Due.
@@ -50,6 +52,8 @@
 	reachPart    = 0.75                   // part of it after which the server of a read is probed for which all waits that is held
 	confirmPart  = 0.4                    // part of it after a close before which no release is the last: it may be noticed later than it should
 	toldSlack    = 150 * time.Millisecond // by which a server may end an attempt later than it was told: the router is held up before it writes
+	suspectPause = 100 * time.Millisecond // beyond the pin limit, between releases of what only a lost close may leave: of 300 ms that servers allow
+	maxSilence   = 5 * time.Second        // for which a server may not notice a close, whatever it was told: a connection is reset or heard again by then
 	maxLeft      = 30 * time.Second       // for which an attempt goes on behind a lost close at the most, or where its server was told no time
 	evidencePart = 0.5                    // part of the pin limit for which an entry may be owed before it is reported
 
@@ -75,14 +79,17 @@
 	Shared  bool          // servers know all that is held by the entry's key, and any of them takes its release
 	Spared  bool          // a release spares what an attempt that has arrived waits for, so that one may be made beside it
 	Pin     time.Duration // for how long something may be held with no attempt in flight; 0: not told
-	Left    time.Duration // of an attempt: for which its server is told that the answer is waited for, from its sending; 0: not told
+	Left    time.Duration // of an attempt: for which its server is told that the answer is waited for, from its sending; 0: not told; negative: it outlasts no close
 }
 
 func (t Terms) left() time.Duration {
-	if t.Left > 0 {
-		return min(t.Left, maxLeft)
+	switch {
+	case t.Left < 0:
+		return 0
+	case t.Left == 0:
+		return maxLeft
 	}
-	return maxLeft
+	return min(t.Left, maxLeft)
 }
 
 func (t Terms) pin() time.Duration {
@@ -135,6 +142,7 @@
 	Key     string
 	Servers []string // which may hold something; where the entry is shared any server may be asked, and there may be none
 	Probe   bool     // only the one server is to be asked: what counts is to hear it
+	Suspect bool     // nothing may be held but what comes of a lost close: any one server is enough, and asked once
 	Reach   bool     // such a probe by a key that no request has, so that nothing is let go; there is no Key
 	Beside  Beside
 
@@ -164,6 +172,11 @@
 // Owed is how many entries wait for proof with no attempt to come.
 func (l *Ledger) Owed() int { return len(l.owed) }
 
+// Pending tells whether some entry waits for proof of more than a suspicion.
+func (l *Ledger) Pending() bool {
+	return slices.ContainsFunc(l.owed, func(e *entry) bool { return !e.onlySuspected() })
+}
+
 // Len is how many entries there are.
 func (l *Ledger) Len() int { return len(l.entries) }
 
@@ -289,7 +302,7 @@
 	h := &e.holdings[i]
 	if e.terms.Shared {
 		e.prove(h.asked)
-		e.setSole(!e.readGoesOn()) // else it may have known of an earlier one
+		e.setSole(!e.readGoesOn(now)) // else it may have known of an earlier one
 	}
 	h.settle(now)
 }
@@ -297,7 +310,7 @@
 // doubt notes that a server may not have noticed yet that a connection was closed.
 func (l *Ledger) doubt(e *entry, i int, now time.Time) {
 	h := &e.holdings[i]
-	h.pending, h.closed, h.noticed, h.ends = false, now, time.Time{}, time.Time{}
+	h.pending, h.closed, h.noticed, h.ends, h.gone = false, now, time.Time{}, time.Time{}, time.Time{}
 	u := l.unheard[h.server]
 	if u == nil {
 		u = &unheard{next: now.Add(e.grace())}
@@ -443,7 +456,7 @@
 	if e.terms.Shared {
 		e.releasing++
 		l.inFlight++
-		return []Call{{Key: e.key, Servers: e.heardHolders(), Beside: e.beside()}}
+		return []Call{{Key: e.key, Servers: e.heardHolders(), Suspect: e.retry == 0 && e.onlyHalfOpen(), Beside: e.beside()}}
 	}
 	calls := make([]Call, 0, len(e.holdings))
 	for _, server := range e.where() {
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -194,8 +194,7 @@
 			continue
 		}
 		if at := heard(h); !at.IsZero() {
-			h.noticed = later(at.Add(e.grace()), h.closed.Add(e.part(confirmPart)))
-			h.ends = later(h.noticed, h.endsAfter(at).Add(e.grace()))
+			h.heard(at, later(at.Add(e.grace()), h.closed.Add(e.part(confirmPart))), e.grace())
 			resolved = true
 		}
 	}
--- a/internal/heldstate/report.go
+++ b/internal/heldstate/report.go
@@ -49,7 +49,8 @@
 		return
 	}
 	if e.onlyHalfOpen() { // a suspicion, which each call that is given up leaves behind
-		e.reportAt = e.closesEnd().Add(e.part(evidencePart))
+		_, gone := e.closesEnd()
+		e.reportAt = gone.Add(e.part(evidencePart))
 		return
 	}
 	e.reportAt = time.Time{}
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -67,14 +67,28 @@
 }
 
 // ReleaseAt asks one worker alone to let go of everything held for a request: what counts is to hear it. Where
-// it hangs, the call waits for it.
+// it hangs, the call waits for it. Where none is named it is the one that has answered last, and the call is short.
 func (c *Client) ReleaseAt(ctx context.Context, h attempt.Held) attempt.Released {
-	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	within := probeWithin
+	if h.Addr == "" {
+		h.Addr, within = c.lastHeard(), c.lim.Load().ReleaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	sent, ok := c.release(ctx, h.Addr, h.Key)
 	return attempt.Released{Taken: ok, Server: h.Addr, Sent: sent}
 }
 
+// lastHeard is the worker that has answered last; "": none has that is listed.
+func (c *Client) lastHeard() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byID[c.heardLast] == nil {
+		return ""
+	}
+	return c.heardLast
+}
+
 // Heard is when the last call was sent that a worker has answered, and when it was answered; zero: it has answered none.
 func (c *Client) Heard(id string) (sent, answered time.Time) {
 	c.mu.Lock()
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -44,6 +44,7 @@
 		return
 	}
 	w.heard = time.Now()
+	c.heardLast = id
 	if sent.After(w.asked) {
 		w.asked, w.askedHeard = sent, w.heard
 	}
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -47,14 +47,15 @@
 
 // Client makes attempts. It is safe for concurrent use.
 type Client struct {
-	pool  pool
-	lim   *atomic.Pointer[Limits]
-	mu    sync.Mutex
-	byID  map[string]*worker
-	reuse connreuse.Kept // guarded by mu
-	from  time.Time
-	stop  chan struct{}
-	wg    sync.WaitGroup
+	pool      pool
+	lim       *atomic.Pointer[Limits]
+	mu        sync.Mutex
+	byID      map[string]*worker
+	heardLast string         // the worker that answered last; guarded by mu
+	reuse     connreuse.Kept // guarded by mu
+	from      time.Time
+	stop      chan struct{}
+	wg        sync.WaitGroup
 
 	monitor *guard.Monitor // counts what may not be written
 }
