--- a/cmd/gannethook/soak.go
+++ b/cmd/gannethook/soak.go
@@ -62,6 +62,7 @@
 	flags.StringVar(&f.keep, "keep", "", "folder to keep logs of seeds that failed in")
 	flags.StringVar(&f.cfg.Program, "program", "", "another build of the router to play; this one if empty")
 	flags.StringVar(&f.cfg.Break, "break", "", "guard that the routers leave out, to try the checks; only with the build tag")
+	flags.BoolVar(&f.cfg.Strict, "strict", false, "judge also what is excused as a known failure (KNOWN-RED.txt)")
 	return cmd
 }
 
@@ -181,6 +182,9 @@
 	if len(f.only) > 0 {
 		c += " --only " + strings.Join(f.only, ",")
 	}
+	if f.cfg.Strict {
+		c += " --strict"
+	}
 	if f.cfg.Break != "" {
 		c += " --break " + f.cfg.Break
 	}
@@ -231,8 +235,8 @@
 	case len(r.Breaks) > 0:
 		verdict = fmt.Sprintf("FAILED %d: %s: %.300s", len(r.Breaks), r.Breaks[0].Invariant, r.Breaks[0].Detail)
 	}
-	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, %d releases, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
-		r.Refused, r.Releases, r.Latest.Round(time.Millisecond), r.tries, verdict)
+	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, %d releases, %d went on behind a lost close, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
+		r.Refused, r.Releases, r.WentOn, r.Latest.Round(time.Millisecond), r.tries, verdict)
 	if !r.ok() {
 		t.failed++
 		fmt.Fprintln(t.out, "  again:", r.again)
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -206,7 +206,7 @@
 	last := q.arrived[len(q.arrived)-1]
 	link := l.mutes[last.conn]
 	switch {
-	case link == nil || !last.reads || last.over == 0 || link.from > last.over+muteLag:
+	case l.strict || link == nil || !last.reads || last.over == 0 || link.from > last.over+muteLag:
 		return 0
 	case link.closed != 0:
 		return link.closed
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -13,6 +13,7 @@
 	terms Terms
 
 	breaksStreams bool // a trouble of the plan may break streams
+	strict        bool // what is excused as a known failure is judged too
 
 	mu       sync.Mutex
 	requests map[string]*request
@@ -26,6 +27,7 @@
 	latest   time.Duration         // the most at once
 	breaks   []Break
 	releases int // calls that let go of what is held
+	wentOn   int // attempts that went on for the pin limit at least behind a close that was lost
 }
 
 // Break is a promise that was not kept.
@@ -238,11 +240,26 @@
 	change(a)
 	a.over = l.Now()
 	q.out--
+	if link := l.mutes[a.conn]; link != nil && link.closed != 0 && a.over > link.closed+l.terms.Pin {
+		l.wentOn++
+	}
 	if q.out == 0 && q.held() {
 		q.heldAt = a.over
 	}
 }
 
+// hasAsked tells whether an attempt of a router's process has arrived.
+func (l *Ledger) hasAsked(router, life int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, q := range l.requests {
+		if q.router == router && q.life == life && len(q.arrived) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ran notes that an attempt may have had its effect.
 func (l *Ledger) ran(id string, n int) {
 	l.mu.Lock()
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -32,12 +32,13 @@
 	KeyWindow                    time.Duration
 	Deadline                     time.Duration // that clients wait at the most
 	Pin                          time.Duration // for how long something may be held with no attempt out
+	EndsAsTold                   bool          // workers end an attempt once the time is up that they were told
 }
 
 // NewTerms draws terms; one seed in three has the usual ones.
 func NewTerms(seed uint64) Terms {
 	t := Terms{Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond,
-		Deadline: 4 * time.Second, Pin: 500 * time.Millisecond}
+		Deadline: 4 * time.Second, Pin: 500 * time.Millisecond, EndsAsTold: seed%2 == 0}
 	if seed%3 == 0 {
 		return t
 	}
@@ -52,8 +53,8 @@
 }
 
 func (t Terms) String() string {
-	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v, deadline %v, pin %v", t.Holds, t.Cancel, t.Resume, t.Asked,
-		t.MaxAttempts, t.Sockets, t.KeyWindow, t.Deadline, t.Pin)
+	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v, deadline %v, pin %v, ends as told %v", t.Holds, t.Cancel, t.Resume, t.Asked,
+		t.MaxAttempts, t.Sockets, t.KeyWindow, t.Deadline, t.Pin, t.EndsAsTold)
 }
 
 // settings is the settings object of a router's configuration.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,7 +17,7 @@
 	links  map[*link]bool
 	closed bool
 
-	silent, dark, mutes, refuses, trickles atomic.Bool
+	silent, dark, first, mutes, refuses, trickles atomic.Bool
 
 	muted func(worker net.Addr, closed bool) // told when a link falls silent, and when its router has closed it
 }
@@ -50,6 +50,8 @@
 		p.silent.Store(on)
 	case Blackout:
 		p.dark.Store(on)
+	case Fresh:
+		p.first.Store(on)
 	case Mute:
 		p.mutes.Store(on)
 	case Refuse:
@@ -119,7 +121,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		for (p.silent.Load() || p.dark.Load()) && p.alive(k) { // what was read goes nowhere: the link is reset once the cut is over
+		for p.cutOff() && p.alive(k) { // what was read goes nowhere: the link is reset once the cut is over
 			time.Sleep(silentLook)
 		}
 		p.fallSilent(k, n)
@@ -134,6 +136,9 @@
 			if p.pass(to, buf[:n]) != nil {
 				break
 			}
+			if to == k.far {
+				p.fallSilentBehind(k)
+			}
 		}
 		if err != nil {
 			break
@@ -145,12 +150,36 @@
 	p.mu.Unlock()
 }
 
-// muteRate is the part of the messages after which a connection falls silent.
-const muteRate = 0.03
+// cutOff tells whether nothing passes.
+func (p *proxy) cutOff() bool { return p.silent.Load() || p.dark.Load() || p.first.Load() }
+
+// How connections fall silent.
+const (
+	muteRate   = 0.03                   // with this part of the messages,
+	behindRate = 0.2                    // and behind this part of those that have arrived at a worker,
+	mostBehind = 400 * time.Millisecond // by so much at the most: while a write waits in a queue, or a read runs
+)
 
 // fallSilent has a link fall silent with a message now and then.
 func (p *proxy) fallSilent(k *link, n int) {
-	if n > 0 && p.mutes.Load() && rand.Float64() < muteRate && !k.mute.Swap(true) {
+	if n > 0 && p.mutes.Load() && rand.Float64() < muteRate {
+		p.mute(k)
+	}
+}
+
+// fallSilentBehind has a link fall silent a while behind a message that has arrived, now and then.
+func (p *proxy) fallSilentBehind(k *link) {
+	if p.mutes.Load() && rand.Float64() < behindRate {
+		time.AfterFunc(time.Duration(rand.Int64N(int64(mostBehind))), func() {
+			if p.mutes.Load() {
+				p.mute(k)
+			}
+		})
+	}
+}
+
+func (p *proxy) mute(k *link) {
+	if !k.mute.Swap(true) {
 		p.muted(k.far.LocalAddr(), false)
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,6 +23,7 @@
 	Length  time.Duration
 	Only    []Kind
 	Break   string // a guard that the routers' build leaves out
+	Strict  bool   // judge also a read whose answer was lost on a connection that fell silent alone (KNOWN-RED.txt)
 }
 
 // Result is what a run showed.
@@ -33,6 +34,7 @@
 	Served   int
 	Refused  int
 	Releases int // calls that let go of what is held
+	WentOn   int // attempts that went on for the pin limit at least behind a close that was lost
 	Starved  bool
 	Latest   time.Duration // the most by which this process was late
 	Breaks   []Break
@@ -45,6 +47,7 @@
 		return Result{}, err
 	}
 	l := NewLedger(plan)
+	l.strict = cfg.Strict
 	stop := make(chan struct{})
 	defer close(stop)
 	go l.measure(stop)
@@ -250,6 +253,18 @@
 			p.join(dark, t.Kind)
 			pause(ctx, darkGap)
 		}
+	case Fresh:
+		for _, w := range p.workers {
+			w.set(t.Kind, true)
+		}
+		for !over() {
+			dark := leastDark + time.Duration(rnd.Int64N(int64(mostDark-leastDark)))
+			each(routers, func(_ int, r *process) { p.freshInACut(ctx, r, t, dark) })
+			pause(ctx, darkGap)
+		}
+		for _, w := range p.workers {
+			w.set(t.Kind, false)
+		}
 	case Mute:
 		for _, px := range p.proxiesOf(p.workers) {
 			px.set(t.Kind, true)
@@ -287,6 +302,33 @@
 	darkPart  = 0.8 // of the workers of a role
 )
 
+// freshInACut starts a router anew, and cuts it off from all prefill workers behind its first requests, while their reads run.
+// Others reach them, and states move to the places that wait for them.
+func (p *platform) freshInACut(ctx context.Context, r *process, t Trouble, dark time.Duration) {
+	var ways []*proxy
+	for i, w := range p.workers {
+		if w.reads {
+			ways = append(ways, p.proxies[r.router][i])
+		}
+	}
+	r.again(r.kill)
+	for ctx.Err() == nil && p.ledger.Now() < t.Until && !p.ledger.hasAsked(r.router, r.current()) {
+		time.Sleep(silentLook)
+	}
+	pause(ctx, firstReads)
+	for _, px := range ways {
+		px.set(t.Kind, true)
+	}
+	pause(ctx, dark)
+	for _, px := range ways {
+		px.resetAll()
+		px.set(t.Kind, false)
+	}
+}
+
+// firstReads is how long behind a router's first attempt its readers are cut off.
+const firstReads = 30 * time.Millisecond
+
 // mostOf draws four in five workers of one role, or of both.
 func (p *platform) mostOf(rnd *rand.Rand) (list []*worker) {
 	roles := []bool{rnd.IntN(2) == 0}
@@ -379,7 +421,7 @@
 	breaks := l.Judge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
+	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, WentOn: l.wentOn, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
 	for _, q := range l.requests {
 		switch {
 		case q.end == streamed:
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,7 +32,7 @@
 	running int // attempts in slots
 	queued  int // attempts that wait for one
 
-	hangs, jams, spoils, trickles atomic.Bool
+	hangs, jams, spoils, trickles, ponders atomic.Bool
 }
 
 func newWorker(uid string, reads bool, seed uint64, l *Ledger) (*worker, error) {
@@ -71,6 +72,8 @@
 		w.spoils.Store(on)
 	case Trickle:
 		w.trickles.Store(on)
+	case Fresh:
+		w.ponders.Store(on)
 	}
 }
 
@@ -134,22 +137,43 @@
 	}
 	end := func(*arrival) {}
 	defer func() { w.ledger.over(id, n, end) }()
-	if !w.enter(req) {
+	timed, cancel := w.untilTold(req, told)
+	defer cancel()
+	if !w.enter(timed) {
 		end = func(a *arrival) { a.neverRan = true }
 		if req.Context().Err() != nil {
 			w.notice()
 			return
 		}
-		rw.Header().Set("X-Not-Processed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		turnAway(rw, timed)
 		return
 	}
 	defer w.leave()
 	if w.reads {
-		w.read(rw, req, id, n)
+		w.read(rw, req, timed, id, n)
 		return
 	}
-	end = w.write(rw, req, id, n)
+	end = w.write(rw, req, timed, id, n)
+}
+
+// untilTold is a request whose context ends as its time is up, where workers end it then: that which its router told, and up to the slack that routers have
+// to tell it.
+func (w *worker) untilTold(req *http.Request, toldMS int64) (*http.Request, context.CancelFunc) {
+	if toldMS <= 0 || !w.ledger.terms.EndsAsTold {
+		return req, func() {}
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(toldMS)*time.Millisecond+w.pause(0, toldSlack))
+	return req.WithContext(ctx), cancel
+}
+
+// turnAway answers that a request was not processed, for want of room or since its time is up.
+func turnAway(rw http.ResponseWriter, req *http.Request) {
+	status := http.StatusServiceUnavailable
+	if req.Context().Err() != nil {
+		status = http.StatusGatewayTimeout
+	}
+	rw.Header().Set("X-Not-Processed", "1")
+	rw.WriteHeader(status)
 }
 
 // enter waits in the queue until a slot is free, and the queue moves. It is false where the attempt is turned
@@ -203,9 +227,17 @@
 }
 
 // read reads a prompt. Where it is called off it may have ended well before the worker notices.
-func (w *worker) read(rw http.ResponseWriter, req *http.Request, id string, n int) {
-	called := wait(req, w.pause(3*time.Millisecond, 60*time.Millisecond))
+func (w *worker) read(rw http.ResponseWriter, req, timed *http.Request, id string, n int) {
+	takes := w.pause(3*time.Millisecond, 60*time.Millisecond)
+	if w.ponders.Load() {
+		takes = w.pause(60*time.Millisecond, 260*time.Millisecond)
+	}
+	called := wait(timed, takes)
 	w.awaitRun()
+	if !called && req.Context().Err() == nil {
+		turnAway(rw, timed)
+		return
+	}
 	if !called {
 		if w.pause(0, 2) == 0 {
 			w.ledger.keep(id, n)
@@ -225,7 +257,7 @@
 )
 
 // write fetches the state and streams an answer. It returns what its end is noted by.
-func (w *worker) write(rw http.ResponseWriter, req *http.Request, id string, n int) func(*arrival) {
+func (w *worker) write(rw http.ResponseWriter, req, timed *http.Request, id string, n int) func(*arrival) {
 	nothing := func(*arrival) {}
 	if !w.ledger.fetch(id, w.uid) {
 		rw.Header().Set("X-Not-Processed", "1")
@@ -233,8 +265,11 @@
 		return func(a *arrival) { a.neverRan = true }
 	}
 	w.ledger.ran(id, n)
-	called := wait(req, w.pause(3*time.Millisecond, 80*time.Millisecond))
+	called := wait(timed, w.pause(3*time.Millisecond, 80*time.Millisecond))
 	w.awaitRun()
+	if !called && req.Context().Err() == nil { // its time is up: dropped without a word
+		panic(http.ErrAbortHandler)
+	}
 	if !called {
 		w.notice()
 		return nothing
