--- a/internal/platform/clients/crossing_test.go
+++ b/internal/platform/clients/crossing_test.go
@@ -180,3 +180,27 @@
 		t.Error("memory is not given back")
 	}
 }
+
+// A stream of a whole body, as large as the platform has them, in small events waits for a client that takes nothing yet, so that
+// its worker's end is read: a router that is told to stop hands it over to its last chunk. With a bound of one body's size the
+// chunks' own bytes did not fit, the end was not read, and a stop ended the stream at its turn (rule 1: a finished stream is lost).
+func TestWholeBodyWaitsForItsClient(t *testing.T) {
+	const body, event = 256 << 10, 16
+	near, far := pair(t)
+	before := fillUp(t, near)
+	s, _, wg := testSender(near, 300*time.Millisecond)
+	for range body / event {
+		if err := s.chunk(bytes.Repeat([]byte("e"), event)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.chunk(nil); err != nil {
+		t.Fatal(err)
+	}
+	go io.CopyN(io.Discard, far, int64(before))
+	go io.Copy(io.Discard, far)
+	if err := s.drain(time.Time{}); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+}
--- a/internal/platform/clients/streamwriter.go
+++ b/internal/platform/clients/streamwriter.go
@@ -14,7 +14,7 @@
 
 // Bounds of a streamWriter.
 const (
-	maxPending = 256 << 10 // bytes that wait for a client, beyond which its worker has to wait: an answer of some thousand tokens
+	maxPending = 512 << 10 // bytes that wait for a client, beyond which its worker has to wait: a whole body (256 KiB) in the chunks of small events
 	flushSize  = 16 << 10  // bytes written under one deadline
 )
 
