--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -14,6 +14,7 @@
 
 	breaksStreams bool // a trouble of the plan may break streams
 	strict        bool // what is excused as a known failure is judged too
+	countsAtAgent bool // a change counts as told once the agent has it, not as it is written
 
 	mu       sync.Mutex
 	requests map[string]*request
@@ -139,7 +140,12 @@
 // NewLedger returns a ledger whose times start now, for a run by a plan.
 func NewLedger(plan Plan) *Ledger {
 	breaks := slices.ContainsFunc(plan.Troubles, func(t Trouble) bool { return !slices.Contains(harmless, t.Kind) })
-	return &Ledger{terms: NewTerms(plan.Seed), breaksStreams: breaks, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{},
+	// Where a router is led to another agent, its agent is slow or its calls fail, it can't have what its agent has at once.
+	late := slices.ContainsFunc(plan.Troubles, func(t Trouble) bool {
+		return slices.Contains([]Kind{Reload, HalfFile, Signals, AgentSlow, Calls, Files}, t.Kind)
+	})
+	terms := NewTerms(plan.Seed)
+	return &Ledger{terms: terms, breaksStreams: breaks, countsAtAgent: !late && !terms.Asked, start: time.Now(), requests: map[string]*request{}, served: map[string]*serverLife{}, told: map[toldKey]time.Duration{},
 		starts: map[startKey]time.Duration{}, mutes: map[string]*mutedLink{}}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,18 +35,19 @@
 	AgentSlow  Kind = "agent-slow"  // its answers come late and in pieces
 
 	// Workers.
-	Drain    Kind = "drain"    // drained and replaced
-	Cold     Kind = "cold"     // started anew, cold
-	Hang     Kind = "hang"     // they do not run: nothing is begun, answered or noticed until they do
-	Jam      Kind = "jam"      // queues do not move: what is taken waits
-	Silent   Kind = "silent"   // cut off: open connections say nothing, new ones stay silent
-	Blackout Kind = "blackout" // four in five workers of one role, or of both, are cut off, again and again
-	Mute     Kind = "mute"     // single connections fall silent with a message, or behind one that has arrived, while their workers run
-	Fresh    Kind = "fresh"    // routers start anew, and are cut off from all prefill workers behind their first requests; others reach them
-	Refuse   Kind = "refuse"   // connections are refused
-	Resets   Kind = "resets"   // connections are reset under requests
-	Trickle  Kind = "trickle"  // bytes come one by one, and late
-	Spoil    Kind = "spoil"    // answers can't be read
+	Drain     Kind = "drain"     // drained and replaced
+	Cold      Kind = "cold"      // started anew, cold
+	Hang      Kind = "hang"      // they do not run: nothing is begun, answered or noticed until they do
+	Jam       Kind = "jam"       // queues do not move: what is taken waits
+	Silent    Kind = "silent"    // cut off: open connections say nothing, new ones stay silent
+	Blackout  Kind = "blackout"  // four in five workers of one role, or of both, are cut off, again and again
+	Mute      Kind = "mute"      // single connections fall silent with a message, or behind one that has arrived, while their workers run
+	Fresh     Kind = "fresh"     // routers start anew, and are cut off from all prefill workers behind their first requests; others reach them
+	Partition Kind = "partition" // some routers are cut off from some workers, which others reach
+	Refuse    Kind = "refuse"    // connections are refused
+	Resets    Kind = "resets"    // connections are reset under requests
+	Trickle   Kind = "trickle"   // bytes come one by one, and late
+	Spoil     Kind = "spoil"     // answers can't be read
 
 	// Clients.
 	Leave Kind = "leave" // they leave at any time
@@ -61,7 +62,7 @@
 )
 
 // Kinds are all kinds of trouble.
-var Kinds = []Kind{Stop, Kill, Reload, HalfFile, Freeze, Signals, AgentMute, AgentReset, AgentSlow, Drain, Cold, Hang, Jam, Silent, Blackout, Mute, Fresh, Refuse, Resets,
+var Kinds = []Kind{Stop, Kill, Reload, HalfFile, Freeze, Signals, AgentMute, AgentReset, AgentSlow, Drain, Cold, Hang, Jam, Silent, Blackout, Mute, Fresh, Partition, Refuse, Resets,
 	Trickle, Spoil, Leave, Flood, Idle, Slow, Calls, Clock, Files}
 
 // systemKinds strike every router of a run from its start.
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -33,11 +33,15 @@
 	Deadline                     time.Duration // that clients wait at the most
 	Pin                          time.Duration // for how long something may be held with no attempt out
 	EndsAsTold                   bool          // workers end an attempt once the time is up that they were told
+	IdleClose                    time.Duration // workers close connections that have been idle for so long; 0: they don't
+	WorkerConns                  int           // connections that a worker holds; further ones are reset; 0: any number
 }
 
 // NewTerms draws terms; one seed in three has the usual ones.
 func NewTerms(seed uint64) Terms {
-	t := Terms{Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond,
+	drawn := rand.New(rand.NewPCG(seed, 6))
+	t := Terms{IdleClose: []time.Duration{0, 0, 20 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second}[drawn.IntN(5)],
+		WorkerConns: []int{0, 0, 0, 40, 20}[drawn.IntN(5)], Holds: true, Cancel: true, Resume: true, MaxAttempts: 7, Sockets: 256, KeyWindow: 1500 * time.Millisecond,
 		Deadline: 4 * time.Second, Pin: 500 * time.Millisecond, EndsAsTold: seed%2 == 0}
 	if seed%3 == 0 {
 		return t
@@ -53,8 +57,8 @@
 }
 
 func (t Terms) String() string {
-	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v, deadline %v, pin %v, ends as told %v", t.Holds, t.Cancel, t.Resume, t.Asked,
-		t.MaxAttempts, t.Sockets, t.KeyWindow, t.Deadline, t.Pin, t.EndsAsTold)
+	return fmt.Sprintf("holds %v, cancel %v, resume %v, asked %v, attempts %d, sockets %d, window %v, deadline %v, pin %v, ends as told %v, idle close %v, worker conns %d", t.Holds, t.Cancel, t.Resume, t.Asked,
+		t.MaxAttempts, t.Sockets, t.KeyWindow, t.Deadline, t.Pin, t.EndsAsTold, t.IdleClose, t.WorkerConns)
 }
 
 // settings is the settings object of a router's configuration.
@@ -98,7 +102,7 @@
 func newPlatform(dir string, seed uint64, routers, workers int, l *Ledger) (*platform, error) {
 	p := &platform{terms: NewTerms(seed), ledger: l, dir: dir, rev: 1}
 	for i := range workers {
-		w, err := newWorker(fmt.Sprintf("w%d", i), i%2 == 0, seed+uint64(i), l)
+		w, err := newWorker(fmt.Sprintf("w%d", i), i%2 == 0, seed+uint64(i), l, p.terms)
 		if err != nil {
 			return p, err
 		}
@@ -153,6 +157,20 @@
 	defer w.mu.Unlock()
 	what(w)
 	w.rev = p.rev
+	if p.ledger.countsAtAgent {
+		for i, r := range p.routers {
+			if !p.agents[i].mute.Load() {
+				p.ledger.notify(i, r.current(), w.uid, w.state == "SERVING")
+			}
+		}
+	}
+}
+
+// agentHas notes that a router's agent has the whole list, which counts as told.
+func (p *platform) agentHas(router int) {
+	if p.ledger.countsAtAgent && !p.agents[router].mute.Load() {
+		p.noteTold(router, p.list(router, -1))
+	}
 }
 
 // list is the list as one router is told it, or what has changed since a revision.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -71,6 +71,7 @@
 	r.p.ledger.mu.Lock()
 	r.p.ledger.lives = append(r.p.ledger.lives, life)
 	r.p.ledger.mu.Unlock()
+	go r.p.agentHas(r.router)
 	go func() {
 		err := cmd.Wait()
 		log.Close()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,7 +17,7 @@
 	links  map[*link]bool
 	closed bool
 
-	silent, dark, first, mutes, refuses, trickles atomic.Bool
+	silent, dark, first, parted, mutes, refuses, trickles atomic.Bool
 
 	muted func(worker net.Addr, closed bool) // told when a link falls silent, and when its router has closed it
 }
@@ -52,6 +52,8 @@
 		p.dark.Store(on)
 	case Fresh:
 		p.first.Store(on)
+	case Partition:
+		p.parted.Store(on)
 	case Mute:
 		p.mutes.Store(on)
 	case Refuse:
@@ -151,7 +153,9 @@
 }
 
 // cutOff tells whether nothing passes.
-func (p *proxy) cutOff() bool { return p.silent.Load() || p.dark.Load() || p.first.Load() }
+func (p *proxy) cutOff() bool {
+	return p.silent.Load() || p.dark.Load() || p.first.Load() || p.parted.Load()
+}
 
 // How connections fall silent.
 const (
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -197,6 +198,7 @@
 		}
 		for _, r := range routers {
 			p.agents[r.router].set(t.Kind, false)
+			p.agentHas(r.router)
 		}
 	case Drain:
 		for _, w := range workers {
@@ -253,6 +255,19 @@
 			p.join(dark, t.Kind)
 			pause(ctx, darkGap)
 		}
+	case Partition:
+		var ways []*proxy
+		for _, r := range routers {
+			ways = append(ways, p.ways(r, workers)...)
+		}
+		for _, px := range ways {
+			px.set(t.Kind, true)
+		}
+		rest()
+		for _, px := range ways {
+			px.resetAll()
+			px.set(t.Kind, false)
+		}
 	case Fresh:
 		for _, w := range p.workers {
 			w.set(t.Kind, true)
@@ -305,12 +320,13 @@
 // freshInACut starts a router anew, and cuts it off from all prefill workers behind its first requests, while their reads run.
 // Others reach them, and states move to the places that wait for them.
 func (p *platform) freshInACut(ctx context.Context, r *process, t Trouble, dark time.Duration) {
-	var ways []*proxy
-	for i, w := range p.workers {
+	var readers []*worker
+	for _, w := range p.workers {
 		if w.reads {
-			ways = append(ways, p.proxies[r.router][i])
+			readers = append(readers, w)
 		}
 	}
+	ways := p.ways(r, readers)
 	r.again(r.kill)
 	for ctx.Err() == nil && p.ledger.Now() < t.Until && !p.ledger.hasAsked(r.router, r.current()) {
 		time.Sleep(silentLook)
@@ -326,6 +342,16 @@
 	}
 }
 
+// ways are a router's proxies to some workers.
+func (p *platform) ways(r *process, workers []*worker) (list []*proxy) {
+	for i, w := range p.workers {
+		if slices.Contains(workers, w) {
+			list = append(list, p.proxies[r.router][i])
+		}
+	}
+	return list
+}
+
 // firstReads is how long behind a router's first attempt its readers are cut off.
 const firstReads = 30 * time.Millisecond
 
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -35,18 +35,56 @@
 	hangs, jams, spoils, trickles, ponders atomic.Bool
 }
 
-func newWorker(uid string, reads bool, seed uint64, l *Ledger) (*worker, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newWorker(uid string, reads bool, seed uint64, l *Ledger, terms Terms) (*worker, error) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	ln := net.Listener(inner)
+	if terms.WorkerConns > 0 {
+		ln = &boundedListener{Listener: inner, most: int32(terms.WorkerConns)}
+	}
 	w := &worker{uid: uid, reads: reads, ledger: l, ln: ln, state: "SERVING", rnd: rand.New(rand.NewPCG(seed, 3))}
 	w.start(-1)
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w, IdleTimeout: terms.IdleClose}
 	go w.server.Serve(ln)
 	return w, nil
 }
 
+// boundedListener holds so many connections; further ones are reset.
+type boundedListener struct {
+	net.Listener
+	most int32
+	open atomic.Int32
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &boundedConn{Conn: nc, listener: l}, nil
+		}
+		l.open.Add(-1)
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}
+}
+
+// boundedConn is a connection that counts.
+type boundedConn struct {
+	net.Conn
+	listener *boundedListener
+	once     sync.Once
+}
+
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // start begins a life of the worker; a negative time is long ago.
 func (w *worker) start(at time.Duration) {
 	w.mu.Lock()
