--- /dev/null
+++ b/internal/connpool/idle_test.go
@@ -0,0 +1,126 @@
+package connpool
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pair is both ends of a connection over loopback.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dialled, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		dialled.Close()
+		accepted.Close()
+	})
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// until waits for what must come true soon.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for from := time.Now(); !ok(); time.Sleep(time.Millisecond) {
+		if time.Since(from) > 5*time.Second {
+			t.Fatalf("%s: not within 5 s", what)
+		}
+	}
+}
+
+// A kept connection that its peer has closed, reset or written on out of turn is not taken again: a request written on it would
+// end as one that may have run, or be answered by what nobody asked for.
+func TestTakeLeavesOutWhatDoesNotStand(t *testing.T) {
+	for name, spoil := range map[string]func(far *net.TCPConn){
+		"closed": func(far *net.TCPConn) { far.Close() },
+		"reset": func(far *net.TCPConn) {
+			far.SetLinger(0)
+			far.Close()
+		},
+		"bytes out of turn": func(far *net.TCPConn) { io.WriteString(far, "HTTP/1.1 408\r\n") },
+	} {
+		idle := NewIdle(time.Minute, 0, 4)
+		near, far := pair(t)
+		closed := 0
+		idle.Put("a", New(near, 512, func() { closed++ }))
+		spoil(far)
+		until(t, name, func() bool { return !Stands(near) })
+		if c := idle.Take("a"); c != nil || closed != 1 {
+			t.Errorf("%s: took %v, closed %d times", name, c, closed)
+		}
+	}
+}
+
+// The newest connection that has rested is taken first; one that was unused for its life is not taken any more.
+func TestTakeByAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		idle := NewIdle(time.Second, 50*time.Millisecond, 4)
+		kept := func() *Conn {
+			near, far := net.Pipe() // no socket: it always stands
+			t.Cleanup(func() {
+				near.Close()
+				far.Close()
+			})
+			c := New(near, 512, nil)
+			idle.Put("a", c)
+			return c
+		}
+		kept()
+		time.Sleep(100 * time.Millisecond)
+		newer := kept()
+		if c := idle.Take("a"); c == newer || c == nil {
+			t.Error("one that has not rested was taken, or none")
+		} else {
+			idle.Put("a", c)
+		}
+		time.Sleep(60 * time.Millisecond)
+		if c := idle.Take("a"); c == nil || c == newer || c.Unused != 60*time.Millisecond {
+			t.Errorf("not the one that was put back last: %v", c)
+		}
+		time.Sleep(time.Second)
+		if c := idle.Take("a"); c != nil {
+			t.Errorf("taken after its life: %v", c)
+		}
+	})
+}
+
+// What is kept is bounded by name, and all of it is closed in the end.
+func TestIdleIsBounded(t *testing.T) {
+	idle, closed := NewIdle(time.Minute, 0, 2), 0
+	put := func(name string) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		idle.Put(name, New(near, 512, func() { closed++ }))
+	}
+	for range 3 {
+		put("a")
+	}
+	put("b")
+	if idle.Count("a") != 2 || closed != 1 || len(idle.Names()) != 2 {
+		t.Errorf("%d of a kept, %d closed, names %v", idle.Count("a"), closed, idle.Names())
+	}
+	if !idle.CloseOldest() || idle.Count("a") != 1 || closed != 2 {
+		t.Errorf("the oldest stays: %d of a, %d closed", idle.Count("a"), closed)
+	}
+	idle.Sweep(func(name string) bool { return name == "b" })
+	if idle.Count("b") != 0 || closed != 3 {
+		t.Errorf("b stays, %d closed", closed)
+	}
+	idle.Close()
+	if put("a"); idle.Count("a") != 0 || closed != 5 || idle.CloseOldest() {
+		t.Errorf("%d kept after the end, %d closed", idle.Count("a"), closed)
+	}
+}
