--- a/internal/heldstate/lostclose_test.go
+++ b/internal/heldstate/lostclose_test.go
@@ -1,6 +1,7 @@
 package heldstate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -163,3 +164,45 @@
 		t.Errorf("held for %v after the write's end", held)
 	}
 }
+
+// KNOWN-RED: a long blackout under load. Twenty requests a second lose their server for two and a half minutes; then it is heard.
+// What it held for each is to be let go. Of 3,000 entries the ledger forgets those beyond 2,048, and those owed for over 2 minutes.
+func TestLongBlackoutWithACrowd(t *testing.T) {
+	c := newClock(t)
+	const requests = 3000
+	let := map[string]bool{}
+	answer := func(heard bool) {
+		for _, call := range c.l.Due(c.now) {
+			server := "another"
+			if call.Probe {
+				server = call.Servers[0]
+			}
+			r := Result{Taken: heard || !call.Probe, Server: server, Sent: c.now}
+			if heard {
+				let[call.Key] = true
+			}
+			c.l.Released(call, r, c.now)
+		}
+	}
+	for i := range requests {
+		key := fmt.Sprint("k", i)
+		c.l.Began(key, shared, "silent", true, c.now)
+		c.l.ReadEnded(key, "silent", Closed, c.now)
+		c.l.Over(key, c.now)
+		c.pass(50 * ms)
+		answer(false)
+	}
+	for end := c.now.Add(2 * time.Second); c.now.Before(end); c.pass(ms) {
+		c.l.Heard("silent", c.now, c.now, c.now)
+		answer(true)
+	}
+	left := 0
+	for i := range requests {
+		if !let[fmt.Sprint("k", i)] {
+			left++
+		}
+	}
+	if left > 0 {
+		t.Errorf("%d of %d stay held at the server that is back; %d were forgotten", left, requests, len(c.l.Forgotten()))
+	}
+}
