--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -25,6 +25,7 @@
 	sole    bool      // of a read in flight: what is held waits for it, or nothing is held but what it may have left
 
 	left    time.Duration // of an attempt that has not ended for certain: for which its server was told that the answer is waited for
+	until   time.Time     // the same as a time, where its server begins it at once
 	begun   time.Time     // by when its server has begun it, if it has arrived; zero: not known
 	closed  time.Time     // since when its server may not have noticed that the connection was closed; zero: it has, or was not
 	noticed time.Time     // when its server has noticed it, unless the close was lost; zero: the server was not heard since
@@ -35,7 +36,7 @@
 // settle notes that whatever is held is held by a time.
 func (h *holding) settle(at time.Time) {
 	h.pending, h.settled = false, at
-	h.left, h.begun, h.closed, h.noticed = 0, time.Time{}, time.Time{}, time.Time{}
+	h.left, h.until, h.begun, h.closed, h.noticed = 0, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	h.ends, h.gone = time.Time{}, time.Time{}
 }
 
@@ -187,7 +188,9 @@
 
 // readGoesOn tells whether a server may go on at a time with a read whose connection was closed, within the time that it was told.
 func (e *entry) readGoesOn(at time.Time) bool {
-	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == readState && h.goesOn(at) })
+	return slices.ContainsFunc(e.holdings, func(h holding) bool {
+		return h.kind == readState && h.goesOn(at) && h.until.Add(e.grace()).After(at)
+	})
 }
 
 // doubted is which servers were not heard since a close.
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -190,6 +190,7 @@
 	h := holding{server: server, kind: queuedWrite, pending: true}
 	if terms.Shared { // where each server knows what it holds itself, a release there calls the attempt off
 		h.left = terms.left()
+		h.until = now.Add(h.left)
 	}
 	if reads {
 		h.kind = readState
