--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -50,6 +50,7 @@
 	Body     json.RawMessage // of one-stage work that is done
 	Detail   string          // why, for the log
 	Cut      bool            // the connection ended before the answer had come whole: its server may not have noticed
+	Broke    bool            // the server's end of the connection ended it: it does not go on with the attempt
 	Begun    time.Time       // by when its server has begun it, if it has arrived; zero: not known
 }
 
--- a/internal/attempt/ended.go
+++ b/internal/attempt/ended.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
+	"syscall"
 
 	"gannethook"
 )
@@ -18,10 +20,16 @@
 
 func (e NotSent) Unwrap() error { return e.Err }
 
+// endedByPeer tells whether an error is the word of the connection's other end, and not this machine's own, as of a connection
+// that has been silent for too long.
+func endedByPeer(err error) bool {
+	return slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(end error) bool { return errors.Is(err, end) })
+}
+
 // Ended maps an error of the connection to how the attempt ended; spoilt are
 // the errors of an answer that came and can't be read.
 func Ended(ctx context.Context, err error, spoilt ...error) Result {
-	r := Result{Outcome: gannethook.Broken, Detail: err.Error(), Cut: true}
+	r := Result{Outcome: gannethook.Broken, Detail: err.Error(), Cut: true, Broke: endedByPeer(err)}
 	var unsent NotSent
 	switch {
 	case errors.As(err, &unsent):
--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -105,6 +105,9 @@
 	case gannethook.Full, gannethook.Moot:
 		return heldstate.TurnedAway
 	case gannethook.Cancelled, gannethook.TimedOut, gannethook.Broken:
+		if r.Broke && r.Outcome == gannethook.Broken && !faults.Broken(faults.BreakOvertake) {
+			return heldstate.Broke
+		}
 		if faults.Broken(faults.BreakOvertake) {
 			return heldstate.Answered
 		}
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -298,33 +298,33 @@
 // restReleased tells whether a release was answered that has found all that may be held, with half-open attempts ended at a time
 // each, and whether there are any of these.
 func (e *entry) restReleased(ended func(holding) time.Time) bool {
-	found, any := e.quietAt, false
+	found, suspected := e.quietAt, false
 	for _, h := range e.holdings {
 		switch {
 		case h.pending && h.kind == place || h.unheard():
 			return false
 		case h.halfOpen():
-			found, any = later(found, ended(h)), true
+			found, suspected = later(found, ended(h)), true
 		case !h.pending:
 			found = later(found, h.settled)
 		}
 	}
-	return any && !later(e.taken, e.streamed).Before(found)
+	return suspected && !later(e.taken, e.streamed).Before(found)
 }
 
 // endAttempts notes that a server goes on with nothing whose connection was closed, and tells whether it might have.
-func (e *entry) endAttempts(server string) (any bool) {
+func (e *entry) endAttempts(server string) (ended bool) {
 	for i := range e.holdings {
 		h := &e.holdings[i]
 		if h.server != server || h.closed.IsZero() || h.left == 0 {
 			continue
 		}
-		h.left, any = 0, true
+		h.left, ended = 0, true
 		if h.halfOpen() {
 			h.ends, h.gone = h.noticed, h.noticed
 		}
 	}
-	return any
+	return ended
 }
 
 // endCloses notes that servers have ended what they may have gone on with behind a close. What a write in its queue had releases
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -108,7 +108,8 @@
 	NeverArrived End = iota // it was not written whole: the server can't have begun it
 	TurnedAway              // the server answered that it did nothing
 	Answered                // the server's answer came whole
-	Closed                  // the connection ended before the answer had: the server may not have noticed
+	Closed                  // the router closed the connection before the answer had ended: the server may not have noticed
+	Broke                   // the server's end of the connection ended before the answer had: it goes on with nothing, and may have ended well
 )
 
 // leavesNothing tells that the server holds nothing for what ended so.
@@ -270,6 +271,9 @@
 	switch {
 	case end.leavesNothing() || kind == queuedWrite && end == Answered:
 		e.remove(i)
+	case end == Broke:
+		e.holdings[i].left = 0
+		l.doubt(e, i, now)
 	case end == Closed:
 		l.doubt(e, i, now)
 	default:
@@ -462,7 +466,7 @@
 	if e.terms.Shared {
 		e.releasing++
 		l.inFlight++
-		return []Call{{Key: e.key, Servers: e.heardHolders(), Suspect: e.retry == 0 && e.onlyHalfOpen(), Beside: e.beside()}}
+		return []Call{{Key: e.key, Servers: e.heardHolders(), Suspect: e.retry < maxRetry && e.onlyHalfOpen(), Beside: e.beside()}}
 	}
 	calls := make([]Call, 0, len(e.holdings))
 	for _, server := range e.where() {
--- a/internal/heldstate/lostclose_test.go
+++ b/internal/heldstate/lostclose_test.go
@@ -206,3 +206,17 @@
 		t.Errorf("%d of %d stay held at the server that is back; %d were forgotten", left, requests, len(c.l.Forgotten()))
 	}
 }
+
+// A connection that the server's end has ended is no silent one: once its server is heard, and a release was answered 0.4 of the
+// limit behind it, nothing more is released.
+func TestBrokenConnectionIsNotSuspected(t *testing.T) {
+	c := newClock(t)
+	c.l.Began("k", shared, "reader", true, c.now)
+	c.pass(100 * ms)
+	c.l.ReadEnded("k", "reader", Broke, c.now)
+	c.l.Over("k", c.now)
+	for range 2 {
+		c.take(c.await(), "reader")
+	}
+	c.proven()
+}
