--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -296,6 +296,9 @@
 	switch grant {
 	case Denied:
 		e.remove(i)
+		if e.terms.Shared && e.terms.Spared && !e.mayHold() { // again nothing is held but what the read may have left
+			e.setSole(true)
+		}
 	case Unheard:
 		l.doubt(e, i, now)
 	case Granted:
--- a/internal/heldstate/lostclose_test.go
+++ b/internal/heldstate/lostclose_test.go
@@ -133,12 +133,18 @@
 // cause: a read in flight counted as holding nothing while nothing else was asked for, whether or not its server was heard.
 func TestFirstReadWithoutAPlaceInACut(t *testing.T) {
 	for _, pin := range []time.Duration{250 * ms, 500 * ms, time.Second} {
-		c := newClock(t)
-		terms := shared
-		terms.Pin = pin
-		c.l.Began("k", terms, "reader", true, c.now)
-		if got := c.released(pin + 300*ms); len(got) == 0 {
-			t.Errorf("pin limit %v: nothing was released in time", pin)
+		for _, denied := range []bool{false, true} {
+			c := newClock(t)
+			terms := shared
+			terms.Pin = pin
+			c.l.Began("k", terms, "reader", true, c.now)
+			if denied { // seed 1136 of the soak: held for 0.65 s with a limit of 0.25 s
+				c.l.Asked("k", terms, "writer", c.now)
+				c.l.Placed("k", "writer", Denied, c.now)
+			}
+			if got := c.released(pin + 300*ms); len(got) == 0 {
+				t.Errorf("pin limit %v, a place denied %v: nothing was released in time", pin, denied)
+			}
 		}
 	}
 }
