--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -168,7 +168,11 @@
 	}
 	l.nc.SetReadDeadline(time.Now().Add(l.s.cfg.Load().HTTP.Read))
 	text, held, err := b.ReadWhole(most, int64(l.s.cfg.Load().HTTP.Bodies), &l.s.bodies)
-	l.held += held
+	if err != nil { // free before the answer: its client may come again at once, on another connection
+		l.s.bodies.Give(held)
+	} else {
+		l.held += held
+	}
 	switch {
 	case errors.Is(err, http1.ErrCrowded):
 		return nil, &rest.Error{Status: 503, Type: rest.Overloaded, Code: rest.CodeRefused, Message: err.Error() + "; nothing has run"}
