A refusal waits for the close of an answer that the router could not read

What callers saw: a request whose effect counts was refused while its reader, whose unreadable or half answer the router had just given up, had not noticed the close: the refusal promised too early that nothing was under way. Cause: the wait of 25 ms behind a close hung on the outcome "cancelled", so an answer that is noise, stops half-way (1 s) or fails on this machine had none. Evidence: the test failed on the former text, 0 s behind the close in each of three cases. Fix: the wait follows every close that the router makes before the answer's end (the fact by which held state is counted already).

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -194,9 +194,9 @@
 	a.cancel()
 	a.sent.Set(false)
 	close(a.over)
-	if r.Outcome == gannethook.Cancelled && c.effect() != guard.Safe {
-		// A refusal goes by another connection and may overtake the close: as far as the server knows the
-		// attempt is out until that has arrived.
+	if c.effect() != guard.Safe && endOf(r) == heldstate.Closed {
+		// A refusal or a further attempt goes by another connection and may overtake the close: as far as the
+		// server knows the attempt is in flight until that has arrived.
 		c.d.pause(heldstate.NoticeGrace)
 	}
 	c.d.post(func() {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -13,6 +13,7 @@
 
 	"gannethook"
 	"gannethook/internal/attempt"
+	"gannethook/internal/heldstate"
 )
 
 const ms = time.Millisecond
@@ -86,6 +87,9 @@
 		if f.lateState > 0 {
 			time.AfterFunc(f.lateState, func() { f.count(f.held, call.Addr, call.Key) })
 		}
+		f.mu.Lock()
+		f.left = time.Now()
+		f.mu.Unlock()
 		return f.readEnds
 	}
 	f.count(f.held, call.Addr, call.Key)
@@ -683,6 +687,42 @@
 	}
 }
 
+// Guards against a refusal that overtakes the close of an answer which the router could not read.
+func TestRefusedOnceAnUnreadableAnswerIsClosed(t *testing.T) {
+	for _, end := range []attempt.Result{
+		{Outcome: gannethook.Failed, Cut: true}, // noise, or an answer that stops half-way
+		{Outcome: gannethook.Broken, Cut: true}, // an error of this machine: the server has ended nothing
+		{Outcome: gannethook.Failed, Cut: true, Detail: "status 500"},
+	} {
+		t.Run(fmt.Sprint(end.Outcome, end.Detail), func(t *testing.T) { refusedBehind(t, end) })
+	}
+}
+
+// refusedBehind wants the refusal that follows an end of a read to come once its close has been noticed.
+func refusedBehind(t *testing.T, end attempt.Result) {
+	f := newFake()
+	f.readEnds = end
+	synctest.Test(t, func(t *testing.T) {
+		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+			Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
+				switch ev := ev.(type) {
+				case gannethook.Request:
+					acts = append(acts, gannethook.Send{ID: ev.ID, Server: "s0"})
+				case gannethook.Ended:
+					acts = append(acts, gannethook.Refuse{ID: ev.ID}, gannethook.Release{ID: ev.ID})
+				}
+				return acts
+			})})
+		stop := drive(t, d, err)
+		defer stop()
+		d.Update(gannethook.Membership{Servers: []gannethook.Server{{ID: "s0", State: gannethook.Ready}}})
+		s, a := ask(t, d, 1)
+		if behind := s.at.Sub(f.left); a.Kind != Refused || behind < heldstate.NoticeGrace {
+			t.Errorf("%v, %v behind the close", a.Kind, behind)
+		}
+	})
+}
+
 type decide func(gannethook.Event) []gannethook.Action
 
 func (f decide) Handle(_ gannethook.Millis, ev gannethook.Event) []gannethook.Action { return f(ev) }
