The log tells what followed the close of an attempt whose effect counts, and how near

Change: `behind a close` names the further attempt or the refusal, the earlier attempt, how that ended and the time between the close and the write; at the default level where it is under 0.1 s, within the bound of the other lines, at debug always.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -55,6 +55,7 @@
 	over   chan struct{}   // closed once its goroutine has left the server's connection; nil: there is none
 	off    *attempt.Result // what its end counts as once it was called off; nil: it was not
 	began  time.Time
+	closed time.Time // when the router closed its connection before the answer had ended; zero: it did not
 	// Once it has ended; 0 before:
 	outcome gannethook.Outcome
 	detail  string
@@ -101,6 +102,7 @@
 		c.answer(Answer{Kind: Failed, Reason: "an attempt may have run"})
 		return
 	}
+	c.noteRepeat(len(c.attempts), "", false, time.Now())
 	c.answer(Answer{Kind: Refused, RetryAfter: retryAfter})
 }
 
@@ -194,6 +196,7 @@
 	a.cancel()
 	a.sent.Set(false)
 	close(a.over)
+	closed := time.Now()
 	if c.effect() != guard.Safe && endOf(r) == heldstate.Closed {
 		// A refusal or a further attempt goes by another connection and may overtake the close: as far as the
 		// server knows the attempt is in flight until that has arrived.
@@ -201,6 +204,8 @@
 	}
 	c.d.post(func() {
 		a.via = call.Via
+		a.noteEnd(r, closed)
+		c.noteRepeat(a.n, string(a.server), a.reads, a.sent.When())
 		if a.off != nil && r.Outcome == gannethook.Cancelled {
 			begun := r.Begun
 			r = *a.off
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -38,6 +38,7 @@
 	Took     func(time.Duration)
 	Owed     func(heldstate.Report)    // called for what has been owed for half of its time
 	Forgot   func(heldstate.Forgotten) // called for what left without proof that nothing is held
+	Repeated func(Repeat)              // called for each further attempt and refusal of a request whose effect counts, behind a close
 	Silent   func(holdwatch.Report)    // called for what servers may hold and of which nothing was heard for half of its time
 }
 
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -703,7 +703,9 @@
 	f := newFake()
 	f.readEnds = end
 	synctest.Test(t, func(t *testing.T) {
+		var told []Repeat
 		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+			Repeated: func(r Repeat) { told = append(told, r) },
 			Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
 				switch ev := ev.(type) {
 				case gannethook.Request:
@@ -720,6 +722,9 @@
 		if behind := s.at.Sub(f.left); a.Kind != Refused || behind < heldstate.NoticeGrace {
 			t.Errorf("%v, %v behind the close", a.Kind, behind)
 		}
+		if len(told) != 1 || told[0].Earlier != "s0" || told[0].Behind != heldstate.NoticeGrace {
+			t.Errorf("told: %+v", told)
+		}
 	})
 }
 
@@ -868,7 +873,9 @@
 	f.read, f.lateState, f.holdOK = 10*ms, 60*ms, false
 	f.readEnds = attempt.Result{Outcome: gannethook.Broken}
 	synctest.Test(t, func(t *testing.T) {
+		var told []Repeat
 		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
+			Repeated: func(r Repeat) { told = append(told, r) },
 			Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
 				switch ev := ev.(type) {
 				case gannethook.Request:
--- /dev/null
+++ b/internal/driver/repeat.go
@@ -0,0 +1,51 @@
+package driver
+
+import (
+	"time"
+
+	"gannethook/internal/attempt"
+	"gannethook/internal/guard"
+	"gannethook/internal/heldstate"
+)
+
+// Repeat tells what a request whose effect counts was given behind an earlier attempt whose connection the router had
+// closed, or that was still in flight.
+type Repeat struct {
+	Request  string
+	Server   string // of the further attempt; "": it was a refusal
+	Reads    bool   // the further attempt reads
+	Earlier  string // server of the earlier attempt
+	Ended    string // how that ended, as the log has it
+	InFlight bool   // the earlier attempt had not ended
+	Behind   time.Duration
+}
+
+// noteEnd notes when the router closed an attempt's connection before its answer had ended.
+func (a *try) noteEnd(r attempt.Result, closed time.Time) {
+	if endOf(r) == heldstate.Closed {
+		a.closed = closed
+	}
+}
+
+// noteRepeat tells of the earlier attempt that comes nearest before what was sent at a time: a further attempt, or a refusal.
+func (c *Call) noteRepeat(before int, server string, reads bool, sent time.Time) {
+	if c.d.cfg.Repeated == nil || c.effect() == guard.Safe || sent.IsZero() {
+		return
+	}
+	r, found := Repeat{Request: c.job.Name, Server: server, Reads: reads}, false
+	for _, a := range c.attempts[:before] {
+		switch {
+		case a.closed.IsZero() && !a.out:
+			continue // answered, never sent, or ended by its server
+		case a.out:
+			r.Earlier, r.Ended, r.InFlight, r.Behind = string(a.server), "in flight", true, 0
+			found = true
+		case !found || !r.InFlight && sent.Sub(a.closed) < r.Behind:
+			r.Earlier, r.Ended, r.Behind = string(a.server), a.detail, sent.Sub(a.closed)
+			found = true
+		}
+	}
+	if found {
+		c.d.cfg.Repeated(r)
+	}
+}
--- a/internal/platform/evidence.go
+++ b/internal/platform/evidence.go
@@ -11,6 +11,9 @@
 	"gannethook/internal/holdwatch"
 )
 
+// nearClose is how near behind a close a further attempt or a refusal is told of at the default level, where the effect counts.
+const nearClose = 100 * time.Millisecond
+
 // Lines of requests that ended badly, at the level that the router ships with. They are bounded: on an overloaded day
 // most requests may be refused, and a line costs as much as some decisions.
 const (
@@ -78,6 +81,20 @@
 	}
 }
 
+// repeated writes which attempt or refusal came behind the close of an earlier attempt, where the effect counts.
+func (e *evidence) repeated(r driver.Repeat) {
+	near := r.InFlight || r.Behind < nearClose
+	if !e.traced && !(near && e.allows()) {
+		return
+	}
+	level := zap.DebugLevel
+	if near {
+		level = zap.InfoLevel
+	}
+	e.log.Log(level, "behind a close", zap.String("id", r.Request), zap.String("server", r.Server), zap.Bool("reads", r.Reads),
+		zap.Duration("behind", r.Behind), zap.Bool("in-flight", r.InFlight), zap.String("earlier", r.Earlier), zap.String("ended", r.Ended))
+}
+
 // forgot writes what is given up.
 func (e *evidence) forgot(f heldstate.Forgotten) {
 	if e.allows() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,7 +73,7 @@
 	var err error
 	r.driver, err = driver.New(driver.Config{Settings: cfg.Profile.Settings, Names: names(cfg), Name: cfg.Name, Seed: cfg.Seed,
 		Inbox: 4096, MaxOpen: maxConns(cfg), Engines: r.workers, Guard: r.monitor,
-		Traced: traced, Tell: r.evidence.tells, Done: r.done, Owed: r.evidence.owed, Forgot: r.evidence.forgot, Silent: r.evidence.silent})
+		Traced: traced, Tell: r.evidence.tells, Done: r.done, Owed: r.evidence.owed, Forgot: r.evidence.forgot, Silent: r.evidence.silent, Repeated: r.evidence.repeated})
 	if err != nil {
 		return nil, err
 	}
