The soak and the log count connections that workers turn away, by what they were for

Change: the soak's line has the connections that its workers reset for holding too many; a router's last line (`stopped`) has its calls, of these the ones on new connections, and those turned away, for attempts and for places and releases; and how many tries its releases took.

--- a/internal/attempt/ended.go
+++ b/internal/attempt/ended.go
@@ -20,16 +20,16 @@
 
 func (e NotSent) Unwrap() error { return e.Err }
 
-// endedByPeer tells whether an error is the word of the connection's other end, and not this machine's own, as of a connection
+// EndedByPeer tells whether an error is the word of the connection's other end, and not this machine's own, as of a connection
 // that has been silent for too long.
-func endedByPeer(err error) bool {
+func EndedByPeer(err error) bool {
 	return slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(end error) bool { return errors.Is(err, end) })
 }
 
 // Ended maps an error of the connection to how the attempt ended; spoilt are
 // the errors of an answer that came and can't be read.
 func Ended(ctx context.Context, err error, spoilt ...error) Result {
-	r := Result{Outcome: gannethook.Broken, Detail: err.Error(), Cut: true, Broke: endedByPeer(err)}
+	r := Result{Outcome: gannethook.Broken, Detail: err.Error(), Cut: true, Broke: EndedByPeer(err)}
 	var unsent NotSent
 	switch {
 	case errors.As(err, &unsent):
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -28,7 +28,7 @@
 // account logs, at the end, what was denied and why connections closed.
 func (r *Router) account() {
 	r.evidence.account()
-	r.log.Info("stopped", zap.Any("closed", r.clients.Closes()), zap.Any("denied", r.monitor.Counts()), zap.Int64("violations", r.monitor.Violations()))
+	r.log.Info("stopped", zap.Any("closed", r.clients.Closes()), zap.Any("denied", r.monitor.Counts()), zap.Object("calls", r.workers.Traffic()), zap.Int64("violations", r.monitor.Violations()))
 }
 
 // believe logs, every while, each worker as the module sees it beside what passed on its sockets.
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -71,6 +71,11 @@
 	if call.Traced {
 		call.Via = cn.String()
 	}
+	counts := c.traffic.of(ctl)
+	counts.made.Add(1)
+	if cn.Unused == 0 {
+		counts.opened.Add(1)
+	}
 	x := &exchange{c: c, addr: addr, conn: cn, sent: time.Now()}
 	x.closed = make(chan struct{})
 	x.stop = context.AfterFunc(ctx, func() { // closing calls the work off
@@ -89,6 +94,9 @@
 	err = x.head()
 	c.noteReuse(ctx, cn, err)
 	if err != nil {
+		if cn.Unused == 0 && attempt.EndedByPeer(err) {
+			counts.turnedAway.Add(1)
+		}
 		x.close(false)
 		if cn.Unused > 0 {
 			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.Unused.Round(time.Millisecond), err)
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -57,6 +57,7 @@
 	if faults.Broken(faults.BreakRelease) || len(list) == 0 {
 		return attempt.Released{Taken: true, Sent: time.Now()}
 	}
+	c.traffic.releases.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
 	defer cancel()
 	first := make([]string, 0, len(list))
@@ -75,6 +76,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	c.traffic.releases.Add(1)
 	sent, ok := c.release(ctx, h.Addr, h.Key)
 	return attempt.Released{Taken: ok, Server: h.Addr, Sent: sent}
 }
@@ -297,6 +299,7 @@
 
 // release asks one worker, and tells when.
 func (c *Client) release(ctx context.Context, id, name string) (sent time.Time, ok bool) {
+	c.traffic.releaseTries.Add(1)
 	call := &attempt.Call{Key: name}
 	x, err := c.open(ctx, id, "DELETE", HoldsPath+name, call)
 	if err != nil {
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -57,6 +57,7 @@
 	stop      chan struct{}
 	wg        sync.WaitGroup
 
+	traffic traffic
 	monitor *guard.Monitor // counts what may not be written
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -28,6 +28,7 @@
 	latest   time.Duration         // the most at once
 	breaks   []Break
 	releases int // calls that let go of what is held
+	turned   int // connections that workers which hold too many have reset
 	wentOn   int // attempts that went on for the pin limit at least behind a close that was lost
 }
 
@@ -254,6 +255,13 @@
 	}
 }
 
+// turnAway notes a connection that a worker which holds too many has reset.
+func (l *Ledger) turnAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turned++
+}
+
 // hasAsked tells whether an attempt of a router's process has arrived.
 func (l *Ledger) hasAsked(router, life int) bool {
 	l.mu.Lock()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -42,7 +42,7 @@
 	}
 	ln := net.Listener(inner)
 	if terms.WorkerConns > 0 {
-		ln = &boundedListener{Listener: inner, most: int32(terms.WorkerConns)}
+		ln = &boundedListener{Listener: inner, most: int32(terms.WorkerConns), turnedAway: l.turnAway}
 	}
 	w := &worker{uid: uid, reads: reads, ledger: l, ln: ln, state: "SERVING", rnd: rand.New(rand.NewPCG(seed, 3))}
 	w.start(-1)
@@ -54,8 +54,9 @@
 // boundedListener holds so many connections; further ones are reset.
 type boundedListener struct {
 	net.Listener
-	most int32
-	open atomic.Int32
+	most       int32
+	open       atomic.Int32
+	turnedAway func()
 }
 
 func (l *boundedListener) Accept() (net.Conn, error) {
@@ -68,6 +69,7 @@
 			return &boundedConn{Conn: nc, listener: l}, nil
 		}
 		l.open.Add(-1)
+		l.turnedAway()
 		nc.(*net.TCPConn).SetLinger(0)
 		nc.Close()
 	}
