What a release has let go of is not released again beside a doubt

Cause, by a trace of each release with its entry: (1) while any holding of a request was in doubt nothing counted as let go, although a release spares only what a write in a queue waits for, or a place that a read waits for; (2) a holder that did not answer a release was in doubt from the release's end on, so that the next one came 25 ms later, and again, at a pace that no rule needs; (3) the same struck half-open attempts, whose five seconds began anew each time, so that the entry never ended; (4) a probe that the holder itself answered counted for nothing, though it is a release by the entry's key. Fix: each release takes out what it has let go of; a holder that was not reached is released again at the usual pace (0.9 of the pin limit behind the last release) once it is heard, by no new field: it is settled and has a close; half-open attempts are left alone; an answered probe is a release at its server.

--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -40,6 +40,9 @@
 	h.ends, h.gone = time.Time{}, time.Time{}
 }
 
+// unreached tells whether it was held for certain, and a release that another server took may not have reached its server.
+func (h *holding) unreached() bool { return !h.closed.IsZero() && !h.settled.IsZero() }
+
 // goesOn tells whether its server may not have ended it by a time, although its connection was closed.
 func (h *holding) goesOn(at time.Time) bool {
 	return !h.closed.IsZero() && (h.ends.IsZero() || h.ends.After(at))
@@ -56,6 +59,10 @@
 // on one connection proves nothing of another. So an attempt may go on until its own time is up, as the server was told how long
 // it is waited for; and where a server doesn't end it then, for as long as a connection may stay silent.
 func (h *holding) heard(at, noticed time.Time, grace time.Duration) {
+	if h.unreached() { // there is no close that it had to notice
+		h.settle(h.settled)
+		return
+	}
 	h.noticed = noticed
 	h.ends = later(noticed, h.endsAfter(at).Add(grace))
 	h.gone = h.ends
@@ -344,8 +351,9 @@
 		return h.kind == queuedWrite && !h.pending && h.closed.IsZero()
 	})
 	for i := range e.holdings {
-		h := &e.holdings[i]
-		h.settled = later(h.settled, ended)
+		if h := &e.holdings[i]; !h.pending && h.closed.IsZero() {
+			h.settled = later(h.settled, ended)
+		}
 	}
 	e.takes = 0
 }
@@ -382,13 +390,30 @@
 	})
 }
 
-// let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight.
+// let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight. A write that
+// may still wait in a queue has it spare all that it waits for, a read that may go on a place.
 func (e *entry) let(server string, sent time.Time) {
+	e.letWhere(sent, func(h holding) bool { return e.terms.Shared || h.server == server })
+}
+
+// letAt takes out what a server itself has let go of.
+func (e *entry) letAt(server string, sent time.Time) {
+	e.letWhere(sent, func(h holding) bool { return h.server == server })
+}
+
+func (e *entry) letWhere(sent time.Time, reached func(holding) bool) {
+	reads, writes := e.mayGoOn(readState), e.mayGoOn(queuedWrite)
 	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
-		return !h.pending && h.closed.IsZero() && !h.settled.After(sent) && (e.terms.Shared || h.server == server)
+		spared := writes || reads && h.kind == place
+		return !spared && !h.pending && h.closed.IsZero() && !h.settled.After(sent) && reached(h)
 	})
 }
 
+// mayGoOn tells whether a server may go on with an attempt of a kind although its connection was closed.
+func (e *entry) mayGoOn(kind kind) bool {
+	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.kind == kind && !h.closed.IsZero() && !h.unreached() })
+}
+
 // part is a part of the pin limit.
 func (e *entry) part(part float64) time.Duration {
 	return time.Duration(part * float64(e.terms.pin()))
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -71,7 +71,8 @@
 		if i := slices.IndexFunc(u.entries, (*entry).waitsToHear); i >= 0 {
 			u.probing = true
 			l.probes++
-			calls = append(calls, Call{Key: u.entries[i].key, Servers: []string{server}, Probe: true})
+			e := u.entries[i]
+			calls = append(calls, Call{Key: e.key, Servers: []string{server}, Probe: true, Beside: e.beside()})
 		}
 	}
 	return calls
@@ -95,9 +96,14 @@
 	return next
 }
 
-// probed notes the end of a probe.
-func (l *Ledger) probed(server string, answered bool, now time.Time) {
+// probed notes the end of a probe. One that was answered is a release too, at the server itself.
+func (l *Ledger) probed(c Call, r Result, now time.Time) {
 	l.probes--
+	server, answered := c.Servers[0], r.Taken
+	if e := l.entries[c.Key]; e != nil && answered && c.Beside == Alone && !e.inFlight() {
+		e.letAt(server, r.Sent)
+		l.schedule(e, now)
+	}
 	u := l.unheard[server]
 	if u == nil {
 		return
--- a/internal/heldstate/reference_test.go
+++ b/internal/heldstate/reference_test.go
@@ -226,14 +226,16 @@
 	if slices.ContainsFunc(k.out, func(a *task) bool { return !a.reads && !a.over && !a.fetched }) {
 		return
 	}
-	k.state = nil
+	if k.state != nil && !p.silent(k.state) { // else nobody reaches it
+		k.state = nil
+	}
 	reading := false
 	for _, a := range k.out {
 		if a.reads && !a.over {
 			a.voided, reading = true, true
 		}
 	}
-	if !reading {
+	if !reading && k.place != nil && !p.silent(k.place) {
 		k.place = nil
 	}
 	k.from = time.Time{}
@@ -299,7 +301,7 @@
 	p.after(ms, func() {
 		p.letGo(c.Key)
 		p.logf("release of %s taken by %s", c.Key, s.name)
-		if r := (Result{Taken: true, Server: s.name, Sent: sent}); first(r) {
+		if r := (Result{Taken: true, Server: s.name, Sent: sent, Silent: p.unanswered(c, s)}); first(r) {
 			if !c.Probe {
 				p.going[c.Key]--
 			}
@@ -308,6 +310,17 @@
 	})
 }
 
+// unanswered is which holders of a release that a server has taken did not answer it: those that are silent, that hang, or that
+// have turned the connection away.
+func (p *reference) unanswered(c Call, by *refServer) (names []string) {
+	for _, name := range c.Servers {
+		if s := p.server(name); s != by && (p.silent(s) || !p.runs(s) || p.rnd.IntN(4) == 0) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (p *reference) server(name string) *refServer {
 	return p.servers[slices.IndexFunc(p.servers, func(s *refServer) bool { return s.name == name })]
 }
@@ -570,7 +583,7 @@
 		p.after(30*ms, func() {
 			for _, s := range p.servers {
 				if s.reads {
-					s.silentUntil = p.now.Add(time.Second + p.upTo(3*time.Second))
+					s.silentUntil = later(s.silentUntil, p.now.Add(time.Second+p.upTo(3*time.Second))) // a cut is not shortened by another
 				}
 			}
 		})
@@ -580,7 +593,7 @@
 		p.after(p.upTo(4*time.Second), func() {
 			for _, s := range p.servers {
 				if s.reads == reads && p.rnd.IntN(5) > 0 {
-					s.silentUntil = p.now.Add(time.Second + p.upTo(3*time.Second))
+					s.silentUntil = later(s.silentUntil, p.now.Add(time.Second+p.upTo(3*time.Second))) // a cut is not shortened by another
 				}
 			}
 		})
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -83,7 +83,7 @@
 		delete(l.reaching, c.Servers[0])
 		return
 	case c.Probe:
-		l.probed(c.Servers[0], r.Taken, now)
+		l.probed(c, r, now)
 		return
 	}
 	l.inFlight--
@@ -108,10 +108,10 @@
 func (l *Ledger) taken(e *entry, c Call, r Result, now time.Time) {
 	e.round.sent = sooner(e.round.sent, r.Sent)
 	for _, server := range r.Silent {
-		l.doubtReach(e, server, now)
+		l.doubtReach(e, server, r.Sent)
 	}
 	switch {
-	case c.Beside == Alone && !e.inDoubt():
+	case c.Beside == Alone:
 		e.let(r.Server, r.Sent)
 	case c.Beside == BesideRead && e.terms.Shared && e.settledBy(r.Sent):
 		e.setSole(true)
@@ -119,11 +119,12 @@
 }
 
 // doubtReach notes that a server that may hold something did not answer a release: another that took it may not have
-// reached it.
-func (l *Ledger) doubtReach(e *entry, server string, now time.Time) {
-	i := slices.IndexFunc(e.holdings, func(h holding) bool { return h.server == server && !h.pending && !h.unheard() })
-	if i >= 0 && !e.doubts(server) {
-		l.doubt(e, i, now)
+// reached it. There is no close that it had to notice: what it holds is released again once it is heard.
+func (l *Ledger) doubtReach(e *entry, server string, sent time.Time) {
+	for i := range e.holdings {
+		if h := &e.holdings[i]; h.server == server && !h.pending && h.closed.IsZero() {
+			l.doubt(e, i, sent.Add(-e.grace()))
+		}
 	}
 }
 
