Releases try a worker that turns connections away at a bounded pace

Cause, by the counts of the log's last line: 95% of a router's new connections were its releases' and were turned away; nobody remembered who had just done so, and a kept connection that still rests for its 50 ms counted as one that can be taken, so that a new one was made in its stead. Fix: a worker that ends a new connection before it has answered anything is tried by releases with another only after 50 ms, doubled with each up to 400 ms; connections that rest do not count as ready. Attempts and places are not held back: which worker takes them is the module's choice.

--- a/internal/connpool/idle.go
+++ b/internal/connpool/idle.go
@@ -131,13 +131,15 @@
 	return len(i.byName[name])
 }
 
-// Names are those of which at least one connection is kept.
+// Names are those of which at least one connection is kept that has rested.
 func (i *Idle) Names() map[string]bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	names := make(map[string]bool, len(i.byName))
-	for name := range i.byName {
-		names[name] = true
+	for name, list := range i.byName {
+		if time.Since(list[0].since) >= i.rest { // the oldest
+			names[name] = true
+		}
 	}
 	return names
 }
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -56,7 +56,8 @@
 		return nil, err
 	}
 	ctl := strings.HasPrefix(path, HoldsPath)
-	cn, err := c.pool.acquire(ctx, addr, ctl, !ctl && c.wantsNewConn(call))
+	mayDial := func() bool { return method != "DELETE" || c.mayDial(id) }
+	cn, err := c.pool.acquire(ctx, addr, ctl, !ctl && c.wantsNewConn(call), mayDial)
 	if err != nil {
 		return nil, err
 	}
@@ -87,6 +88,7 @@
 		bufs = bufs[:1]
 	}
 	if _, err := bufs.WriteTo(cn.Conn); err != nil {
+		x.noteTurnedAway(id, counts, err)
 		x.close(false)
 		return nil, attempt.NotSent{Err: err}
 	}
@@ -94,9 +96,7 @@
 	err = x.head()
 	c.noteReuse(ctx, cn, err)
 	if err != nil {
-		if cn.Unused == 0 && attempt.EndedByPeer(err) {
-			counts.turnedAway.Add(1)
-		}
+		x.noteTurnedAway(id, counts, err)
 		x.close(false)
 		if cn.Unused > 0 {
 			err = fmt.Errorf("on a connection that was unused for %v: %w", cn.Unused.Round(time.Millisecond), err)
@@ -107,6 +107,14 @@
 	return x, nil
 }
 
+// noteTurnedAway notes whether the worker ended a new connection before it answered anything on it.
+func (x *exchange) noteTurnedAway(id string, counts *callCounts, err error) {
+	if x.conn.Unused == 0 && attempt.EndedByPeer(err) {
+		counts.turnedAway.Add(1)
+		x.c.turnedAway(id)
+	}
+}
+
 // Why an attempt whose connection has come up was not written.
 var (
 	errDraining   = errors.New("the worker has begun to drain, or is listed no more")
--- a/internal/platform/workers/holds.go
+++ b/internal/platform/workers/holds.go
@@ -81,11 +81,12 @@
 	return attempt.Released{Taken: ok, Server: h.Addr, Sent: sent}
 }
 
-// lastHeard is the worker that has answered last; "": none has that is listed.
+// lastHeard is the worker that has answered last; "": none has that is listed, or it turns new connections away.
 func (c *Client) lastHeard() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.byID[c.heardLast] == nil {
+	w := c.byID[c.heardLast]
+	if w == nil || !c.pool.idle.Names()[w.addr] && !w.redial.allows(time.Now()) {
 		return ""
 	}
 	return c.heardLast
@@ -135,7 +136,7 @@
 		switch {
 		case r.first.ok:
 			r.askMore(ctx, len(holders))
-		case r.pending == 0: // all have failed at once, or none is listed just now
+		case r.pending == 0: // all have failed at once, or none can be asked just now
 			pause = sleep(ctx, pause)
 			r.askMore(ctx, 1)
 		}
@@ -219,10 +220,15 @@
 // nextHolder is a worker that may hold something and was not asked yet: whoever has taken the release may not reach
 // it, however lately it was heard.
 func (c *Client) nextHolder(holders []string, asked map[string]int) (id string, ok bool) {
+	unused, now := c.pool.idle.Names(), time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range holders {
-		if w := c.byID[id]; w != nil && asked[id] == 0 && !w.missed.After(w.heard) {
+		w := c.byID[id]
+		if w == nil || asked[id] > 0 || w.missed.After(w.heard) {
+			continue
+		}
+		if unused[w.addr] || w.redial.allows(now) {
 			return id, true
 		}
 	}
@@ -235,7 +241,7 @@
 	defer c.mu.Unlock()
 	for _, id := range holders {
 		w := c.byID[id]
-		if !answered[id] && w != nil && (w.missed.After(w.heard) || asked[id] > 0) {
+		if !answered[id] && w != nil && (w.missed.After(w.heard) || asked[id] > 0 || w.redial.pause > 0) {
 			list = append(list, id)
 		}
 	}
@@ -260,7 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for candidate, w := range c.byID {
-		if except[candidate] {
+		if except[candidate] || !unused[w.addr] && !w.redial.allows(now) {
 			continue
 		}
 		choice := releaseChoice{asked: asked[candidate], heard: w.heard, unused: unused[w.addr],
@@ -313,6 +319,23 @@
 	return sent, x.discard() == nil && ok
 }
 
+// mayDial tells whether a release may be tried at a worker with a new connection, and counts as that try.
+func (c *Client) mayDial(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.byID[id]
+	return w == nil || w.redial.claim(time.Now())
+}
+
+// turnedAway notes that a worker ended a new connection before it answered anything on it.
+func (c *Client) turnedAway(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		w.redial.turnedAway(time.Now())
+	}
+}
+
 // missed notes that a worker did not take a release.
 func (c *Client) missed(id string) {
 	c.mu.Lock()
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -24,7 +24,11 @@
 	ReleaseTimeout     time.Duration // one worker's time to answer a release
 }
 
-var errNoRoom = errors.New("all connections to workers are in use")
+// Why a connection was not made.
+var (
+	errNoRoom    = errors.New("all connections to workers are in use")
+	errTurnsAway = errors.New("the worker turns new connections away")
+)
 
 // pool keeps unused connections and counts all.
 type pool struct {
@@ -39,13 +43,13 @@
 	maxDialPause   = 20 * time.Millisecond
 )
 
-// acquire gives a connection: an unused one that still stands, else a new one; control
+// acquire gives a connection: an unused one that still stands, else a new one, where mayDial allows it; control
 // tells that it is for a place or a release, fresh that a new one is wanted.
 //
 // Where no connection can be had for a reason that lies on this machine, it waits
 // for as long as a connection may take to come up: every other worker would be
 // refused just so, and all attempts would soon be used up.
-func (p *pool) acquire(ctx context.Context, addr string, control, fresh bool) (*connpool.Conn, error) {
+func (p *pool) acquire(ctx context.Context, addr string, control, fresh bool, mayDial func() bool) (*connpool.Conn, error) {
 	until := time.Now().Add(p.lim.Load().Dial)
 	if faults.Broken(faults.BreakRoom) {
 		until = time.Now()
@@ -58,6 +62,10 @@
 		if c != nil {
 			return c, nil
 		}
+		if !mayDial() {
+			p.room.release()
+			return nil, attempt.NotSent{Err: errTurnsAway, Local: true}
+		}
 		d := net.Dialer{Deadline: until, KeepAlive: -1}
 		nc, err := faults.Dial(ctx, &d, addr)
 		if err == nil {
--- a/internal/platform/workers/redial.go
+++ b/internal/platform/workers/redial.go
@@ -4,8 +4,8 @@
 
 // Pauses before a worker that turned a new connection away is tried again with another, for a release.
 const (
-	firstRedial = 50 * time.Millisecond // doubled with each connection that it turns away,
-	maxRedial   = time.Second           // up to this
+	firstRedial = 50 * time.Millisecond  // doubled with each connection that it turns away,
+	maxRedial   = 400 * time.Millisecond // up to this
 )
 
 // redial tells when a worker may be tried with a new connection, after it has turned some away.
--- a/internal/platform/workers/release_test.go
+++ b/internal/platform/workers/release_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,3 +102,40 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// Guards against a storm of connections: releases that try a worker again and again which holds too many already.
+func TestReleasesSpareAWorkerThatTurnsConnectionsAway(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var turnedAway atomic.Int64
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			turnedAway.Add(1)
+			nc.(*net.TCPConn).SetLinger(0)
+			nc.Close()
+		}
+	}()
+	cl := client(t, 100, ln.Addr().String())
+	const releases = 32
+	var all sync.WaitGroup
+	for i := range releases {
+		all.Go(func() {
+			held := []attempt.Held{{Addr: "w", Key: fmt.Sprint("r", i)}}
+			if r := cl.Release(context.Background(), held); r.Taken {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+	all.Wait()
+	// Each may try once before the worker has turned the first away; then it is one try a pause.
+	if most := releases + int64(releaseWithin/maxRedial) + 5; turnedAway.Load() > most {
+		t.Errorf("%d connections were turned away, %d at the most expected", turnedAway.Load(), most)
+	}
+}
--- a/internal/platform/workers/stats.go
+++ b/internal/platform/workers/stats.go
@@ -51,6 +51,8 @@
 	w.answers.note(answer{sent, w.heard})
 	if cn.Unused > 0 {
 		w.stats.Kept++
+	} else {
+		w.redial.answered()
 	}
 }
 
--- a/internal/platform/workers/workers.go
+++ b/internal/platform/workers/workers.go
@@ -41,6 +41,7 @@
 	asked      time.Time // when the last call was sent that it has answered,
 	askedHeard time.Time // and when it was answered
 	missed     time.Time // when it last failed to take a release
+	redial     redial
 	answers    answerLog
 	stats      Stats
 }
