Releases are made in the order in which they are due

Cause: with 32 releases in flight an entry that was due was looked at again 5 ms later, behind whatever had come to be due meanwhile, again and again. Fix: it waits in a line, and whichever has waited longest is released as one in flight ends; reports and probes go on beside.

--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -130,6 +130,7 @@
 	reportAt time.Time // when that is told; zero: it was
 	lookAt   time.Time // when it has something to do
 	position int       // in the agenda
+	inLine   bool      // its release is due, and waits for others to end
 }
 
 // round is what came of the releases that are made together, one at each server.
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -60,7 +60,6 @@
 
 	firstRetry = 50 * time.Millisecond  // after a release that nobody took; doubled each time
 	maxRetry   = 200 * time.Millisecond // as a release itself goes on for long
-	fullPause  = 5 * time.Millisecond   // before an entry is looked at again while as many releases are in flight as may be
 
 	firstProbe = 100 * time.Millisecond // after a probe of an unheard server that failed; doubled each time
 	maxRepeats = 64                     // releases of an entry while a server is in doubt; then it waits for one to be heard
@@ -161,6 +160,7 @@
 	reached  map[string]time.Time // when the last call was sent that a server has answered
 	reaching map[string]bool      // servers of reads that are probed
 	inFlight int
+	line     []*entry // whose releases are due, and wait for one in flight to end
 	probes   int
 	forgot   []Forgotten
 	reports  []Report
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -862,3 +862,26 @@
 		t.Errorf("%+v", flushed)
 	}
 }
+
+// Guards against releases that overtake those which were due before them, while as many are in flight as may be.
+func TestReleasesGoInTheOrderInWhichTheyAreDue(t *testing.T) {
+	c := newClock(t)
+	const requests = maxReleases + 40
+	for i := range requests {
+		key := fmt.Sprintf("k%03d", i)
+		c.l.Began(key, shared, "reader", true, c.now)
+		c.l.ReadEnded(key, "reader", Answered, c.now)
+		c.l.Over(key, c.now)
+		c.pass(ms)
+	}
+	calls := c.due(maxReleases)
+	for next := maxReleases; next < requests; next++ {
+		c.pass(7 * ms)
+		c.due(0)
+		c.take(calls[0], "reader")
+		calls = append(calls[1:], c.due(1)...)
+		if got, want := calls[len(calls)-1].Key, fmt.Sprintf("k%03d", next); got != want {
+			t.Fatalf("%s is released before %s", got, want)
+		}
+	}
+}
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -7,13 +7,27 @@
 
 // Due returns the releases to be made now.
 func (l *Ledger) Due(now time.Time) []Call {
-	var calls []Call
+	calls := l.releaseLine(now)
 	for len(l.agenda) > 0 && !l.agenda[0].lookAt.After(now) {
 		calls = append(calls, l.look(l.agenda[0], now)...)
 	}
 	return append(calls, l.dueProbes(now)...)
 }
 
+// releaseLine makes the releases that were due while as many were in flight as may be, in the order in which they came to be due.
+func (l *Ledger) releaseLine(now time.Time) (calls []Call) {
+	waiting := l.line
+	for l.line = nil; len(waiting) > 0 && l.inFlight < maxReleases; waiting = waiting[1:] {
+		e := waiting[0]
+		e.inLine = false
+		if l.entries[e.key] == e {
+			calls = append(calls, l.look(e, now)...)
+		}
+	}
+	l.line = waiting
+	return calls
+}
+
 // look does what an entry has to do, and sets when it has something to do next.
 func (l *Ledger) look(e *entry, now time.Time) (calls []Call) {
 	if !e.owedAt.IsZero() {
@@ -33,9 +47,9 @@
 	next := e.nextRelease()
 	switch {
 	case next.IsZero() || next.After(now):
-	case l.inFlight >= maxReleases:
-		l.agenda.set(e, now.Add(fullPause))
-		return calls
+	case e.inLine:
+	case l.inFlight >= maxReleases || len(l.line) > 0:
+		l.line, e.inLine = append(l.line, e), true
 	default:
 		calls = append(calls, l.release(e)...)
 	}
@@ -45,7 +59,10 @@
 
 // nextLook is when an entry has something to do; zero: when something is heard.
 func (l *Ledger) nextLook(e *entry) time.Time {
-	at := sooner(e.nextRelease(), l.nextReach(e))
+	at := l.nextReach(e)
+	if !e.inLine {
+		at = sooner(at, e.nextRelease())
+	}
 	if e.owedAt.IsZero() {
 		return at
 	}
@@ -54,7 +71,7 @@
 }
 
 // Busy tells whether Due may have something in time.
-func (l *Ledger) Busy() bool { return len(l.agenda) > 0 || len(l.unheard) > 0 }
+func (l *Ledger) Busy() bool { return len(l.agenda) > 0 || len(l.line) > 0 || len(l.unheard) > 0 }
 
 // Next is when Due may have something; zero: when something else has come.
 func (l *Ledger) Next() time.Time {
