A server that a whole list lacks counts as gone for what may be held there

Where discovery sends the whole list (after a lost watch, or a new address) and a server is missing, the ledger went on waiting to hear it, with probes, until it forgot. Cause: only an entry with the state "gone" ended that wait, and a whole list has none. Fix: the driver tells the ledger of each server that the new list lacks.

Measured: TestServerThatAWholeListLacksIsGone failed before (waits to hear [s0]) and passes.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -274,12 +274,12 @@
 
 func (d *Driver) update(m gannethook.Membership) {
 	if m.Whole {
+		d.goneFrom(m.Servers)
 		clear(d.roles)
 	}
 	for _, s := range m.Servers {
 		if s.State == gannethook.Gone {
-			d.held.Gone(string(s.ID), time.Now())
-			d.heldChanged()
+			d.heldGone(s.ID)
 		}
 		if s.State == gannethook.Gone || s.Kind < 0 || s.Kind >= len(d.set.Kinds) {
 			delete(d.roles, s.ID) // the module sends nothing there
@@ -290,6 +290,25 @@
 	d.tell(m)
 }
 
+// goneFrom has servers that a whole list lacks count as gone.
+func (d *Driver) goneFrom(list []gannethook.Server) {
+	listed := make(map[gannethook.ServerID]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+	}
+	for id := range d.roles {
+		if !listed[id] {
+			d.heldGone(id)
+		}
+	}
+}
+
+// heldGone tells the ledger that nothing is held at a server any more.
+func (d *Driver) heldGone(id gannethook.ServerID) {
+	d.held.Gone(string(id), time.Now())
+	d.heldChanged()
+}
+
 func (d *Driver) take(c *Call) {
 	if d.over {
 		c.answer(Answer{Kind: Refused, Reason: ErrStopped.Error()})
--- a/internal/driver/held_test.go
+++ b/internal/driver/held_test.go
@@ -242,3 +242,29 @@
 		t.Errorf("forgotten %+v", forgotten)
 	}
 }
+
+// Guards against waiting for good to hear a server that a whole list lacks.
+func TestServerThatAWholeListLacksIsGone(t *testing.T) {
+	run(t, newFake(), func(d *Driver) {
+		whole := func(ids ...gannethook.ServerID) {
+			m := gannethook.Membership{Whole: true}
+			for _, id := range ids {
+				m.Servers = append(m.Servers, gannethook.Server{ID: id, State: gannethook.Ready})
+			}
+			d.Update(m)
+		}
+		whole("s0", "s1")
+		d.post(func() {
+			now := time.Now()
+			d.held.Began("k", heldstate.Terms{Shared: true, Spared: true}, "s0", true, now)
+			d.held.ReadEnded("k", "s0", heldstate.Closed, now)
+			d.held.Over("k", now)
+		})
+		whole("s1")
+		unheard := make(chan []string, 1)
+		d.post(func() { unheard <- d.held.Unheard() })
+		if servers := <-unheard; len(servers) > 0 {
+			t.Errorf("waits to hear %v", servers)
+		}
+	})
+}
