What is owed to a server in a long outage is kept in little memory, without limit of time

What callers saw: states that stay held at a server that is back from a long outage under load. Cause: the ledger kept 2,048 whole entries, for two minutes, and forgot the oldest. They become entries again, the oldest first and as far as there is room, once their server is heard or has left the list. The limit of two minutes is gone, and with it guard.HeldTooLong.

Why it works: a dormant holding leaves only by word of its server, or at the stop. Lists are searched from the oldest on in place of whole, which the tests with 50,000 need.

--- a/internal/driver/held.go
+++ b/internal/driver/held.go
@@ -311,8 +311,7 @@
 		}
 	}
 	for _, f := range d.held.Forgotten() {
-		d.cfg.Guard.Check(guard.Forget, guard.MayForget(guard.ForgetFacts{Stopped: f.Why == heldstate.Stopped,
-			TooOld: f.Why == heldstate.TooOld}), f.Request)
+		d.cfg.Guard.Check(guard.Forget, guard.MayForget(guard.ForgetFacts{Stopped: f.Why == heldstate.Stopped}), f.Request)
 		if d.cfg.Forgot != nil {
 			d.cfg.Forgot(f)
 		}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -30,7 +30,6 @@
 	MayHaveRun            // an earlier attempt may have run
 	Unanswered            // a request was taken and has no answer
 	HeldAtStop            // something may be held as the router's time to end is over
-	HeldTooLong           // something may be held at servers that were not heard for minutes
 	HeldTooMany           // something may be held, and there is no room to owe more
 	reasons
 )
@@ -38,7 +37,7 @@
 func (r Reason) String() string {
 	return [reasons]string{"allowed", "called off", "server not listed", "server draining", "deadline passed", "key window passed",
 		"client gone", "id already open", "already answered", "already streaming", "earlier attempt still out",
-		"earlier attempt may have run", "request unanswered", "held at the stop", "held for too long", "too much held"}[r]
+		"earlier attempt may have run", "request unanswered", "held at the stop", "too much held"}[r]
 }
 
 // Action is what the guard is asked about.
@@ -181,16 +180,12 @@
 // ForgetFacts are those of what a server may hold for a request, and of which it is not proven that it was let go.
 type ForgetFacts struct {
 	Stopped bool // the router ends, and its time is over
-	TooOld  bool // no server that may hold it could be heard for as long as anything is owed
 }
 
 // MayForget tells why it is forgotten. It is never allowed: each time is counted and reported.
 func MayForget(f ForgetFacts) Reason {
-	switch {
-	case f.Stopped:
+	if f.Stopped {
 		return HeldAtStop
-	case f.TooOld:
-		return HeldTooLong
 	}
 	return HeldTooMany
 }
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -440,8 +440,14 @@
 	}
 }
 
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].lookAt.Before(a[j].lookAt) }
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, j int) bool {
+	if !a[i].lookAt.Equal(a[j].lookAt) {
+		return a[i].lookAt.Before(a[j].lookAt)
+	}
+	return a[i].wantedAt.Before(a[j].wantedAt) // whatever has waited for longer
+}
 
 func (a agenda) Swap(i, j int) {
 	a[i], a[j] = a[j], a[i]
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -67,10 +67,10 @@
 	maxProbes  = 8                      // probes in flight at once
 	maxReaches = 64                     // the same, of servers of reads
 
-	maxOwed     = 2048            // entries; beyond them the oldest is forgotten
-	maxAge      = 2 * time.Minute // for which an entry is owed at the most
-	maxReleases = 32              // releases in flight at once
-	maxReached  = 4096            // servers of which it is known when they were heard; beyond them all are forgotten, and probed again
+	maxOwed     = 4096  // entries, of 1 KB each; beyond them what waits for a server to be heard is kept as dormant
+	maxDormant  = 50000 // holdings, of 100 bytes each; beyond them the oldest is forgotten
+	maxReleases = 32    // releases in flight at once
+	maxReached  = 4096  // servers of which it is known when they were heard; beyond them all are forgotten, and probed again
 )
 
 // Terms are those of an entry.
@@ -157,6 +157,8 @@
 	agenda   agenda               // entries that have something to do at a time
 	owed     []*entry             // in the order in which they came to be owed
 	unheard  map[string]*unheard  // servers that some entry is in doubt about
+	epoch    time.Time            // from which times of dormant holdings count
+	dormant  int                  // dormant holdings
 	reached  map[string]time.Time // when the last call was sent that a server has answered
 	reaching map[string]bool      // servers of reads that are probed
 	inFlight int
@@ -168,15 +170,15 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{entries: map[string]*entry{}, unheard: map[string]*unheard{}, reached: map[string]time.Time{}, reaching: map[string]bool{}}
+	return &Ledger{epoch: time.Now(), entries: map[string]*entry{}, unheard: map[string]*unheard{}, reached: map[string]time.Time{}, reaching: map[string]bool{}}
 }
 
-// Owed is how many entries wait for proof with no attempt to come.
-func (l *Ledger) Owed() int { return len(l.owed) }
+// Owed is how many entries and dormant holdings wait for proof with no attempt to come.
+func (l *Ledger) Owed() int { return len(l.owed) + l.dormant }
 
 // Pending tells whether some entry waits for proof of more than a suspicion.
 func (l *Ledger) Pending() bool {
-	return slices.ContainsFunc(l.owed, func(e *entry) bool { return !e.onlySuspected() })
+	return l.dormant > 0 || slices.ContainsFunc(l.owed, func(e *entry) bool { return !e.onlySuspected() })
 }
 
 // Len is how many entries there are.
@@ -323,13 +325,14 @@
 // doubt notes that a server may not have noticed yet that a connection was closed.
 func (l *Ledger) doubt(e *entry, i int, now time.Time) {
 	h := &e.holdings[i]
+	doubted := e.doubts(h.server)
 	h.pending, h.closed, h.noticed, h.ends, h.gone = false, now, time.Time{}, time.Time{}, time.Time{}
 	u := l.unheard[h.server]
 	if u == nil {
 		u = &unheard{next: now.Add(e.grace())}
 		l.unheard[h.server] = u
 	}
-	if !slices.Contains(u.entries, e) {
+	if !doubted {
 		u.entries = append(u.entries, e)
 	}
 }
@@ -407,6 +410,10 @@
 	if l.entries[e.key] != e { // forgotten: too many are owed
 		return
 	}
+	if e.takes > maxRepeats && e.mayRest() {
+		l.rest(e, now)
+		return
+	}
 	l.agenda.set(e, l.nextLook(e))
 }
 
@@ -427,9 +434,14 @@
 	}
 	e.owedAt, e.reportAt = now, now.Add(e.part(evidencePart))
 	l.owed = append(l.owed, e)
-	if len(l.owed) > maxOwed {
-		l.forget(l.owed[0], TooMany, now)
+	if len(l.owed) <= maxOwed {
+		return
+	}
+	if i := slices.IndexFunc(l.owed, (*entry).mayRest); i >= 0 {
+		l.rest(l.owed[i], now)
+		return
 	}
+	l.forget(l.owed[0], TooMany, now)
 }
 
 func (l *Ledger) notOwed(e *entry) {
@@ -437,7 +449,7 @@
 		return
 	}
 	e.owedAt, e.reportAt = time.Time{}, time.Time{}
-	l.owed = slices.DeleteFunc(l.owed, func(o *entry) bool { return o == e })
+	l.owed = without(l.owed, e)
 }
 
 func (l *Ledger) drop(e *entry) {
@@ -456,10 +468,8 @@
 		if u == nil || e.doubts(server) {
 			continue
 		}
-		u.entries = slices.DeleteFunc(u.entries, func(o *entry) bool { return o == e })
-		if len(u.entries) == 0 && !u.probing {
-			delete(l.unheard, server)
-		}
+		u.entries = without(u.entries, e)
+		l.forgetIfNoneWaits(server, u)
 	}
 }
 
@@ -480,6 +490,14 @@
 	return calls
 }
 
+// without takes an entry out of a list in which it stands once; the oldest, which leave most often, are found first.
+func without(list []*entry, e *entry) []*entry {
+	if i := slices.Index(list, e); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -9,6 +9,8 @@
 // unheard is a server about which entries are in doubt.
 type unheard struct {
 	entries []*entry
+	dormant []dormant // the oldest first
+	wokenAt time.Time // when it was heard, of dormant holdings that have had no room since; zero: it was not
 	probing bool
 	retry   time.Duration
 	next    time.Time // of the next probe
@@ -67,13 +69,19 @@
 		if u.probing || u.next.After(now) || l.probes >= maxProbes {
 			continue
 		}
-		// A release by the key of a request that goes on would let go of what it needs.
-		if i := slices.IndexFunc(u.entries, (*entry).waitsToHear); i >= 0 {
-			u.probing = true
-			l.probes++
-			e := u.entries[i]
-			calls = append(calls, Call{Key: e.key, Servers: []string{server}, Probe: true, Beside: e.beside()})
+		call := Call{Servers: []string{server}, Probe: true}
+		i := slices.IndexFunc(u.entries, (*entry).waitsToHear)
+		switch {
+		case i >= 0:
+			call.Key, call.Beside = u.entries[i].key, u.entries[i].beside()
+		case len(u.dormant) > 0:
+			call.Key = u.dormant[0].key
+		default: // a release by the key of a request that goes on would let go of what it needs
+			continue
 		}
+		u.probing = true
+		l.probes++
+		calls = append(calls, call)
 	}
 	return calls
 }
@@ -85,11 +93,11 @@
 
 // nextProbe is when a probe is due; zero: when something else has come.
 func (l *Ledger) nextProbe() (next time.Time) {
-	if len(l.owed) == 0 || l.probes >= maxProbes {
+	if l.probes >= maxProbes {
 		return next
 	}
 	for _, u := range l.unheard {
-		if !u.probing && slices.ContainsFunc(u.entries, (*entry).waitsToHear) {
+		if !u.probing && (len(u.dormant) > 0 || slices.ContainsFunc(u.entries, (*entry).waitsToHear)) {
 			next = sooner(next, u.next)
 		}
 	}
@@ -116,7 +124,5 @@
 		u.retry = min(max(2*u.retry, firstProbe), maxProbe)
 		u.next = now.Add(u.retry)
 	}
-	if len(u.entries) == 0 {
-		delete(l.unheard, server)
-	}
+	l.forgetIfNoneWaits(server, u)
 }
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -7,6 +7,7 @@
 
 // Due returns the releases to be made now.
 func (l *Ledger) Due(now time.Time) []Call {
+	l.wakeHeard(now)
 	calls := l.releaseLine(now)
 	for len(l.agenda) > 0 && !l.agenda[0].lookAt.After(now) {
 		calls = append(calls, l.look(l.agenda[0], now)...)
@@ -31,10 +32,6 @@
 // look does what an entry has to do, and sets when it has something to do next.
 func (l *Ledger) look(e *entry, now time.Time) (calls []Call) {
 	if !e.owedAt.IsZero() {
-		if now.Sub(e.owedAt) > maxAge {
-			l.forget(e, TooOld, now)
-			return nil
-		}
 		l.report(e, now)
 	}
 	if l.dropIfEmpty(e, now) {
@@ -66,7 +63,6 @@
 	if e.owedAt.IsZero() {
 		return at
 	}
-	at = sooner(at, e.owedAt.Add(maxAge+time.Millisecond))
 	return sooner(at, e.reportAt)
 }
 
@@ -79,7 +75,7 @@
 	if len(l.agenda) > 0 {
 		next = l.agenda[0].lookAt
 	}
-	return sooner(next, l.nextProbe())
+	return sooner(sooner(next, l.nextProbe()), l.woken())
 }
 
 // Result is how a call went.
@@ -179,6 +175,9 @@
 			return answered
 		})
 	}
+	if len(u.dormant) > 0 {
+		u.wokenAt = answered
+	}
 }
 
 // Gone notes that a server has left the list, or has started anew: nothing
@@ -190,6 +189,12 @@
 			e.endAttempts(server)
 			l.resolve(e, server, now, func(*holding) time.Time { return now })
 		}
+		if len(u.dormant) > 0 {
+			for i := range u.dormant {
+				u.dormant[i].left = 0
+			}
+			u.wokenAt = now
+		}
 	}
 	for _, e := range slices.Clone(l.owed) {
 		if e.endAttempts(server) {
@@ -228,6 +233,9 @@
 	for _, e := range slices.Clone(l.owed) {
 		l.forget(e, Stopped, now)
 	}
+	for l.dormant > 0 {
+		l.forgetDormant(Stopped, now)
+	}
 }
 
 func (l *Ledger) forget(e *entry, why Why, now time.Time) {
--- a/internal/heldstate/report.go
+++ b/internal/heldstate/report.go
@@ -19,12 +19,11 @@
 // The reasons.
 const (
 	TooMany Why = iota // the ledger was full
-	TooOld             // its servers were not heard for too long
 	Stopped            // the router ended
 )
 
 func (w Why) String() string {
-	return [...]string{"too many owed", "owed for too long", "the router ends"}[w]
+	return [...]string{"too many owed", "the router ends"}[w]
 }
 
 // Report tells of an entry that has been owed for half of its time.
