A release that did not reach a holder does not prove that nothing but suspicion is left

Cause: a state settled long before the last release counted as found by it, also where its server was cut off and had not been reached; once that was heard again, a read in flight beside it kept releases back. Fix: whether the last answered release may have missed a holder is a fact of the entry.

--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -119,6 +119,7 @@
 	proven    time.Time // until when an answer proves that the pin limit did not run
 	quietAt   time.Time // when the last attempt ended that may have arrived
 	taken     time.Time // when the last release was sent that servers have answered
+	missed    bool      // that one may not have reached all that may hold something
 	takes     int       // releases that were answered since something last ended
 	releasing int       // releases in flight
 	round     round     // of the releases in flight
@@ -317,7 +318,7 @@
 			found = later(found, h.settled)
 		}
 	}
-	return suspected && !later(e.taken, e.streamed).Before(found)
+	return suspected && !e.missed && !later(e.taken, e.streamed).Before(found)
 }
 
 // endAttempts notes that a server goes on with nothing whose connection was closed, and tells whether it might have.
--- a/internal/heldstate/reference_test.go
+++ b/internal/heldstate/reference_test.go
@@ -636,8 +636,8 @@
 // Whatever arrives or is lost on its way, nothing that the platform holds stays held for longer than the limit.
 func TestNothingIsHeldForTooLong(t *testing.T) { playHistories(t, true) }
 
-// The same with servers that go on behind a lost close for longer than they were told, up to 4.5 s. Of 3,000 histories four fail
-// (seeds 903, 1641 and 2889 among them), all in the way of TestReadLostBesideAWriteThatGoesOn; none of the first 300.
+// The same with servers that go on behind a lost close for longer than they were told, up to 4.5 s. Of 3,000 histories three fail
+// (seeds 1413, 1427 and 2897), in the way of TestReadLostBesideAWriteThatGoesOn; none of the first 300.
 func TestNothingIsHeldBehindServersThatGoOn(t *testing.T) { playHistories(t, false) }
 
 // playHistories plays 300 drawn histories, and tells the stories of the first that fail.
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -123,6 +123,7 @@
 	for _, server := range r.Silent {
 		l.doubtReach(e, server, r.Sent)
 	}
+	e.missed = slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unreached() })
 	switch {
 	case c.Beside == Alone:
 		e.let(r.Server, r.Sent)
