The states of what may be held, as a table; the soak counts keyed attempts begun late

Need: eight times in a holding are more than a reader keeps in mind, and no figure told how often a keyed request runs again behind its window because it waited in the socket of a worker that hung (KNOWN-RED, excuse lateBegun).

--- a/cmd/gannethook/soak.go
+++ b/cmd/gannethook/soak.go
@@ -235,8 +235,8 @@
 	case len(r.Breaks) > 0:
 		verdict = fmt.Sprintf("FAILED %d: %s: %.300s", len(r.Breaks), r.Breaks[0].Invariant, r.Breaks[0].Detail)
 	}
-	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, %d releases, %d connections turned away, %d went on behind a lost close, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
-		r.Refused, r.Releases, r.Turned, r.WentOn, r.Latest.Round(time.Millisecond), r.tries, verdict)
+	fmt.Fprintf(t.out, "seed %d: %s; %s: %d requests, %d served, %d refused, %d releases, %d connections turned away, %d went on behind a lost close, %d keyed begun late and run again, late %v, tries %d: %s\n", r.Plan.Seed, r.Plan.String(), r.Terms, r.Requests, r.Served,
+		r.Refused, r.Releases, r.Turned, r.WentOn, r.LateRuns, r.Latest.Round(time.Millisecond), r.tries, verdict)
 	if !r.ok() {
 		t.failed++
 		fmt.Fprintln(t.out, "  again:", r.again)
--- a/internal/heldstate/dormant.go
+++ b/internal/heldstate/dormant.go
@@ -30,6 +30,9 @@
 
 // rest keeps an entry's holdings as dormant ones in its stead.
 func (l *Ledger) rest(e *entry, now time.Time) {
+	if l.epoch.IsZero() {
+		l.epoch = now
+	}
 	for _, h := range e.holdings {
 		l.restAt(l.unheard[h.server], dormant{key: e.key, closed: h.closed.Sub(l.epoch), left: h.left, pin: e.terms.Pin,
 			kind: h.kind, settled: h.unreached(), spared: e.terms.Spared})
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -20,18 +20,33 @@
 // it. A read whose server is not heard may have ended well in a cut.
 //
 // An entry leaves the ledger by proof alone: its answer's first event, which
-// takes all that is held; a release that was answered while no attempt was in
-// flight and no server could still be waiting on one; or the end of the servers
-// that might hold something. What is not proven stays owed beyond its request,
-// and is released again.
+// takes all that is held; a release that was answered while nothing could spare
+// what it holds; or the end of the servers that might hold something. What is not
+// proven stays outstanding beyond its request, and is released again.
+//
+// A holding is in one of these states:
+//
+//	state      meaning                                       releases                          leaves by
+//	in flight  its call has no answer yet                    0.9 of the pin limit behind the   the call's end
+//	                                                         last proof; none beside a read
+//	                                                         whose server is heard
+//	settled    held for certain, or left by what has ended   at once, then as above            a release answered since
+//	unheard    the router closed its connection, and the     25 ms behind the close, then as   settled or half-open, once its
+//	           server was not heard since                    above; up to 64                   server is heard; dormant
+//	half-open  its server was heard on another connection,   as above until the told time is   settled, 5 s behind the close or
+//	           so that the close may be lost                 up, then more slowly              when the told time is up
+//	unreached  settled, and a release that another server    as above                          settled, once its server is
+//	           took may not have reached its own                                               heard; dormant
+//	dormant    unheard or unreached for so long that         none                              half-open or settled, once its
+//	           releases prove nothing, at little memory                                        server is heard or gone
+//
+// A write that may still wait in a queue (in flight, unheard or half-open) has
+// releases spare all of its request; a read that may go on, a place.
 //
 // A close is proof of nothing, and a server that answers on another connection
-// proves only that it runs: the connection that was closed may have fallen
-// silent alone, so that the server goes on with the attempt. It does so until
-// the time is up for which it was told that the answer is waited for, and until
-// then releases are repeated. They are beyond it, for as long as a connection may
-// stay silent, since no page says that a server has to end what it was told to:
-// but not beside a read whose server is heard, whose state they would take.
+// proves only that it runs. No page says that a server has to end an attempt
+// whose time is up that it was told, so a half-open attempt stays suspected for
+// as long as a connection may stay silent.
 //
 // The package is pure: it does no I/O and reads no clock. Its methods take the
 // time, and what to do comes back from Due.
@@ -157,7 +172,7 @@
 	agenda   agenda               // entries that have something to do at a time
 	owed     []*entry             // in the order in which they came to be owed
 	unheard  map[string]*unheard  // servers that some entry is in doubt about
-	epoch    time.Time            // from which times of dormant holdings count
+	epoch    time.Time            // from which times of dormant holdings count: when the first came to be
 	dormant  int                  // dormant holdings
 	reached  map[string]time.Time // when the last call was sent that a server has answered
 	reaching map[string]bool      // servers of reads that are probed
@@ -170,7 +185,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{epoch: time.Now(), entries: map[string]*entry{}, unheard: map[string]*unheard{}, reached: map[string]time.Time{}, reaching: map[string]bool{}}
+	return &Ledger{entries: map[string]*entry{}, unheard: map[string]*unheard{}, reached: map[string]time.Time{}, reaching: map[string]bool{}}
 }
 
 // Owed is how many entries and dormant holdings wait for proof with no attempt to come.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -125,12 +125,18 @@
 
 // judgeEffect judges by the rule: no effect twice, and no refusal of what may have run.
 func (l *Ledger) judgeEffect(q *request) {
-	var runs []arrival
+	var runs, late []arrival
 	for _, a := range q.arrived {
-		if a.ran && !(q.effect == Keyed && a.lateBegun) { // a keyed one was sent in its window, and can't be called back
+		switch {
+		case a.ran && q.effect == Keyed && a.lateBegun: // it was sent in its window, and can't be called back
+			late = append(late, a)
+		case a.ran:
 			runs = append(runs, a)
 		}
 	}
+	if len(late) > 0 && len(runs)+len(late) > 1 && l.outsideWindow(append(runs[:len(runs):len(runs)], late...)) {
+		l.excusedLate++
+	}
 	if q.effect == Unsafe && len(runs) > 1 {
 		l.say(q, "duplicate", "it ran %d times", len(runs))
 	}
@@ -151,6 +157,13 @@
 	}
 }
 
+// outsideWindow tells whether an attempt began so late behind another that the workers may have forgotten its key.
+func (l *Ledger) outsideWindow(runs []arrival) bool {
+	first := slices.MinFunc(runs, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	last := slices.MaxFunc(runs, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return last.at-first.at > l.terms.KeyWindow+toldSlack+l.slack()
+}
+
 // judgeDrain judges by the rule: no attempt to a server that the router was told to send nothing. It
 // is judged as the attempt arrives: the server may start anew later.
 func (l *Ledger) judgeDrain(q *request, a arrival) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,7 @@
 	Served   int
 	Refused  int
 	Releases int // calls that let go of what is held
+	LateRuns int // keyed requests that ran again behind their window, in an attempt that waited in the socket of a worker that hung
 	Turned   int // connections that workers which hold too many have reset
 	WentOn   int // attempts that went on for the pin limit at least behind a close that was lost
 	Starved  bool
@@ -448,7 +449,7 @@
 	breaks := l.Judge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, Turned: l.turned, WentOn: l.wentOn, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
+	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, LateRuns: l.excusedLate, Turned: l.turned, WentOn: l.wentOn, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
 	for _, q := range l.requests {
 		switch {
 		case q.end == streamed:
