--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -135,7 +135,10 @@
 		}
 	}
 	if len(late) > 0 && len(runs)+len(late) > 1 && l.outsideWindow(append(runs[:len(runs):len(runs)], late...)) {
-		l.excusedLate++
+		l.lateRuns++
+		if l.strict {
+			l.say(q, "duplicate", "it ran again behind its window, in an attempt that waited in the socket of a worker that hung")
+		}
 	}
 	if q.effect == Unsafe && len(runs) > 1 {
 		l.say(q, "duplicate", "it ran %d times", len(runs))
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -16,21 +16,21 @@
 	strict        bool // what is excused as a known failure is judged too
 	countsAtAgent bool // a change counts as told once the agent has it, not as it is written
 
-	mu          sync.Mutex
-	requests    map[string]*request
-	served      map[string]*serverLife // by worker and life
-	told        map[toldKey]time.Duration
-	starts      map[startKey]time.Duration
-	lives       []*routerLife
-	cuts        []*cut
-	mutes       map[string]*mutedLink // by the address that the worker sees
-	late        time.Duration         // sum by which this process's timers went off late
-	latest      time.Duration         // the most at once
-	breaks      []Break
-	releases    int // calls that let go of what is held
-	excusedLate int // keyed requests that ran again behind their window, in an attempt that waited in the socket of a worker that hung
-	turned      int // connections that workers which hold too many have reset
-	wentOn      int // attempts that went on for the pin limit at least behind a close that was lost
+	mu       sync.Mutex
+	requests map[string]*request
+	served   map[string]*serverLife // by worker and life
+	told     map[toldKey]time.Duration
+	starts   map[startKey]time.Duration
+	lives    []*routerLife
+	cuts     []*cut
+	mutes    map[string]*mutedLink // by the address that the worker sees
+	late     time.Duration         // sum by which this process's timers went off late
+	latest   time.Duration         // the most at once
+	breaks   []Break
+	releases int // calls that let go of what is held
+	lateRuns int // keyed requests that ran again behind their window, in an attempt that waited in the socket of a worker that hung
+	turned   int // connections that workers which hold too many have reset
+	wentOn   int // attempts that went on for the pin limit at least behind a close that was lost
 }
 
 // Break is a promise that was not kept.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -449,7 +449,7 @@
 	breaks := l.Judge()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, LateRuns: l.excusedLate, Turned: l.turned, WentOn: l.wentOn, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
+	res := Result{Plan: plan, Terms: l.terms, Requests: len(l.requests), Releases: l.releases, LateRuns: l.lateRuns, Turned: l.turned, WentOn: l.wentOn, Breaks: breaks, Latest: l.latest, Starved: l.latest > mostLate}
 	for _, q := range l.requests {
 		switch {
 		case q.end == streamed:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,6 +57,13 @@
 			late.toldMS = 0
 			q.effect, q.arrived = Keyed, append(q.arrived, late)
 		}, "duplicate"},
+		{"a key run again behind its window, begun once its worker ran again", func(_ *Ledger, q *request) {
+			lateRun(q)
+		}, ""},
+		{"the same, judged strictly", func(l *Ledger, q *request) {
+			l.strict = true
+			lateRun(q)
+		}, "duplicate"},
 		{"refused once run", func(_ *Ledger, q *request) { q.end, q.status = answered, 503 }, "refusal"},
 		{"refused once turned away", func(_ *Ledger, q *request) {
 			q.end, q.status, q.arrived[1].ran, q.arrived[1].neverRan = answered, 503, false, true
@@ -211,3 +218,11 @@
 		t.Errorf("a place at %q that no read is known for, held since %v", q.placeAt, q.heldAt)
 	}
 }
+
+// lateRun has a keyed request run again, in an attempt that waited in the socket of a worker that hung for longer than the window.
+func lateRun(q *request) {
+	late := q.arrived[len(q.arrived)-1]
+	late.at += NewTerms(0).KeyWindow + time.Second
+	late.toldMS, late.lateBegun = 0, true
+	q.effect, q.arrived = Keyed, append(q.arrived, late)
+}
