The stand-in platform sees a second copy of a request that may not run twice

Change: a worker of the stand-in that begins an attempt of an unsafe request while an earlier one's connection is open, or its close not noticed yet, is a broken rule in every test of the platform; a test has a reader hang, and its close noticed 20 ms late.

Measured: TestNoSecondCopyBeforeTheCloseIsNoticed passes.

--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gannethook/internal/platform/standin"
 )
@@ -133,3 +134,36 @@
 		w.Join()
 	}
 }
+
+// Guards against a second copy of a request that may not run twice: its reader hangs, the read is called off, and the worker that gets it next
+// begins it before the first can have noticed.
+func TestNoSecondCopyBeforeTheCloseIsNoticed(t *testing.T) {
+	for _, notice := range []time.Duration{0, 20 * ms} {
+		t.Run(fmt.Sprint("noticed after ", notice), func(t *testing.T) {
+			var once sync.Once
+			id := standin.Unsafe + "1"
+			hangs := func(_ int, of string) (s standin.Script) {
+				if of == id {
+					once.Do(func() { s.Hangs = true })
+				}
+				return s
+			}
+			var readers [2]*standin.Worker
+			s := open(t, func(f *standin.Fleet) {
+				f.DelayClose(notice)
+				readers[0], readers[1] = f.Add(standin.Prompt, hangs), f.Add(standin.Prompt, hangs)
+				f.Add(standin.Answer, nil)
+			})
+			s.warm(20)
+			s.wantServed(s.ask(id, "adjustment", 8000), id)
+			for _, w := range readers {
+				if requests, _, _ := w.Count(); requests == 0 {
+					t.Errorf("%s was not asked", w.UID)
+				}
+				if w.Frozen() {
+					w.Thaw()
+				}
+			}
+		})
+	}
+}
--- a/internal/platform/standin/fleet.go
+++ b/internal/platform/standin/fleet.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -76,7 +77,8 @@
 	closed  chan struct{}
 	late    atomic.Int64 // ns by which this process ran late
 
-	closeDelay time.Duration   // after which a worker notices that a connection was closed
+	closeDelay time.Duration // after which a worker notices that a connection was closed
+	copies     map[string][]*openCopy
 	voided     map[string]bool // reads that are out, and beside which all was let go: they leave no state
 	denies     bool            // a place whose read is not known is not held, where it would be by default
 }
@@ -109,7 +111,7 @@
 // New starts a platform without workers.
 func New() *Fleet {
 	f := &Fleet{changed: make(chan struct{}), rev: 1, states: map[string]string{}, places: map[string]string{},
-		out: map[string]int{}, reads: map[string]int{}, begun: map[string][]*Worker{}, waiting: map[string]int{}, idle: map[string]idleFrom{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{}), voided: map[string]bool{}}
+		out: map[string]int{}, reads: map[string]int{}, begun: map[string][]*Worker{}, waiting: map[string]int{}, idle: map[string]idleFrom{}, ran: map[string]int{}, bodies: map[string]string{}, closed: make(chan struct{}), copies: map[string][]*openCopy{}, voided: map[string]bool{}}
 	f.agent = httptest.NewServer(http.HandlerFunc(f.discover))
 	go f.measureLateness()
 	return f
@@ -377,6 +379,40 @@
 	}
 }
 
+// openCopy is an attempt of a request that may not run twice, until its worker has noticed its end.
+type openCopy struct {
+	worker   *Worker
+	closedAt time.Time // when the router closed its connection; zero: it has not
+}
+
+// copy notes an attempt that has begun of a request that may not run twice. An earlier one is in flight until its worker has noticed
+// its close. It returns what notes the attempt's end.
+func (f *Fleet) copy(w *Worker, id string, req *http.Request) (over func()) {
+	if !unsafe(id) || req.Context().Err() != nil {
+		return func() {}
+	}
+	c := &openCopy{worker: w}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, earlier := range f.copies[id] {
+		if earlier.closedAt.IsZero() || time.Since(earlier.closedAt) < f.closeDelay {
+			f.breaks = append(f.breaks, fmt.Sprintf("%s began at %s while an attempt at %s was in flight", id, w.UID, earlier.worker.UID))
+		}
+	}
+	f.copies[id] = append(f.copies[id], c)
+	stop := context.AfterFunc(req.Context(), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		c.closedAt = time.Now()
+	})
+	return func() {
+		stop()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.copies[id] = slices.DeleteFunc(f.copies[id], func(o *openCopy) bool { return o == c })
+	}
+}
+
 // DelayClose has workers notice a closed connection only after a time, as where another connection's
 // bytes overtake the close.
 func (f *Fleet) DelayClose(by time.Duration) {
--- a/internal/platform/standin/worker.go
+++ b/internal/platform/standin/worker.go
@@ -24,6 +24,7 @@
 	f := w.f
 	wasFrozen := w.awaitThaw()
 	f.begin(w, id, req.URL.String()+string(body), w.Kind == Prompt)
+	defer f.copy(w, id, req)()
 	defer f.end(id, w.Kind == Prompt)
 	defer f.noticeClose(req)
 	defer w.awaitThaw()
@@ -234,6 +235,13 @@
 	w.frozen = make(chan struct{})
 }
 
+// Frozen tells whether a worker is stopped.
+func (w *Worker) Frozen() bool {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	return w.frozen != nil
+}
+
 // Thaw has a frozen worker run again: what waits in its sockets is begun.
 func (w *Worker) Thaw() { w.resume(false) }
 
