--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -1,101 +1,10 @@
 package heldstate
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 )
 
-// kind is what a holding is.
-type kind uint8
-
-const (
-	readState   kind = iota // the state that a read leaves
-	place                   // a place that was asked for
-	queuedWrite             // nothing by itself: while it waits in its server's queue, releases spare what it waits for
-)
-
-// holding is one thing that a server may hold.
-type holding struct {
-	server  string
-	kind    kind
-	pending bool      // its call is in flight
-	asked   time.Time // of a place: when
-	settled time.Time // a release that is sent from then on finds it
-	sole    bool      // of a read in flight: what is held waits for it, or nothing is held but what it may have left
-
-	left    time.Duration // of an attempt that has not ended for certain: for which its server was told that the answer is waited for
-	until   time.Time     // the same as a time, where its server begins it at once
-	begun   time.Time     // by when its server has begun it, if it has arrived; zero: not known
-	closed  time.Time     // since when its server may not have noticed that the connection was closed; zero: it has, or was not
-	noticed time.Time     // when its server has noticed it, unless the close was lost; zero: the server was not heard since
-	ends    time.Time     // when the time is up that its server was told, which ends it also where the close was lost; zero: the same
-	gone    time.Time     // when all is over, also where its server goes on for longer than it was told; zero: the same
-}
-
-// settle notes that whatever is held is held by a time.
-func (h *holding) settle(at time.Time) {
-	h.pending, h.settled = false, at
-	h.left, h.until, h.begun, h.closed, h.noticed = 0, time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	h.ends, h.gone = time.Time{}, time.Time{}
-}
-
-// unreached tells whether it was held for certain, and a release that another server took may not have reached its server.
-func (h *holding) unreached() bool { return !h.closed.IsZero() && !h.settled.IsZero() }
-
-// goesOn tells whether its server may not have ended it by a time, although its connection was closed.
-func (h *holding) goesOn(at time.Time) bool {
-	return !h.closed.IsZero() && (h.ends.IsZero() || h.ends.After(at))
-}
-
-// unheard tells whether its server was not heard since its connection was closed.
-func (h *holding) unheard() bool { return !h.closed.IsZero() && h.ends.IsZero() }
-
-// halfOpen tells whether its server runs and may not have noticed the close all the same: the connection alone may have fallen
-// silent.
-func (h *holding) halfOpen() bool { return !h.ends.IsZero() }
-
-// heard notes that its server runs, which was heard at a time, and when it has noticed the close unless that was lost. An answer
-// on one connection proves nothing of another. So an attempt may go on until its own time is up, as the server was told how long
-// it is waited for; and where a server doesn't end it then, for as long as a connection may stay silent.
-func (h *holding) heard(at, noticed time.Time, grace time.Duration) {
-	if h.unreached() { // there is no close that it had to notice
-		h.settle(h.settled)
-		return
-	}
-	h.noticed = noticed
-	h.ends = later(noticed, h.endsAfter(at).Add(grace))
-	h.gone = h.ends
-	if h.left > 0 {
-		h.gone = later(h.gone, h.closed.Add(maxSilence))
-	}
-}
-
-// endsAfter is when the time is up that its server was told, once that has answered a call sent behind the close.
-func (h *holding) endsAfter(answered time.Time) time.Time {
-	if h.left == 0 {
-		return answered
-	}
-	from := answered
-	if !h.begun.IsZero() {
-		from = h.begun
-	}
-	return later(answered, from.Add(h.left+toldSlack))
-}
-
-// held tells whether something may be held. An attempt in flight by itself holds nothing that the router could let go: its
-// server has not answered, and its time is not up.
-func (h *holding) held() bool { return !h.pending || h.kind == place }
-
-// goesWithStream tells whether it is gone with the first event of an answer: not what comes later, from a call that is in
-// flight, a server that may not have noticed a close, or one that was heard a moment ago.
-func (h *holding) goesWithStream(now time.Time) bool {
-	if h.kind == queuedWrite {
-		return h.closed.IsZero() // it has passed its queue, or ended
-	}
-	return !h.pending && h.closed.IsZero() && !h.settled.After(now)
-}
-
 // leavesWithStream takes out what is gone with the first event of an answer. A write that may still wait in a queue is kept only
 // for what it may have releases spare.
 func (e *entry) leavesWithStream(now time.Time) {
@@ -186,11 +95,7 @@
 	return beside
 }
 
-// inDoubt tells whether some server may not have noticed a close, and doubts whether one was not heard since.
-func (e *entry) inDoubt() bool {
-	return slices.ContainsFunc(e.holdings, func(h holding) bool { return !h.closed.IsZero() })
-}
-
+// doubts tells whether a server may not have noticed a close, and was not heard since.
 func (e *entry) doubts(server string) bool {
 	return slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unheard() && h.server == server })
 }
@@ -392,18 +297,19 @@
 	})
 }
 
-// let takes out what a release has let go of that was answered by a server, and sent while no attempt was in flight. A write that
-// may still wait in a queue has it spare all that it waits for, a read that may go on a place.
-func (e *entry) let(server string, sent time.Time) {
-	e.letWhere(sent, func(h holding) bool { return e.terms.Shared || h.server == server })
+// releasedBy removes what a release has found that a server answered, and that was sent while no attempt was in flight.
+func (e *entry) releasedBy(server string, sent time.Time) {
+	e.removeReleased(sent, func(h holding) bool { return e.terms.Shared || h.server == server })
 }
 
-// letAt takes out what a server itself has let go of.
-func (e *entry) letAt(server string, sent time.Time) {
-	e.letWhere(sent, func(h holding) bool { return h.server == server })
+// releasedAt removes what a release has found at the server that answered it.
+func (e *entry) releasedAt(server string, sent time.Time) {
+	e.removeReleased(sent, func(h holding) bool { return h.server == server })
 }
 
-func (e *entry) letWhere(sent time.Time, reached func(holding) bool) {
+// removeReleased removes what a release has found: not what a write that may still wait in a queue had it spare, which is all, or a read that
+// may go on, which is a place.
+func (e *entry) removeReleased(sent time.Time, reached func(holding) bool) {
 	reads, writes := e.mayGoOn(readState), e.mayGoOn(queuedWrite)
 	e.holdings = slices.DeleteFunc(e.holdings, func(h holding) bool {
 		spared := writes || reads && h.kind == place
@@ -420,54 +326,3 @@
 func (e *entry) part(part float64) time.Duration {
 	return time.Duration(part * float64(e.terms.pin()))
 }
-
-// agenda is the entries that have something to do at a time, the next one first.
-type agenda []*entry
-
-// notQueued is the position of an entry that is not in the agenda.
-const notQueued = -1
-
-// set sets when an entry has something to do; zero: it is not in the agenda.
-func (a *agenda) set(e *entry, at time.Time) {
-	e.lookAt = at
-	switch {
-	case at.IsZero() && e.position != notQueued:
-		heap.Remove(a, e.position)
-	case at.IsZero():
-	case e.position == notQueued:
-		heap.Push(a, e)
-	default:
-		heap.Fix(a, e.position)
-	}
-}
-
-func (a agenda) Len() int { return len(a) }
-
-func (a agenda) Less(i, j int) bool {
-	if !a[i].lookAt.Equal(a[j].lookAt) {
-		return a[i].lookAt.Before(a[j].lookAt)
-	}
-	return a[i].wantedAt.Before(a[j].wantedAt) // whatever has waited for longer
-}
-
-func (a agenda) Swap(i, j int) {
-	a[i], a[j] = a[j], a[i]
-	a[i].position, a[j].position = i, j
-}
-
-// Push and Pop are for container/heap.
-func (a *agenda) Push(x any) {
-	e := x.(*entry)
-	e.position = len(*a)
-	*a = append(*a, e)
-}
-
-// Pop takes out the last entry.
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*a = old[:len(old)-1]
-	last.position = notQueued
-	return last
-}
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -109,7 +109,7 @@
 	l.probes--
 	server, answered := c.Servers[0], r.Taken
 	if e := l.entries[c.Key]; e != nil && answered && c.Beside == Alone && !e.inFlight() {
-		e.letAt(server, r.Sent)
+		e.releasedAt(server, r.Sent)
 		l.schedule(e, now)
 	}
 	u := l.unheard[server]
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -126,7 +126,7 @@
 	e.missed = slices.ContainsFunc(e.holdings, func(h holding) bool { return h.unreached() })
 	switch {
 	case c.Beside == Alone:
-		e.let(r.Server, r.Sent)
+		e.releasedBy(r.Server, r.Sent)
 	case c.Beside == BesideRead && e.terms.Shared && e.settledBy(r.Sent):
 		e.setSole(true)
 	}
--- a/internal/platform/workers/redial.go
+++ b/internal/platform/workers/redial.go
@@ -38,3 +38,20 @@
 		r.pause = 0
 	}
 }
+
+// mayDial tells whether a release may be tried at a worker with a new connection, and counts as that try.
+func (c *Client) mayDial(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.byID[id]
+	return w == nil || w.redial.claim(time.Now())
+}
+
+// turnedAway notes that a worker ended a new connection before it answered anything on it.
+func (c *Client) turnedAway(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.byID[id]; w != nil {
+		w.redial.turnedAway(time.Now())
+	}
+}
