Dormant holdings are woken only by a call that was sent behind their close

What callers would see: states that stay held at a server that hung or was cut off behind a long outage. Found by rereading. Fix: a dormant holding is opened again as an entry in doubt and resolved as any other; the rule of what an exchange proves stands once, for both.

--- a/internal/heldstate/dormant.go
+++ b/internal/heldstate/dormant.go
@@ -34,8 +34,10 @@
 		l.epoch = now
 	}
 	for _, h := range e.holdings {
-		l.restAt(l.unheard[h.server], dormant{key: e.key, closed: h.closed.Sub(l.epoch), left: h.left, pin: e.terms.Pin,
+		u := l.unheard[h.server]
+		u.dormant = append(u.dormant, dormant{key: e.key, closed: h.closed.Sub(l.epoch), left: h.left, pin: e.terms.Pin,
 			kind: h.kind, settled: h.unreached(), spared: e.terms.Spared})
+		l.dormant++
 	}
 	l.drop(e)
 	for l.dormant > maxDormant {
@@ -43,38 +45,44 @@
 	}
 }
 
-func (l *Ledger) restAt(u *unheard, d dormant) {
-	u.dormant = append(u.dormant, d)
-	l.dormant++
-}
-
-// wake has the dormant holdings of a server become entries again, the first first, as far as there is room.
+// wake has the dormant holdings of a server become entries again, the first first, as far as there is room, and as what was
+// heard of the server is of them.
 func (l *Ledger) wake(server string, now time.Time) {
 	u := l.unheard[server]
 	for len(u.dormant) > 0 && len(l.owed) < maxOwed {
 		d := u.dormant[0]
+		if !u.woken.provesRun(l.epoch.Add(d.closed), d.terms().grace()) {
+			u.woken = exchange{}
+			return
+		}
 		u.dormant = u.dormant[1:]
 		l.dormant--
-		l.reopen(server, d, u.wokenAt, now)
+		l.reopen(server, d, u.woken, now)
 	}
 	if len(u.dormant) == 0 {
-		u.dormant, u.wokenAt = nil, time.Time{}
+		u.dormant, u.woken = nil, exchange{}
 		l.forgetIfNoneWaits(server, u)
 	}
 }
 
-// reopen makes a dormant holding one of an entry, whose server was heard at a time.
-func (l *Ledger) reopen(server string, d dormant, heard, now time.Time) {
-	e := l.open(d.key, Terms{Request: d.key, Shared: true, Spared: d.spared, Pin: d.pin})
-	h := holding{server: server, kind: d.kind, left: d.left, closed: l.epoch.Add(d.closed)}
-	e.over = true
-	e.want(h.closed)
+// terms are those of the entry that a dormant holding was of.
+func (d *dormant) terms() Terms {
+	return Terms{Request: d.key, Shared: true, Spared: d.spared, Pin: d.pin}
+}
+
+// reopen makes a dormant holding one of an entry, whose server was heard.
+func (l *Ledger) reopen(server string, d dormant, heard exchange, now time.Time) {
+	e := l.open(d.key, d.terms())
+	h := holding{server: server, kind: d.kind, left: d.left}
+	closed := l.epoch.Add(d.closed)
 	if d.settled {
-		h.settled = h.closed.Add(e.grace())
+		h.settled = closed.Add(e.grace())
 	}
-	h.heard(heard, heard.Add(e.grace()), e.grace())
+	e.over = true
+	e.want(closed)
 	e.holdings = append(e.holdings, h)
-	l.schedule(e, now)
+	l.doubt(e, len(e.holdings)-1, closed)
+	l.resolve(e, server, now, heard.of(e))
 }
 
 // woken is when dormant holdings may become entries again, if there is room; zero: when something else has come.
@@ -83,7 +91,7 @@
 		return at
 	}
 	for _, u := range l.unheard {
-		at = sooner(at, u.wokenAt)
+		at = sooner(at, u.woken.answered)
 	}
 	return at
 }
@@ -94,7 +102,7 @@
 		return
 	}
 	for _, server := range l.Unheard() {
-		if !l.unheard[server].wokenAt.IsZero() {
+		if !l.unheard[server].woken.answered.IsZero() {
 			l.wake(server, now)
 		}
 	}
--- a/internal/heldstate/dormant_test.go
+++ b/internal/heldstate/dormant_test.go
@@ -103,3 +103,30 @@
 	}
 	c.proven()
 }
+
+// Guards against waking dormant holdings by an answer that proves nothing of them: the call was sent before they were closed.
+func TestDormantHoldingsAreNotWokenByAnEarlierCall(t *testing.T) {
+	c := newClock(t)
+	sent := c.now
+	c.pass(ms)
+	terms := shared
+	terms.Pin = 50 * ms
+	const requests = 10
+	c.outage(requests, terms)
+	for end := c.now.Add(10 * time.Second); c.l.dormant < requests; c.pass(ms) {
+		c.answer(false, func(string) {})
+		if c.now.After(end) {
+			t.Fatalf("%d of %d are dormant", c.l.dormant, requests)
+		}
+	}
+	c.l.Heard("silent", sent, c.now, c.now)
+	c.answer(false, func(string) {})
+	if next := c.l.Next(); c.l.dormant != requests || !next.After(c.now) {
+		t.Errorf("%d of %d are dormant, looked at again in %v", c.l.dormant, requests, next.Sub(c.now))
+	}
+	c.l.Heard("silent", c.now, c.now, c.now)
+	c.answer(true, func(string) {})
+	if c.l.dormant != 0 {
+		t.Errorf("%d are dormant behind a later call", c.l.dormant)
+	}
+}
--- a/internal/heldstate/entry.go
+++ b/internal/heldstate/entry.go
@@ -59,7 +59,7 @@
 }
 
 // grace is for how long a server may take to notice a close; a short pin limit leaves less room to allow for it.
-func (e *entry) grace() time.Duration { return min(NoticeGrace, e.terms.pin()/4) }
+func (e *entry) grace() time.Duration { return e.terms.grace() }
 
 // pending is the holding of a kind at a server whose call is in flight; -1: there is none.
 func (e *entry) pending(server string, kind kind) int {
--- a/internal/heldstate/ledger.go
+++ b/internal/heldstate/ledger.go
@@ -114,6 +114,9 @@
 	return defaultPin
 }
 
+// grace is for how long a server may take to notice a close; a short pin limit leaves less room to allow for it.
+func (t Terms) grace() time.Duration { return min(NoticeGrace, t.pin()/4) }
+
 // End tells how an attempt ended.
 type End uint8
 
--- a/internal/heldstate/probe.go
+++ b/internal/heldstate/probe.go
@@ -10,12 +10,30 @@
 type unheard struct {
 	entries []*entry
 	dormant []dormant // the oldest first
-	wokenAt time.Time // when it was heard, of dormant holdings that have had no room since; zero: it was not
+	woken   exchange  // by which it was heard, of dormant holdings that have had no room since; zero: it was not
 	probing bool
 	retry   time.Duration
 	next    time.Time // of the next probe
 }
 
+// exchange is a call that a server has answered.
+type exchange struct{ sent, answered time.Time }
+
+// provesRun tells whether the server has run since a connection was closed, which it notices within a grace.
+func (x exchange) provesRun(closed time.Time, grace time.Duration) bool {
+	return !x.sent.Before(closed.Add(grace))
+}
+
+// of is when the exchange proves of an entry's holdings that their server has run; zero: it does not.
+func (x exchange) of(e *entry) func(*holding) time.Time {
+	return func(h *holding) time.Time {
+		if !x.provesRun(h.closed, e.grace()) {
+			return time.Time{}
+		}
+		return x.answered
+	}
+}
+
 // Unheard is which servers entries wait to hear, in order.
 func (l *Ledger) Unheard() []string { return slices.Sorted(maps.Keys(l.unheard)) }
 
--- a/internal/heldstate/release.go
+++ b/internal/heldstate/release.go
@@ -168,16 +168,12 @@
 	if u == nil {
 		return
 	}
+	heard := exchange{sent, answered}
 	for _, e := range slices.Clone(u.entries) {
-		l.resolve(e, server, now, func(h *holding) time.Time {
-			if sent.Before(h.closed.Add(e.grace())) {
-				return time.Time{}
-			}
-			return answered
-		})
+		l.resolve(e, server, now, heard.of(e))
 	}
 	if len(u.dormant) > 0 {
-		u.wokenAt = answered
+		u.woken = heard
 	}
 }
 
@@ -194,7 +190,7 @@
 			for i := range u.dormant {
 				u.dormant[i].left = 0
 			}
-			u.wokenAt = now
+			u.woken = exchange{now.Add(NoticeGrace), now}
 		}
 	}
 	for _, e := range slices.Clone(l.owed) {
