Tests and the soak's judge say once what they said twice

Found by rereading: an edit of one test had put an unused watcher into another (TestReleaseBehindLateCloseWithAReadOut, as it was again); the judge had the rule of a key's window twice; two tests of the ledger made requests line by line. No check changed.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -873,9 +873,7 @@
 	f.read, f.lateState, f.holdOK = 10*ms, 60*ms, false
 	f.readEnds = attempt.Result{Outcome: gannethook.Broken}
 	synctest.Test(t, func(t *testing.T) {
-		var told []Repeat
 		d, err := New(Config{Settings: testSettings(), Inbox: 10, MaxOpen: 10, Engines: f,
-			Repeated: func(r Repeat) { told = append(told, r) },
 			Decider: decide(func(ev gannethook.Event) (acts []gannethook.Action) {
 				switch ev := ev.(type) {
 				case gannethook.Request:
--- a/internal/heldstate/dormant_test.go
+++ b/internal/heldstate/dormant_test.go
@@ -18,10 +18,7 @@
 // outage has a server fall silent under so many requests, one each millisecond, while another takes the releases.
 func (c *clock) outage(requests int, terms Terms) {
 	for i := range requests {
-		key := fmt.Sprintf("k%05d", i)
-		c.l.Began(key, terms, "silent", true, c.now)
-		c.l.ReadEnded(key, "silent", Closed, c.now)
-		c.l.Over(key, c.now)
+		c.owe(fmt.Sprintf("k%05d", i), terms, "silent", Closed)
 		c.pass(ms)
 		c.answer(false, func(string) {})
 	}
--- a/internal/heldstate/ledger_test.go
+++ b/internal/heldstate/ledger_test.go
@@ -35,6 +35,13 @@
 	return calls
 }
 
+// owe has a request over whose read has ended at a server.
+func (c *clock) owe(key string, terms Terms, server string, end End) {
+	c.l.Began(key, terms, server, true, c.now)
+	c.l.ReadEnded(key, server, end, c.now)
+	c.l.Over(key, c.now)
+}
+
 // await moves the time on until a release is due.
 func (c *clock) await() Call {
 	c.t.Helper()
@@ -872,10 +879,7 @@
 	c := newClock(t)
 	const requests = maxReleases + 40
 	for i := range requests {
-		key := fmt.Sprintf("k%03d", i)
-		c.l.Began(key, shared, "reader", true, c.now)
-		c.l.ReadEnded(key, "reader", Answered, c.now)
-		c.l.Over(key, c.now)
+		c.owe(fmt.Sprintf("k%03d", i), shared, "reader", Answered)
 		c.pass(ms)
 	}
 	calls := c.due(maxReleases)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -134,7 +134,7 @@
 			runs = append(runs, a)
 		}
 	}
-	if len(late) > 0 && len(runs)+len(late) > 1 && l.outsideWindow(append(runs[:len(runs):len(runs)], late...)) {
+	if len(late) > 0 && l.outsideWindow(slices.Concat(runs, late)) {
 		l.lateRuns++
 		if l.strict {
 			l.say(q, "duplicate", "it ran again behind its window, in an attempt that waited in the socket of a worker that hung")
@@ -143,7 +143,7 @@
 	if q.effect == Unsafe && len(runs) > 1 {
 		l.say(q, "duplicate", "it ran %d times", len(runs))
 	}
-	if q.effect == Keyed && len(runs) > 1 && runs[len(runs)-1].at-runs[0].at > l.terms.KeyWindow+toldSlack+l.slack() {
+	if q.effect == Keyed && l.outsideWindow(runs) {
 		l.say(q, "duplicate", "it ran again %v after the first time", runs[len(runs)-1].at-runs[0].at)
 	}
 	refused := q.end == answered && (q.status == 429 || q.status == 503)
@@ -162,9 +162,11 @@
 
 // outsideWindow tells whether an attempt began so late behind another that the workers may have forgotten its key.
 func (l *Ledger) outsideWindow(runs []arrival) bool {
-	first := slices.MinFunc(runs, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-	last := slices.MaxFunc(runs, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-	return last.at-first.at > l.terms.KeyWindow+toldSlack+l.slack()
+	if len(runs) < 2 {
+		return false
+	}
+	byTime := func(a, b arrival) int { return cmp.Compare(a.at, b.at) }
+	return slices.MaxFunc(runs, byTime).at-slices.MinFunc(runs, byTime).at > l.terms.KeyWindow+toldSlack+l.slack()
 }
 
 // judgeDrain judges by the rule: no attempt to a server that the router was told to send nothing. It
