The soak answers 500 and more spoilt answers, clients retry at once; one wall clock

Change: half-way spoilt answers of the soak are, by the request's id, an unreadable chunk, one of 3 GB, noise, half a head, or 500 for what has run; clients that are refused try again at once under flood; a test holds that the platform's packages read the wall clock in one place.

TestTheWallClockIsReadOnce passes.

--- /dev/null
+++ b/internal/platform/wallclock_test.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// wallClock matches what reads the wall clock, or strips a time of its monotonic reading.
+var wallClock = regexp.MustCompile(`\.Unix(Milli|Micro|Nano)?\(|\.Round\(0\)|WallClock\(|\.UTC\(|\.Local\(`)
+
+// Guards against a second reading of the wall clock, which may be stepped at any time: spans are of the monotonic clock. It is read once,
+// at the driver's start, and runs on from there by the monotonic one.
+func TestTheWallClockIsReadOnce(t *testing.T) {
+	var found []string
+	for _, dir := range []string{".", "../driver", "../heldstate", "../holdwatch", "../connpool", "../connreuse", "../streamdrain", "../attempt", "../guard",
+		"../http1", "../profile"} {
+		err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for line := range strings.Lines(string(text)) {
+				if wallClock.MatchString(line) {
+					found = append(found, filepath.Base(path)+": "+strings.TrimSpace(line))
+				}
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := []string{
+		"server.go: var expired = time.Unix(1, 0)", // a deadline that has passed, whatever the clock
+		"driver.go: wall := faults.WallClock()",
+		"driver.go: start: now, startMS: float64(wall.UnixMicro()) / 1000,",
+		`driver.go: boot: cfg.Name + "-" + strconv.FormatInt(wall.UnixNano(), 36), set: &cfg.Settings, names: cfg.Names,`,
+	}
+	if !slices.Equal(found, want) {
+		t.Errorf("the wall clock is read in\n%s", strings.Join(found, "\n"))
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -75,6 +75,9 @@
 		if !c.ask(ctx, nc, br, q, class.name, rnd) {
 			drop()
 		}
+		if c.refused(q) && c.active(Flood, rnd) { // it tries again at once, with a new id
+			continue
+		}
 		rest := leastRest + time.Duration(rnd.Int64N(int64(mostRest-leastRest)))
 		if rnd.IntN(40) == 0 {
 			rest = longRest
@@ -83,6 +86,13 @@
 	}
 }
 
+// refused tells whether a request was refused.
+func (c *crowd) refused(q *request) bool {
+	c.ledger.mu.Lock()
+	defer c.ledger.mu.Unlock()
+	return q.end == answered && (q.status == 429 || q.status == 503)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -315,7 +316,7 @@
 		return nothing
 	}
 	if w.spoils.Load() && w.pause(0, 2) == 0 {
-		spoil(rw)
+		spoil(rw, id)
 		return nothing
 	}
 	w.ledger.first(id)
@@ -332,14 +333,28 @@
 	return func(a *arrival) { a.wroteLast = true }
 }
 
-// spoil writes what can't be read and leaves the connection open for a while.
-func spoil(rw http.ResponseWriter) {
+// spoilt are answers that can't be read, in place of a stream.
+var spoilt = []string{
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\x00\x01",
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nc0000000\r\n" + strings.Repeat("x", 4096),
+	"\x01\x02\x03\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Half: ",
+}
+
+// spoil answers an attempt that has run with an error, or with what can't be read, by the request, and leaves the connection open for a
+// while.
+func spoil(rw http.ResponseWriter, id string) {
+	kind := int(crc32.ChecksumIEEE([]byte(id))) % (len(spoilt) + 1)
+	if kind == len(spoilt) {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	nc, _, err := rw.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer nc.Close()
-	io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\x00\x01")
+	io.WriteString(nc, spoilt[kind])
 	nc.SetReadDeadline(time.Now().Add(2 * time.Second))
 	io.Copy(io.Discard, nc)
 }
