Review case 2: a discovery that answers 0.7 s late is never heard

Change: review/2 shows that calls to discovery are given up 0.5 s after they were due, again and again, so that a drain is not learned for as long as discovery is slow. Nothing else changes.

--- /dev/null
+++ b/review/2/main.go
@@ -0,0 +1,58 @@
+// Case: discovery answers each call 0.7 s late for a while; a worker begins to drain in that time.
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"gannethook/review/stand"
+)
+
+const (
+	slowBy   = 700 * time.Millisecond
+	slowFrom = 4 * time.Second
+	drainAt  = 8 * time.Second
+	until    = 24 * time.Second // discovery is slow until then
+
+	told  = 6 * time.Second         // a change counts as told at the latest so long after discovery had it
+	grace = 2050 * time.Millisecond // drain_grace_ms, and 50 ms on sockets
+	late  = 500 * time.Millisecond  // for the lateness of this machine
+)
+
+func main() {
+	c := stand.Start()
+	w := c.NewWorkers(5, 6, "prompt", "answer-a", []string{"dallas-north", "dallas-south"})
+	a := c.NewAgent("agent", 41, w.Targets)
+	r := c.NewRouter("n0", a, stand.TipPool)
+	const drained = "s-w0"
+	limit := drainAt + told + grace + late
+	before, after := 0, 0
+	w.OnCall(func(call stand.Arrival) {
+		switch {
+		case call.Worker != drained || call.Method == "release":
+		case call.At < drainAt:
+			before++
+		case call.At > limit:
+			after++
+			c.Break("%s of %s arrived at %s, %.2f s after discovery had its drain", call.Method, call.ID, call.Worker, (call.At - drainAt).Seconds())
+		}
+	})
+	wait := c.Traffic(until, 50*time.Millisecond, func(n int) {
+		id := fmt.Sprintf("%016x", 0x51000000+n)
+		answer := c.Exchange(r.Listen, id, stand.Request(id, "payout-question", fmt.Sprint("session-", n), 6000, 1200))
+		c.Note("client: %s: status %d, error %v", id, answer.Status, answer.Err)
+	})
+	c.Sleep(slowFrom)
+	if c.Trouble {
+		c.Note("discovery answers %v late from now on", slowBy)
+		a.SetDelay(slowBy)
+	}
+	c.Sleep(drainAt)
+	a.Learn(42, drained, "DRAINING")
+	wait()
+	if before == 0 {
+		c.Fail("%s got no work before its drain", drained)
+	}
+	c.Note("%s got %d calls before its drain, %d after the limit at %.2f s", drained, before, after, limit.Seconds())
+	c.Finish()
+}
