--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -515,3 +515,13 @@
 
 // Pid returns the id of the router's process.
 func (r *Router) Pid() int { return r.cmd.Process.Pid }
+
+// Worked reports whether an attempt of a request has reached a worker.
+func (c *Case) Worked(w *Workers, id string) bool {
+	for _, a := range w.Arrivals() {
+		if a.ID == id && a.Method != "release" {
+			return true
+		}
+	}
+	return false
+}
