--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -276,12 +276,13 @@
 	states  map[string]bool
 	arrived []Arrival
 	onCall  func(Arrival)
+	servers map[string]*http.Server // by uid
 	Targets []Target
 }
 
 // NewWorkers starts so many readers and writers, with kinds named as the site has them.
 func (c *Case) NewWorkers(readers, writers int, readModel, writeModel string, zones []string) *Workers {
-	w := &Workers{c: c, ReadTime: 60 * time.Millisecond, FirstToken: 30 * time.Millisecond, Events: 4, EventGap: 20 * time.Millisecond, states: map[string]bool{}}
+	w := &Workers{c: c, ReadTime: 60 * time.Millisecond, FirstToken: 30 * time.Millisecond, Events: 4, EventGap: 20 * time.Millisecond, states: map[string]bool{}, servers: map[string]*http.Server{}}
 	for i := range readers + writers {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -294,8 +295,10 @@
 		zone := i % len(zones)
 		w.Targets = append(w.Targets, Target{UID: uid, Endpoint: ln.Addr().String(), Zone: zones[zone], Model: model, Cell: zone, State: "SERVING", Capacity: 1})
 		reads := i < readers
-		go http.Serve(ln, http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, uid, reads) }))
-		c.AtEnd(func() { ln.Close() })
+		server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { w.serve(rw, req, uid, reads) })}
+		w.servers[uid] = server
+		go server.Serve(ln)
+		c.AtEnd(func() { server.Close() })
 	}
 	return w
 }
@@ -307,6 +310,12 @@
 	w.onCall = f
 }
 
+// End ends a worker, as the end of its process does: its connections break and new ones are refused.
+func (w *Workers) End(uid string) {
+	w.c.Note("%s ends", uid)
+	w.servers[uid].Close()
+}
+
 // Arrivals returns the calls that have arrived so far.
 func (w *Workers) Arrivals() []Arrival {
 	w.mu.Lock()
