The time of a pipelined request runs from its arrival, not from its turn

Cause: clientConn.serveOne took the current time as a request's start when its turn came, although readAhead had read its bytes long before, and the driver counted the whole X-Timeout-Ms from there. Evidence: the same with requests sent one by one and with ones cut inside head or body, for unsafe classes too.

The module refuses a request without time for an attempt and its final answer, and sends nothing. The cap of the time at a stop counts from the same moment. Job.QueuedFor becomes ArrivedAt; the check of it in TestQueueing is as strict as before (200 ms, from the same instants).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -154,7 +154,7 @@
 // submit submits an admitted request to the driver; if the driver rejects it, the request is refused.
 func (t *Ticket) submit() bool {
 	job := t.job.Job
-	job.QueuedFor = time.Since(t.arrived)
+	job.ArrivedAt = t.arrived
 	call, err := t.controller.submitter.Submit(job, t)
 	t.controller.mu.Lock()
 	t.call = call
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -19,6 +19,7 @@
 	inFlight    int
 	peak        int
 	jobs        []driver.Job
+	submittedAt []time.Time // of jobs
 	wg          sync.WaitGroup
 }
 
@@ -28,7 +29,7 @@
 	if d.full {
 		return nil, driver.ErrBusy
 	}
-	d.jobs = append(d.jobs, job)
+	d.jobs, d.submittedAt = append(d.jobs, job), append(d.submittedAt, time.Now())
 	d.inFlight++
 	d.peak = max(d.peak, d.inFlight)
 	d.wg.Go(func() {
@@ -127,8 +128,8 @@
 	if m := outcomes(t, sinks); m[driver.Served] != 10 || d.peak > 2 {
 		t.Errorf("%v, at most %d in flight", m, d.peak)
 	}
-	if last := d.jobs[9]; last.QueuedFor != 200*time.Millisecond {
-		t.Errorf("the last job was queued for %v", last.QueuedFor)
+	if queued := d.submittedAt[9].Sub(d.jobs[9].ArrivedAt); queued != 200*time.Millisecond {
+		t.Errorf("the last job was queued for %v", queued)
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -201,7 +201,10 @@
 		d.open.Add(-1)
 		return nil, ErrBusy
 	}
-	c := &Call{d: d, job: job, sink: sink, arrivedAt: time.Now().Add(-job.QueuedFor)}
+	c := &Call{d: d, job: job, sink: sink, arrivedAt: job.ArrivedAt}
+	if c.arrivedAt.IsZero() {
+		c.arrivedAt = time.Now()
+	}
 	select {
 	case d.inbox <- func() { d.accept(c) }:
 		return c, nil
--- a/internal/driver/types.go
+++ b/internal/driver/types.go
@@ -49,7 +49,7 @@
 	SessionID                string
 	Session, Prefix          gannethook.Key // hashes of the session and of the shared prefix; 0: none
 	PrefixName               string         // key of the shared prefix at the servers
-	Timeout                  time.Duration  // the client's time limit, including QueuedFor
+	Timeout                  time.Duration  // the client's time limit, from ArrivedAt
 	PromptSize, PrefixTokens float64        // in tokens: of the prompt, and of its shared prefix
 	MaxTokens                int
 	Model, Prompt            string
@@ -60,7 +60,7 @@
 	Header                   http1.Header            // header fields passed on with it
 	Body                     []byte                  // request body in the servers' format
 	CheckAnswer              func(body []byte) error // validates the answer to Body
-	QueuedFor                time.Duration           // part of Timeout that was spent before Submit
+	ArrivedAt                time.Time               // of the request at this router, before any queue; zero: at Submit
 	ClientGone               func() bool             // reports at once whether the client has disconnected; nil: only Cancel reports it
 }
 
--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -35,7 +35,8 @@
 }
 
 func (c *clientConn) initBuffers(size int) {
-	c.readAhead = &readAhead{nc: c.nc, budget: &c.s.bodies, limit: c.s.limits.Load().Bodies}
+	c.readAhead = &readAhead{nc: c.nc, budget: &c.s.bodies, limit: c.s.limits.Load().Bodies,
+		arrivals: arrivalLog{drainedAt: c.acceptedAt}}
 	c.br, c.bw = bufio.NewReaderSize(c.readAhead, size), bufio.NewWriterSize(connpool.Writer{Conn: c.nc}, size)
 }
 
@@ -113,7 +114,7 @@
 	if c.hasBuffered() {
 		return nil
 	}
-	return connpool.AwaitReadable(c.nc)
+	return c.readAhead.awaitReadable()
 }
 
 // serveOne serves one request and reports whether another may follow.
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -32,7 +32,8 @@
 type exchange struct {
 	conn      *clientConn
 	req       *http1.Request
-	startedAt time.Time // when its first byte was available
+	startedAt time.Time // when the router began to read it
+	arrival   arrival   // of its last byte
 	keepAlive bool      // another request may follow on the connection
 	heldBytes int64     // bytes of head and body counted in Server.bodies
 
@@ -74,6 +75,7 @@
 		return false
 	}
 	x.id = job.Name
+	x.arrival = x.conn.readAhead.requestArrival(x.conn.br.Buffered())
 	if !x.start(job.Name) {
 		return false
 	}
@@ -83,9 +85,12 @@
 	if e := s.cfg.Log.Check(zap.DebugLevel, "came"); e != nil {
 		e.Write(zap.String("id", job.Name), zap.Uint64("conn", x.conn.id), zap.String("session", job.SessionID), zap.String("class", job.ClassName), zap.String("tenant", job.TenantName),
 			zap.Duration("give-up", job.Timeout), zap.String("retried", x.req.Header.Get("X-Retried")),
-			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.startedAt)))
+			zap.String("attrs", x.req.Header.Get("X-Attrs")), zap.Duration("read", time.Since(x.startedAt)),
+			zap.Duration("since arrival", time.Since(x.arrival.earliest)))
 	}
-	job.Timeout, job.QueuedFor, job.ClientGone = s.capTimeout(job.Timeout), time.Since(x.startedAt), x.checkDisconnected
+	// Its time runs from its arrival, also while it waits behind the connection's previous requests.
+	job.ArrivedAt, job.ClientGone = x.arrival.earliest, x.checkDisconnected
+	job.Timeout = s.capTimeout(job.ArrivedAt, job.Timeout)
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // over the driver's limits: nothing has run
 		x.writePlain("503 Service Unavailable", err.Error()+"\n")
--- a/internal/platform/clients/readahead.go
+++ b/internal/platform/clients/readahead.go
@@ -20,7 +20,8 @@
 	limit        int64  // bytes allowed in the whole budget
 	buffered     []byte // read ahead
 	heldBytes    int64  // counted in the budget
-	droppedBytes int    // read and discarded for lack of memory: nothing after them may be used
+	arrivals     arrivalLog
+	droppedBytes int // read and discarded for lack of memory: nothing after them may be used
 	smallBuf     [256]byte
 }
 
@@ -46,7 +47,48 @@
 	if a.droppedBytes > 0 {
 		return 0, io.EOF
 	}
-	return a.nc.Read(p)
+	n, at, err := a.receive(p)
+	if n > 0 {
+		a.arrivals.record(n, at)
+	}
+	return n, err
+}
+
+// receive reads the connection, and returns when the data arrived: as it was read, if the
+// read waited for it; otherwise at any time since the connection was last seen drained.
+func (a *readAhead) receive(p []byte) (int, arrival, error) {
+	drained := a.isDrained()
+	n, err := a.nc.Read(p)
+	now := time.Now()
+	at := arrival{earliest: now, latest: now}
+	if !drained {
+		at.earliest = a.arrivals.drainedAt
+	}
+	if drained || n > 0 && n < len(p) {
+		a.arrivals.drainedAt = now
+	}
+	return n, at, err
+}
+
+// isDrained reports whether the connection has no unread data, or had none a moment ago.
+func (a *readAhead) isDrained() bool {
+	return time.Since(a.arrivals.drainedAt) <= arrivalResolution || connpool.Look(a.nc) == connpool.Quiet
+}
+
+// awaitReadable waits until data or the client's close can be read.
+func (a *readAhead) awaitReadable() error {
+	drained := a.isDrained()
+	err := connpool.AwaitReadable(a.nc)
+	if drained {
+		a.arrivals.drainedAt = time.Now()
+	}
+	return err
+}
+
+// requestArrival returns when a request arrived whose last byte has just been read from
+// a reader that has unread bytes left in its buffer.
+func (a *readAhead) requestArrival(unread int) arrival {
+	return a.arrivals.take(a.arrivals.received - int64(len(a.buffered)) - int64(unread))
 }
 
 // watch reads until the client disconnects (io.EOF or another connection error) or the
@@ -97,7 +139,7 @@
 
 // readOnce reads once and buffers the data, or discards it if the buffer or the budget is full.
 func (a *readAhead) readOnce(part []byte) error {
-	n, err := a.nc.Read(part)
+	n, at, err := a.receive(part)
 	switch {
 	case n == 0:
 	case a.droppedBytes > 0 || len(a.buffered)+n > maxReadAheadBytes || !a.budget.Reserve(int64(n), a.limit):
@@ -105,6 +147,7 @@
 	default:
 		a.heldBytes += int64(n)
 		a.buffered = append(a.buffered, part[:n]...)
+		a.arrivals.record(n, at)
 	}
 	return err
 }
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -277,10 +277,11 @@
 // stopping reports whether Drain was called.
 func (s *Server) stopping() bool { return s.answerDeadline.Load() != 0 }
 
-// capTimeout returns a request's timeout, shortened to the time remaining after Drain.
-func (s *Server) capTimeout(timeout time.Duration) time.Duration {
+// capTimeout returns the timeout of a request that arrived at the given time, shortened
+// after Drain so that it ends at the time by which every request has to be answered.
+func (s *Server) capTimeout(arrivedAt time.Time, timeout time.Duration) time.Duration {
 	if deadline := s.answerDeadline.Load(); deadline != 0 {
-		return min(timeout, max(time.Duration(deadline)-time.Since(s.startedAt), time.Millisecond))
+		return min(timeout, max(s.startedAt.Add(time.Duration(deadline)).Sub(arrivedAt), time.Millisecond))
 	}
 	return timeout
 }
--- a/router.go
+++ b/router.go
@@ -261,9 +261,9 @@
 	req := &request{Request: ev, settings: r.settings, deadline: r.now + ev.Budget, lastOutcomeAt: r.now,
 		aim: aim, mayHaveRunAt: Millis(math.Inf(1))}
 	r.requests[ev.ID] = req
-	r.emit(Wake{In: max(ev.Budget-finalAnswerMargin*r.settings.Quantum-1, 0),
-		Ref: uint64(ev.ID)*refsPerRequest + refDeadline})
-	if reader, ok := r.admit(req); ok {
+	answerIn := ev.Budget - finalAnswerMargin*r.settings.Quantum - 1
+	r.emit(Wake{In: max(answerIn, 0), Ref: uint64(ev.ID)*refsPerRequest + refDeadline})
+	if reader, ok := r.admit(req); ok && answerIn > 0 {
 		r.routeToReader(req, reader)
 	} else {
 		r.finish(req)
--- a/unreached_test.go
+++ b/unreached_test.go
@@ -26,3 +26,14 @@
 		}
 	}
 }
+
+// A request that arrives with too little time left for an attempt and its final answer is refused at once, without an attempt.
+func TestRequestWithoutTimeLeftIsRefused(t *testing.T) {
+	for _, class := range []int{0, 1, 2} {
+		for _, budget := range []Millis{0, 1, 9} { // two quanta of 4 ms, and 1 ms
+			script := newScript(t, testSettings(), newServer("r1", 0, 0, 0), newServer("w1", 1, 0, 0))
+			script.handle(1, Request{ID: 1, Class: class, Budget: budget, Prompt: 100})
+			script.want("refuse")
+		}
+	}
+}
