A stopping router refuses requests whose streams the kill would break

Cause: whether a stopping router takes a request was asked at its first byte (clientConn.awaitRequest), for pipelined ones never, and not again once it had been read; only the time to the first event was bounded. Evidence: the test, by both ways, on the code before: status 200 for streams of 4 s.

Fix: streamdrain.Plan.Accepts decides by the latest moment at which the last byte can have arrived, when the request is read and its turn has come. Up to 0.6 s after the signal nothing changes, nor where clients resume. Later the guard denies the start and the client gets a 503, unless the class's streams are known to end: twice the longest of its last 64 served requests (8 at least) ends before the last answers are due. The plan now holds all times of the stop that decide about requests.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,13 +29,14 @@
 	Unanswered            // the request was accepted and has no answer
 	HeldAtStop            // servers may hold state at the end of the router's shutdown time
 	HeldOverLimit         // servers may hold state, and the limit on pending releases is reached
+	LateInStop            // the router stops, and the request arrived too late to end before the kill
 	numReasons
 )
 
 func (r Reason) String() string {
 	return [numReasons]string{"allowed", "called off", "server not listed", "server draining", "deadline passed", "key window passed",
 		"client gone", "id already open", "already answered", "already streaming", "earlier attempt still out",
-		"earlier attempt may have run", "request unanswered", "held at the stop", "too much held"}[r]
+		"earlier attempt may have run", "request unanswered", "held at the stop", "too much held", "late in the stop"}[r]
 }
 
 // Action is a step that needs the guard's permission.
@@ -69,6 +70,7 @@
 // StartFacts describe a request that was read completely.
 type StartFacts struct {
 	ClientGone bool
+	LateInStop bool // see streamdrain.Plan
 	IDOpen     bool
 }
 
@@ -77,6 +79,8 @@
 	switch {
 	case f.ClientGone:
 		return ClientGone
+	case f.LateInStop:
+		return LateInStop
 	case f.IDOpen:
 		return IDOpen
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -82,3 +82,12 @@
 		t.Error("a nil monitor allows a denied step")
 	}
 }
+
+func TestMayStart(t *testing.T) {
+	for f, want := range map[StartFacts]Reason{{}: Allowed, {ClientGone: true, LateInStop: true}: ClientGone,
+		{LateInStop: true}: LateInStop, {IDOpen: true}: IDOpen} {
+		if got := MayStart(f); got != want || got.Violates() {
+			t.Errorf("%+v: %s, want %s", f, got, want)
+		}
+	}
+}
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -76,8 +76,8 @@
 	}
 	x.id = job.Name
 	x.arrival = x.conn.readAhead.requestArrival(x.conn.br.Buffered())
-	if !x.start(job.Name) {
-		return false
+	if !x.start(job) {
+		return x.keepAlive
 	}
 	defer s.releaseID(job.Name)
 	x.conn.requests++
@@ -91,6 +91,7 @@
 	// Its time runs from its arrival, also while it waits behind the connection's previous requests.
 	job.ArrivedAt, job.ClientGone = x.arrival.earliest, x.checkDisconnected
 	job.Timeout = s.capTimeout(job.ArrivedAt, job.Timeout)
+	submittedAt := time.Now()
 	call, err := s.cfg.Submit(*job, x)
 	if err != nil { // over the driver's limits: nothing has run
 		x.writePlain("503 Service Unavailable", err.Error()+"\n")
@@ -100,6 +101,9 @@
 	s.streamEnded(x)
 	x.keepAlive = x.keepAlive && !x.closesAfterResponse()
 	x.answer(a)
+	if a.Outcome == driver.Served {
+		s.recordServed(job.ClassName, time.Since(submittedAt))
+	}
 	return x.keepAlive
 }
 
@@ -113,21 +117,28 @@
 	return x.conn.s.stopping() && !x.conn.hasBuffered()
 }
 
-// start asks the guard whether the request may begin, and reserves its id.
-func (x *exchange) start(id string) bool {
+// start asks the guard whether the request may begin, and reserves its id. If it may not, it is answered.
+func (x *exchange) start(job *driver.Job) bool {
 	facts := guard.StartFacts{ClientGone: x.conn.readAhead.clientDisconnected()}
-	facts.IDOpen = !facts.ClientGone && !x.conn.s.reserveID(id)
+	facts.LateInStop = !facts.ClientGone && !x.conn.s.acceptsWhileStopping(job.ClassName, x.arrival.latest)
+	facts.IDOpen = !facts.ClientGone && !facts.LateInStop && !x.conn.s.reserveID(job.Name)
 	reason := guard.MayStart(facts)
-	if x.conn.s.cfg.Guard.Check(guard.Start, reason, id) {
+	if x.conn.s.cfg.Guard.Check(guard.Start, reason, job.Name) {
 		return true
 	}
-	if reason == guard.ClientGone { // while its request was read: it needs no response, and must neither begin nor reserve its id
-		x.conn.clientDisconnected = true
+	switch reason {
+	case guard.ClientGone: // while its request was read: it needs no response, and must neither begin nor reserve its id
+		x.keepAlive, x.conn.clientDisconnected = false, true
 		x.conn.setCloseReason(closedWhileWaiting)
-		return false
+	case guard.LateInStop:
+		x.conn.requests++
+		x.keepAlive = x.keepAlive && !x.closesAfterResponse()
+		x.writePlain("503 Service Unavailable", "the router stops: nothing was done\n")
+	default:
+		x.keepAlive = false
+		x.conn.setCloseReason(closedBadRequest)
+		x.conn.refuse("409 Conflict", "a request with this id is open")
 	}
-	x.conn.setCloseReason(closedBadRequest)
-	x.conn.refuse("409 Conflict", "a request with this id is open")
 	return false
 }
 
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -54,18 +55,19 @@
 	classes          atomic.Pointer[map[string]int] // name to index
 	wg               sync.WaitGroup
 	bodies           http1.Budget
-	answerDeadline   atomic.Int64 // nanoseconds after startedAt by which every request must be answered; 0: not stopping
-	refusalsInFlight atomic.Int64 // connections being closed with a 503 or by eviction, up to Limits.Rejections
-	closing          atomic.Bool  // connections accept no further request
-	closedAll        atomic.Bool  // connections are no longer shut down gracefully
+	drain            atomic.Pointer[drain] // nil: not stopping
+	refusalsInFlight atomic.Int64          // connections being closed with a 503 or by eviction, up to Limits.Rejections
+	closing          atomic.Bool           // connections accept no further request
+	closedAll        atomic.Bool           // connections are no longer shut down gracefully
 	closes           closeCounts
 	connCount        atomic.Uint64 // accepted; numbers them in the log
 
 	mu         sync.Mutex
 	open       map[*clientConn]struct{}
-	idle       *list.List          // of *clientConn, longest idle first
-	requestIDs map[string]struct{} // of open requests
-	rejectNew  bool                // CloseAll was called
+	idle       *list.List                      // of *clientConn, longest idle first
+	requestIDs map[string]struct{}             // of open requests
+	rejectNew  bool                            // CloseAll was called
+	served     map[string]*streamdrain.History // by class
 
 	streams      map[uint64]*exchange // open streams by number; guarded by mu
 	lastStreamID uint64
@@ -74,7 +76,7 @@
 // New returns a server; Serve accepts connections.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, open: map[*clientConn]struct{}{}, idle: list.New(), requestIDs: map[string]struct{}{},
-		streams: map[uint64]*exchange{}, startedAt: time.Now()}
+		streams: map[uint64]*exchange{}, served: map[string]*streamdrain.History{}, startedAt: time.Now()}
 	s.Reconfigure(cfg.Classes, cfg.Limits)
 	return s
 }
@@ -87,6 +89,12 @@
 	}
 	s.classes.Store(&classes)
 	s.limits.Store(&limits)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.served, func(name string, _ *streamdrain.History) bool {
+		_, exists := classes[name]
+		return !exists
+	})
 }
 
 // pastDeadline, set as a read deadline, ends a pending read at once.
@@ -268,24 +276,55 @@
 	delete(s.requestIDs, id)
 }
 
-// Drain makes the readiness check fail. The server goes on accepting requests, each of
-// which has to be answered within the given time from now.
-func (s *Server) Drain(within time.Duration) {
-	s.answerDeadline.Store(int64(time.Since(s.startedAt) + within))
+// drain is the stop of a server.
+type drain struct {
+	at   time.Time
+	plan *streamdrain.Plan
+}
+
+// Drain makes the readiness check fail, from the start of the router's stop. The server
+// goes on accepting requests as the plan says.
+func (s *Server) Drain(stoppedAt time.Time, plan *streamdrain.Plan) {
+	s.drain.Store(&drain{stoppedAt, plan})
 }
 
 // stopping reports whether Drain was called.
-func (s *Server) stopping() bool { return s.answerDeadline.Load() != 0 }
+func (s *Server) stopping() bool { return s.drain.Load() != nil }
 
 // capTimeout returns the timeout of a request that arrived at the given time, shortened
 // after Drain so that it ends at the time by which every request has to be answered.
 func (s *Server) capTimeout(arrivedAt time.Time, timeout time.Duration) time.Duration {
-	if deadline := s.answerDeadline.Load(); deadline != 0 {
-		return min(timeout, max(s.startedAt.Add(time.Duration(deadline)).Sub(arrivedAt), time.Millisecond))
+	if d := s.drain.Load(); d != nil {
+		return min(timeout, max(d.at.Add(d.plan.AnswerBy).Sub(arrivedAt), time.Millisecond))
 	}
 	return timeout
 }
 
+// acceptsWhileStopping reports whether a request whose last byte arrived at the given time
+// may begin; after Drain the plan decides.
+func (s *Server) acceptsWhileStopping(class string, arrivedAt time.Time) bool {
+	d := s.drain.Load()
+	if d == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d.plan.Accepts(arrivedAt.Sub(d.at), time.Since(d.at), s.served[class])
+}
+
+// recordServed records how long a request took that was served.
+func (s *Server) recordServed(class string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := (*s.classes.Load())[class]; !exists {
+		return
+	}
+	if s.served[class] == nil {
+		s.served[class] = &streamdrain.History{}
+	}
+	s.served[class].Record(took)
+}
+
 // CloseIdle closes idle connections, and the others once their request is answered. A
 // request that is arriving on an idle connection is still served.
 func (s *Server) CloseIdle() {
@@ -312,16 +351,20 @@
 	delete(s.streams, x.streamID)
 }
 
-// EndStreams ends the streams that the plan selects, elapsed after the stop: their
-// connections close without the last chunk. It returns how many it ended.
-func (s *Server) EndStreams(plan *streamdrain.Plan, elapsed time.Duration) int {
+// EndStreams ends the streams that the plan of Drain selects: their connections close
+// without the last chunk. It returns how many it ended.
+func (s *Server) EndStreams() int {
+	d := s.drain.Load()
+	if d == nil {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open := make([]streamdrain.Stream, 0, len(s.streams))
 	for id, x := range s.streams {
 		open = append(open, streamdrain.Stream{ID: id, StartedAt: x.streamStartedAt})
 	}
-	cut := plan.ToEnd(elapsed, open)
+	cut := d.plan.ToEnd(time.Since(d.at), open)
 	for _, c := range cut {
 		s.streams[c.ID].cutStream()
 		delete(s.streams, c.ID)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,8 +30,6 @@
 // Times of startup, shutdown and logging.
 const (
 	firstListTimeout   = 300 * time.Millisecond // wait for the first list before the router is ready, if no worker is known
-	acceptPeriod       = 600 * time.Millisecond // new connections are accepted for so long after SIGTERM
-	finalAnswerMargin  = 300 * time.Millisecond // requests that arrive after SIGTERM are answered this long before the kill
 	streamDrainTimeout = 5 * time.Minute        // wait for open streams to end after the listener has closed
 
 	// The platform kills a router after SIGTERM no sooner than after the longest client
--- a/internal/platform/stop_test.go
+++ b/internal/platform/stop_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -83,3 +87,100 @@
 		t.Error(err)
 	}
 }
+
+// Guards against streams that are lost at SIGKILL because their requests, read late in a stop, were begun (rule 1). What
+// counts is the last byte: written slowly, or sent behind an open stream. Where clients don't resume streams such a request
+// is refused, unless streams of its class are known to end in time; one that came soon after SIGTERM is taken.
+func TestRequestsLateInAStop(t *testing.T) {
+	const longEvents, eventGap = 200, 20 * ms // 4 s, beyond the kill 3.7 s after SIGTERM
+	const soon, late = 200 * ms, 900 * ms     // after SIGTERM
+	for _, resume := range []bool{false, true} {
+		t.Run(fmt.Sprint("resume ", resume), func(t *testing.T) {
+			steps := map[string]chan struct{}{"open-soon": make(chan struct{}, 2), "open-late": make(chan struct{}, 2)} // of the events
+			s := startRouterWith(t, options{configure: func(config map[string]any) {
+				config["settings"] = json.RawMessage(strings.Replace(standin.Settings, `"resume":true`, fmt.Sprintf(`"resume":%v`, resume), 1))
+			}}, func(f *standin.Fleet) {
+				f.Add(standin.Prompt, nil)
+				f.Add(standin.Answer, func(_ int, id string) standin.Script {
+					switch {
+					case steps[id] != nil:
+						return standin.Script{Events: 2, Step: steps[id]}
+					case strings.HasPrefix(id, "long"):
+						return standin.Script{Events: longEvents, EventGap: eventGap}
+					}
+					return standin.Script{}
+				})
+			})
+			type client struct {
+				nc net.Conn
+				br *bufio.Reader
+			}
+			connect := func() client {
+				nc := s.dial()
+				nc.SetDeadline(time.Now().Add(20 * time.Second))
+				return client{nc, bufio.NewReader(nc)}
+			}
+			read := func(c client) (status int, closes bool) {
+				res, err := http.ReadResponse(c.br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return res.StatusCode, res.Close
+			}
+			for i := range 8 { // unsafe requests are known to be short
+				id := fmt.Sprint(standin.Unsafe, "known", i)
+				s.wantServed(s.send(id, "adjustment", 4000), id)
+			}
+			openStream := func(id string) (client, *http.Response) {
+				c := connect()
+				io.WriteString(c.nc, request(id, "question", 4000, body))
+				steps[id] <- struct{}{}
+				res, err := http.ReadResponse(c.br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return c, res
+			}
+			behindSoon, first := openStream("open-soon")
+			behindLate, second := openStream("open-late")
+			slow, slowShort := connect(), connect()
+			raw, rawShort := request("long-slow", "question", 4000, body), request(standin.Unsafe+"slow", "adjustment", 4000, body)
+			io.WriteString(slow.nc, raw[:100])
+			io.WriteString(slowShort.nc, rawShort[:100])
+			s.signals <- syscall.SIGTERM
+			stoppedAt := time.Now()
+			time.Sleep(soon)
+			io.WriteString(behindSoon.nc, request("behind-soon", "question", 4000, body))
+			time.Sleep(time.Until(stoppedAt.Add(late)))
+			io.WriteString(behindLate.nc, request("long-behind", "question", 4000, body))
+			io.WriteString(slow.nc, raw[100:])
+			io.WriteString(slowShort.nc, rawShort[100:])
+			time.Sleep(50 * ms) // the requests behind the streams are read
+			for _, step := range steps {
+				step <- struct{}{}
+			}
+			for _, res := range []*http.Response{first, second} {
+				if _, err := io.Copy(io.Discard, res.Body); err != nil {
+					t.Error(err)
+				}
+			}
+			want := 503
+			if resume {
+				want = 200
+			}
+			for name, c := range map[string]client{"written slowly": slow, "behind a stream": behindLate} {
+				if status, closes := read(c); status != want || !closes {
+					t.Errorf("%s, late: status %d, closes %v", name, status, closes)
+				}
+			}
+			for name, c := range map[string]client{"written slowly, late, of a short class": slowShort, "behind a stream, soon": behindSoon} {
+				if status, closes := read(c); status != 200 || !closes {
+					t.Errorf("%s: status %d, closes %v", name, status, closes)
+				}
+			}
+			if denied := s.router.monitor.Counts()["start: late in the stop"]; !resume && denied != 2 {
+				t.Errorf("%v denied, two requests expected", s.router.monitor.Counts())
+			}
+		})
+	}
+}
--- a/internal/streamdrain/streamdrain.go
+++ b/internal/streamdrain/streamdrain.go
@@ -1,5 +1,5 @@
-// Package streamdrain decides which streams a stopping router ends early, and when. It
-// has no clock and does no I/O.
+// Package streamdrain decides which requests a stopping router still begins, which streams
+// it ends early, and when. It has no clock and does no I/O.
 //
 // A stopping router is killed some seconds later, and all its open streams break at
 // once. Clients that resume broken streams would all do so at that moment, when another
@@ -7,6 +7,11 @@
 // lost. So a stopping router ends its streams itself, spread over a time in which the
 // other routers are likely to be up: not at once, since the previous router in a rolling
 // restart may still be starting, and not last, since the next one may be stopping.
+//
+// Where clients do not resume broken streams, an ended stream is lost, and so is one that
+// is still open at the kill unless its request arrived soon after the stop. So a request
+// that arrives later is refused, which is harmless, unless streams like its own are known
+// to end in time.
 package streamdrain
 
 import (
@@ -15,13 +20,14 @@
 	"time"
 )
 
-// Plan is one router's schedule for ending its streams: from From on a falling number stays open, from Until on none.
-// Times count from the stop.
+// Plan is one router's schedule for its stop: until when requests are accepted and answered, and when their streams are
+// ended. From From on a falling number of streams stays open, from Until on none. Times count from the stop.
 type Plan struct {
 	From, Until   time.Duration
-	clientsResume bool // clients resume a stream that was ended
-	started       bool // initialCount is set
-	initialCount  int  // open streams at the first call of ToEnd after From
+	AnswerBy      time.Duration // every accepted request has its answer, or the first event of its stream, by then
+	clientsResume bool          // clients resume a stream that was ended
+	started       bool          // initialCount is set
+	initialCount  int           // open streams at the first call of ToEnd after From
 }
 
 // Plan.From and Plan.Until as fractions of the time until the kill.
@@ -30,11 +36,31 @@
 	endFraction   = 0.87 // a router that is stopped next still accepts clients
 )
 
+const (
+	// AcceptPeriod is how long after the stop requests and connections are accepted without a
+	// condition. The platform excuses what the kill breaks of a request that arrived within
+	// 0.7 s of the signal, which the router may notice late.
+	AcceptPeriod = 600 * time.Millisecond
+
+	answerMargin = 300 * time.Millisecond // between the last answers and the kill
+)
+
 // NewPlan returns a plan for a router that is killed no earlier than kill after the stop.
 // If clients do not resume streams, none is ended early: an ended stream is lost, and
 // only those still open at the kill should be.
 func NewPlan(kill time.Duration, clientsResume bool) *Plan {
-	return &Plan{From: time.Duration(startFraction * float64(kill)), Until: time.Duration(endFraction * float64(kill)), clientsResume: clientsResume}
+	return &Plan{From: time.Duration(startFraction * float64(kill)), Until: time.Duration(endFraction * float64(kill)),
+		AnswerBy: kill - answerMargin, clientsResume: clientsResume}
+}
+
+// Accepts reports whether a request may begin, elapsed after the stop, whose last byte
+// arrived so long after the stop. history is of the requests like it.
+func (p *Plan) Accepts(arrived, elapsed time.Duration, history *History) bool {
+	if p.clientsResume || arrived <= AcceptPeriod {
+		return true
+	}
+	bound, known := history.Bound()
+	return known && elapsed+bound <= p.AnswerBy
 }
 
 // Stream is an open stream.
