An older list undoes no drain or removal that was told in the last 6 s

Cause: Watch.poll compared revisions of changes only; List.Merge took a whole list of any revision.

Fix: the list remembers for 6 s which targets were told to drain or to be gone, and at which revision; an entry of a lower revision undoes neither, unless its target has started since. A lower revision can't simply be refused, as an agent that began anew counts from below: by the 6 s every agent counts as having the change, and the whole list is asked for once more then.

--- a/internal/platform/discovery/list.go
+++ b/internal/platform/discovery/list.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"gannethook"
 	"gannethook/internal/profile"
@@ -18,7 +19,8 @@
 	All     bool     `json:"all"`
 	Targets []Target `json:"targets"`
 
-	index map[string]int // position in Targets by UID; set by Merge only
+	index       map[string]int        // position in Targets by UID; set by Merge only
+	withdrawals map[string]withdrawal // by UID; set by Merge only
 }
 
 // Target is one worker.
@@ -63,12 +65,22 @@
 	return l, nil
 }
 
-var states = map[string]gannethook.ServerState{"SERVING": gannethook.Ready, "DRAINING": gannethook.Draining,
-	"DELETED": gannethook.Gone}
+// States of a target in a list.
+const (
+	stateServing  = "SERVING"
+	stateDraining = "DRAINING"
+	stateDeleted  = "DELETED"
+)
+
+var states = map[string]gannethook.ServerState{stateServing: gannethook.Ready, stateDraining: gannethook.Draining,
+	stateDeleted: gannethook.Gone}
 
-// Merge applies an update to a full list, which nothing but Merge may change.
-// Deleted targets are removed.
-func (l *List) Merge(update *List) {
+// Merge applies an update to a full list, which nothing but Merge may change, and returns
+// what took effect. Deleted targets are removed. An update that is older than a recent
+// withdrawal of a target does not undo it (see withdrawal).
+func (l *List) Merge(update *List, now time.Time) *List {
+	update = l.keepWithdrawals(update, now)
+	l.recordWithdrawals(update, now)
 	if update.All || l.index == nil {
 		l.Targets, l.index = nil, make(map[string]int, len(update.Targets))
 	}
@@ -76,9 +88,9 @@
 	for _, t := range update.Targets {
 		i, known := l.index[t.UID]
 		switch {
-		case t.State == "DELETED" && known:
+		case t.State == stateDeleted && known:
 			l.remove(i)
-		case t.State == "DELETED":
+		case t.State == stateDeleted:
 		case known:
 			l.Targets[i] = t
 		default:
@@ -86,6 +98,7 @@
 			l.Targets = append(l.Targets, t)
 		}
 	}
+	return update
 }
 
 // remove deletes the target at a position; the last target moves there.
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -12,6 +12,10 @@
 	OnList func(*List) // receives every full list and update, in order, on Run's goroutine
 	Log    *zap.Logger
 	Rev    int64 // last known revision; negative: none
+
+	// refreshAt is when the full list is due again after one that was older than Rev: what of
+	// it was withheld then (see withdrawal) counts if it is still listed. Zero: it is not.
+	refreshAt time.Time
 }
 
 // Timing holds the timeouts of a watch. The platform counts an update as received a
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,7 +96,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.list.Merge(l)
+	l = r.list.Merge(l, time.Now())
 	workerList := make([]workers.Worker, 0, len(l.Targets))
 	membership := l.Membership(r.cfg.Profile)
 	for i, t := range l.Targets {
