Merging a list costs nothing for withdrawals where there are none

Cause: each update was copied, and a map made of its targets, also where no withdrawal was remembered and nothing could be missing. Change: both only where they are needed; finding what a full list leaves out is a function of its own. Measured: the tests of withdrawals pass unchanged.

--- a/internal/platform/discovery/withdrawal.go
+++ b/internal/platform/discovery/withdrawal.go
@@ -27,6 +27,9 @@
 
 // keepWithdrawals returns an update without what would undo a recent withdrawal.
 func (l *List) keepWithdrawals(update *List, now time.Time) *List {
+	if len(l.withdrawals) == 0 {
+		return update
+	}
 	kept := &List{Rev: update.Rev, All: update.All, Targets: make([]Target, 0, len(update.Targets))}
 	changed := false
 	for _, t := range update.Targets {
@@ -52,13 +55,19 @@
 	if l.withdrawals == nil {
 		l.withdrawals = map[string]withdrawal{}
 	}
-	listed := make(map[string]bool, len(update.Targets))
 	for _, t := range update.Targets {
-		listed[t.UID] = true
 		l.recordTarget(t, update.Rev, now)
 	}
-	if !update.All {
-		return
+	if update.All {
+		l.recordMissing(update, now)
+	}
+}
+
+// recordMissing records the targets that a full list leaves out.
+func (l *List) recordMissing(update *List, now time.Time) {
+	listed := make(map[string]bool, len(update.Targets))
+	for _, t := range update.Targets {
+		listed[t.UID] = true
 	}
 	for _, t := range l.Targets {
 		if !listed[t.UID] {
