--- a/internal/platform/discovery/poller.go
+++ b/internal/platform/discovery/poller.go
@@ -97,11 +97,8 @@
 	if p.failed { // missed updates are requested without a wait, to detect sooner that the agent is still silent
 		wait = time.Millisecond
 	}
-	if at := p.watch.refreshAt; !at.IsZero() && !time.Now().Before(at) {
-		p.full, p.watch.refreshAt = true, time.Time{}
-	}
 	target := fmt.Sprintf("/v1/endpoints?since=%d&timeout_ms=%d", p.watch.Rev, wait.Milliseconds())
-	if p.full || p.watch.Rev < 0 {
+	if p.full || p.watch.Rev < 0 || p.watch.refreshIsDue() {
 		target, wait = "/v1/endpoints", 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -146,6 +143,9 @@
 	}
 	p.endCalls()
 	p.full, p.failed, p.delay, p.timeout = false, false, p.source.RetryDelay, p.source.ResponseTimeout
+	if r.list.All && p.watch.refreshIsDue() {
+		p.watch.refreshAt = time.Time{}
+	}
 	if r.list.All && r.list.Rev < p.watch.Rev {
 		p.watch.Log.Warn("discovery sent an older list", zap.Int64("rev", r.list.Rev), zap.Int64("known", p.watch.Rev))
 		p.watch.refreshAt = time.Now().Add(withdrawalHold)
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -18,6 +18,9 @@
 	refreshAt time.Time
 }
 
+// refreshIsDue reports whether the full list has to be asked for again.
+func (w *Watch) refreshIsDue() bool { return !w.refreshAt.IsZero() && !time.Now().Before(w.refreshAt) }
+
 // Timing holds the timeouts of a watch. The platform counts an update as received a
 // few seconds after the connection fell silent, or after the wait of a call that got
 // no answer. A silent agent is detected after PollWait plus Grace at the latest: the call
--- a/internal/platform/discovery/withdrawal_test.go
+++ b/internal/platform/discovery/withdrawal_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,26 @@
 		t.Error(fmt.Sprint("full lists were asked for at ", fullCalls))
 	}
 }
+
+// A late answer to an earlier call does not replace the full list that is due again after an older one.
+func TestOlderListIsAskedForAgainBySlowAgent(t *testing.T) {
+	var full atomic.Int32
+	addr := startAgent(t, func(_ int, target string) ([]string, time.Duration) {
+		if strings.Contains(target, "since=") {
+			return []string{"", okResponse(`{"rev":3,"all":false,"targets":[]}`)}, withdrawalHold + 800*ms
+		}
+		return []string{"", okResponse(`{"rev":3,"all":true,"targets":[]}`)}, time.Duration(min(full.Add(1)-1, 1)) * 1500 * ms
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawalHold+5*time.Second)
+	defer cancel()
+	var received int
+	w := &Watch{Log: zap.NewNop(), Rev: 42, OnList: func(l *List) {
+		if l.All {
+			received++
+		}
+	}}
+	w.Run(ctx, Source{addr, PushTiming}, make(chan Source))
+	if received < 2 {
+		t.Errorf("%d full lists were received, asked for %d times", received, full.Load())
+	}
+}
--- a/internal/platform/olderlist_test.go
+++ b/internal/platform/olderlist_test.go
@@ -34,11 +34,7 @@
 	sent := 0
 	reachesDrained := func() bool {
 		sent++
-		id := fmt.Sprint("d", sent)
-		before, _, _ := drained.Count()
-		s.wantServed(s.send(id, "question", 4000), id)
-		after, _, _ := drained.Count()
-		return after > before
+		return s.reaches(drained, fmt.Sprint("d", sent))
 	}
 	s.waitFor("the worker is used", reachesDrained)
 	s.fleet.Set(drained, "DRAINING")
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -222,6 +222,15 @@
 	}
 }
 
+// reaches sends a request, which has to be served, and reports whether it reached a worker.
+func (s *harness) reaches(w *standin.Worker, id string) bool {
+	s.t.Helper()
+	before, _, _ := w.Count()
+	s.wantServed(s.send(id, "question", 4000), id)
+	after, _, _ := w.Count()
+	return after > before
+}
+
 func addReaderAndWriter(f *standin.Fleet) {
 	f.Add(standin.Prompt, nil)
 	f.Add(standin.Answer, nil)
@@ -775,11 +784,7 @@
 	sent := 0
 	served := func(w *standin.Worker) bool {
 		sent++
-		id := fmt.Sprint("d", sent)
-		before, _, _ := w.Count()
-		s.wantServed(s.send(id, "question", 4000), id)
-		after, _, _ := w.Count()
-		return after > before
+		return s.reaches(w, fmt.Sprint("d", sent))
 	}
 	s.waitFor("the new writer serves", func() bool { return served(next) })
 	s.fleet.SetMuted(true)
