--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs case 10: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x bin/gannethook ] || [ ! -x bin/review-2/stand2 ]; then
+  echo 'build the program and review/build-2.sh first' >&2
+  exit 2
+fi
+timeout --kill-after=2 115 bin/review-2/stand2 10 review/10
+code=$?
+case $code in
+  0 | 1) exit $code ;;
+esac
+exit 2
