--- a/review/stand2/gone.go
+++ b/review/stand2/gone.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["9"] = gone }
+func init() { cases["10"] = gone }
 
 const (
 	goneLimit = 150 * time.Millisecond // an attempt begins no later than 0.1 s after its client's close; "every time limit is 50 ms longer"
