--- a/review/stand2/restart.go
+++ b/review/stand2/restart.go
@@ -15,7 +15,7 @@
 
 // Times of a planned restart, as the pages state them.
 const (
-	killAfter   = 3700 * time.Millisecond // the longest deadline, counted as 3 s, and 0.7 s
+	killAfter   = 3750 * time.Millisecond // the longest deadline, counted as 3 s, 0.7 s, and the 50 ms of every time limit
 	excusedTill = 700 * time.Millisecond  // after SIGTERM: what came later and is unanswered at SIGKILL is lost
 )
 
