--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,9 @@
   echo 'build the program and review/build-2.sh first' >&2
   exit 2
 fi
-timeout --kill-after=2 115 bin/review-2/stand2 9 review/9
+tmp=$(mktemp -d) || exit 2
+trap 'rm -rf "$tmp"' EXIT
+TMPDIR=$tmp timeout --kill-after=2 115 bin/review-2/stand2 9 review/9
 code=$?
 case $code in
   0 | 1) exit $code ;;
