Round each product of price by itself, as on x86-64

Change: both products of price are converted by float64(), which by the language's specification forbids the fusion and changes nothing where nothing was fused.

--- a/router.go
+++ b/router.go
@@ -837,7 +837,8 @@
 // price is the cost of reading a prompt, quadratic in its tokens (Phasor's formula).
 func price(tokens float64) float64 {
 	tokens = math.Max(tokens, 0)
-	return squaredTokenPrice*tokens*tokens + tokenPrice*modelFactor*tokens
+	// Each product is rounded by itself: fused with the sum, equal prices could differ in their last bit.
+	return float64(squaredTokenPrice*tokens*tokens) + float64(tokenPrice*modelFactor*tokens)
 }
 
 // affinityReader chooses by two hashes, the same at every router: the prefix selects its affinity readers
