Let only a whole event extend the time that a worker's stream has for the next

Cause: workers.idleReader set a new deadline of 4.5 s before each read, so that any byte counted as progress.

Change: exchange.stream sets the deadline as the stream begins and behind each whole event with data (http1.RawEvents.Advanced); behind [DONE] only the end is waited for. Heads, 1xx answers, other bodies, lists, serve's engines, clients' requests and frames were looked at: each has one deadline, or events extend it already.

--- a/internal/http1/sse.go
+++ b/internal/http1/sse.go
@@ -86,6 +86,7 @@
 	returned int // bytes of buf that the last call returned
 	scanned  int // bytes of buf that were searched for the end of an event
 	sawData  bool
+	ended    bool // an earlier call returned the event [DONE]
 }
 
 // rawBufferSize is the initial size of the buffer in bytes. It grows once less than a quarter of this is free.
@@ -98,6 +99,7 @@
 // together with it or not at all, since they are no answer yet. At the end of the stream, any remaining bytes that no
 // blank line ended are returned together with io.EOF.
 func (e *RawEvents) Next() ([]byte, error) {
+	e.ended = e.ended || hasField(e.buf[:e.returned], "data: [DONE]")
 	e.buf = append(e.buf[:0], e.buf[e.returned:]...)
 	e.scanned -= e.returned
 	e.returned = 0
@@ -139,6 +141,18 @@
 
 // hasData reports whether buf[:end], or an earlier event, has a data field.
 func (e *RawEvents) hasData(end int) bool {
-	e.sawData = e.sawData || bytes.HasPrefix(e.buf[:end], []byte("data:")) || bytes.Contains(e.buf[:end], []byte("\ndata:"))
+	e.sawData = e.sawData || hasField(e.buf[:end], "data:")
 	return e.sawData
 }
+
+// hasField reports whether a line begins with the given text.
+func hasField(lines []byte, text string) bool {
+	return bytes.HasPrefix(lines, []byte(text)) || bytes.Contains(lines, []byte("\n"+text))
+}
+
+// Advanced reports whether what Next returned last is a further part of the answer: it has an event with data, and the
+// event [DONE], which ends an answer, came in no earlier call.
+func (e *RawEvents) Advanced() bool {
+	returned := e.buf[:e.returned]
+	return !e.ended && hasField(returned, "data:")
+}
--- a/internal/platform/workers/exchange.go
+++ b/internal/platform/workers/exchange.go
@@ -273,7 +273,8 @@
 		return attempt.Result{Outcome: gannethook.Failed, Detail: "the response is not a chunked event stream", Interrupted: true}
 	}
 	x.body.LimitChunk(maxChunk)
-	events := http1.NewRawEvents(idleReader{x})
+	events := http1.NewRawEvents(x.body)
+	x.awaitNextEvent()
 	for n := 0; ; n++ {
 		text, err := events.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -291,13 +292,14 @@
 		case err != nil:
 			return attempt.Result{Outcome: gannethook.Served, Tokens: n}
 		}
+		if events.Advanced() {
+			x.awaitNextEvent()
+		}
 	}
 }
 
-// idleReader reads a stream's body; a stream that is silent for Limits.StreamIdle fails.
-type idleReader struct{ x *exchange }
-
-func (s idleReader) Read(p []byte) (int, error) {
-	s.x.conn.SetReadDeadline(time.Now().Add(s.x.client.limits.Load().StreamIdle))
-	return s.x.body.Read(p)
+// awaitNextEvent sets the time within which the next event, or the end of the stream, has to be received whole. Bytes that
+// complete no event don't extend it.
+func (x *exchange) awaitNextEvent() {
+	x.conn.SetReadDeadline(time.Now().Add(x.client.limits.Load().StreamIdle))
 }
--- a/internal/platform/workers/pool.go
+++ b/internal/platform/workers/pool.go
@@ -19,7 +19,7 @@
 	Dial               time.Duration // to get a connection: for a free one under Conns, and to connect
 	Idle               time.Duration // an idle connection is closed after it; shorter than the workers' own idle timeout
 	ReuseDelay         time.Duration // idle time before a connection is reused: a duplicate response may still arrive on it
-	StreamIdle         time.Duration // a stream without data for so long has broken
+	StreamIdle         time.Duration // a stream without a whole event for so long has broken
 	ReservationTimeout time.Duration // for the answer to a place request; after it the place may or may not be held
 	ReleaseTimeout     time.Duration // for one worker to answer a release
 }
--- a/internal/platform/workers/workers_test.go
+++ b/internal/platform/workers/workers_test.go
@@ -220,7 +220,7 @@
 
 // A chunk with only a part of an event does not start the stream. An event is passed on before its chunk has ended.
 func TestStreamPassesEventsNotChunks(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const head = streamHead
 	eventPassed := make(chan struct{})
 	cl := newTestClient(t, 10, serveConns(t, func(nc net.Conn, br *bufio.Reader) {
 		req, ok := readRequest(br)
