Let the test of an eviction wait until its first connection counts as idle

The server writes a response before it counts the connection as idle. The test dialled at once, so that the second connection, idle from its accept on, could stand before the first in the order of eviction: the second was evicted, and the test waited for the end of the first until its idle time was over. Either order is allowed.

Change: the test waits until the first connection is idle, then goes on as before; nothing that it asserts has changed.

--- a/internal/platform/clients/clients_test.go
+++ b/internal/platform/clients/clients_test.go
@@ -122,6 +122,22 @@
 	return nc.(*net.TCPConn)
 }
 
+// awaitIdle waits until so many of the server's connections are idle: it writes a response before it counts the connection
+// as idle.
+func awaitIdle(t *testing.T, s *Server, want int) {
+	t.Helper()
+	idle := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.idle.Len()
+	}
+	for start := time.Now(); idle() != want; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 5*time.Second {
+			t.Fatalf("%d connections are idle, %d expected", idle(), want)
+		}
+	}
+}
+
 var wholeRequest = strings.Replace(requestHead, "X-Attrs", "Content-Length: 2\r\nX-Attrs", 1) + "{}"
 
 // No work begins for a client that disconnects before its request is read.
@@ -153,6 +169,7 @@
 		t.Fatalf("%+v, %v", res, err)
 	}
 	br.Discard(br.Buffered())
+	awaitIdle(t, s, 1) // the first one is idle for longer than the next
 	dial(t, addr)
 	dial(t, addr) // one over the limit
 	if _, err := br.ReadByte(); !errors.Is(err, io.EOF) {
