Parse input that is costly for its size in turn, so that it delays no other request

Cause: nothing bounded how many connections parsed at once. Each such body costs some 30 ms and never makes its goroutine wait, so that the module's goroutine, its timers and the writers of answers stood behind a hundred others on one core.

Change: what a request has beyond 32 KiB, and what is discarded behind a refusal, is read and parsed with the one slot of workThrottle, which is returned before each wait for the client. A request that was buffered before its turn is charged behind it. Pauses as long as the work are made only while others wait for the slot; a usual request takes no slot.

--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"container/list"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"strconv"
@@ -23,6 +22,7 @@
 	id                 uint64 // number in the log
 	acceptedAt         time.Time
 	requests           int         // read whole on it
+	pipelined          bool        // the current request was buffered before its turn
 	closeReason        closeReason // once it is to close
 	br                 *bufio.Reader
 	bw                 *bufio.Writer
@@ -51,7 +51,7 @@
 	}
 	c.shutDown = true
 	c.nc.SetReadDeadline(time.Now().Add(c.s.limits.Load().Shutdown))
-	io.CopyN(io.Discard, c.nc, shutdownDrainBytes)
+	c.readAhead.discard(shutdownDrainBytes)
 }
 
 // serve reads requests until the connection ends.
@@ -61,7 +61,7 @@
 	if c.s.closing.Load() { // CloseIdle may have set its deadline before the one above
 		c.nc.SetReadDeadline(pastDeadline)
 	}
-	for c.awaitRequest() && c.serveOne() {
+	for c.awaitRequest() && c.serveNext() {
 		c.s.markIdle(c, !c.hasBuffered())
 		c.nc.SetReadDeadline(time.Now().Add(c.s.limits.Load().Idle))
 		if c.s.closing.Load() {
@@ -77,6 +77,8 @@
 // connection is no longer marked idle: read earlier, it would be invisible to evictIdle,
 // which would then close the connection and lose the request.
 func (c *clientConn) awaitRequest() bool {
+	c.pipelined = c.hasBuffered()
+	c.readAhead.beginRequest()
 	err := c.awaitReadable()
 	stopping := c.s.closing.Load()
 	if err != nil && stopping {
@@ -117,11 +119,27 @@
 	return c.readAhead.awaitReadable()
 }
 
+// maxPipelinedCharge is what a pipelined request is charged with at most, since most of its time is spent waiting.
+const maxPipelinedCharge = 200 * time.Microsecond
+
+// serveNext serves one request and reports whether another may follow. A request that was
+// buffered before its turn is charged to the throttle: a client that pipelines without
+// end would keep the processor busy.
+func (c *clientConn) serveNext() bool {
+	pipelined, startedAt := c.pipelined, time.Now()
+	more := c.serveOne()
+	if pipelined {
+		c.s.throttle.charge(min(time.Since(startedAt), maxPipelinedCharge))
+	}
+	return more
+}
+
 // serveOne serves one request and reports whether another may follow.
 func (c *clientConn) serveOne() bool {
 	startedAt := time.Now()
 	c.nc.SetReadDeadline(startedAt.Add(c.s.limits.Load().Head))
 	req, err := http1.ReadRequest(c.br)
+	c.readAhead.endWork()
 	if err != nil {
 		c.setCloseReason(closedBadRequest)
 	}
--- a/internal/platform/clients/exchange.go
+++ b/internal/platform/clients/exchange.go
@@ -175,6 +175,7 @@
 		}
 		io.WriteString(x.conn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
+	defer x.conn.readAhead.endWork()
 	text, held, err := b.ReadAll(limits.Body, limits.Bodies, &x.conn.s.bodies)
 	x.heldBytes += held
 	switch {
--- a/internal/platform/clients/readahead.go
+++ b/internal/platform/clients/readahead.go
@@ -16,7 +16,9 @@
 // It is used by one goroutine at a time.
 type readAhead struct {
 	nc           net.Conn
-	throttle     *workThrottle // of discarding
+	throttle     *workThrottle
+	slot         *workSlot // held while costly data of a request is parsed; nil: none
+	requestBytes int       // read since the current request began
 	budget       *http1.Budget
 	limit        int64  // bytes allowed in the whole budget
 	buffered     []byte // read ahead
@@ -26,13 +28,40 @@
 	smallBuf     [256]byte
 }
 
-const maxReadAheadBytes = 256 << 10 // buffered for one connection
+const (
+	maxReadAheadBytes = 256 << 10 // buffered for one connection
+	unthrottledBytes  = 32 << 10  // bytes of a request that are parsed without the throttle
+)
 
 // largeBuffers are for reading available data; a connection that waits for data uses its smallBuf.
 var largeBuffers = sync.Pool{New: func() any { return new([16 << 10]byte) }}
 
-// Read returns buffered data first, then reads the connection.
+// Read returns buffered data first, then reads the connection. What a request has beyond
+// unthrottledBytes is parsed under the throttle: it may be costly for its size, as
+// many small chunks are.
 func (a *readAhead) Read(p []byte) (int, error) {
+	a.endWork()
+	n, err := a.next(p)
+	a.requestBytes += n
+	if n > 0 && a.requestBytes > unthrottledBytes {
+		a.slot = a.throttle.acquire()
+	}
+	return n, err
+}
+
+// beginRequest starts counting the bytes of a request.
+func (a *readAhead) beginRequest() { a.requestBytes = 0 }
+
+// endWork returns the throttle's slot, if it is held. It must be called once a request
+// has been parsed.
+func (a *readAhead) endWork() {
+	if a.slot != nil {
+		a.slot.release()
+		a.slot = nil
+	}
+}
+
+func (a *readAhead) next(p []byte) (int, error) {
 	if len(a.buffered) > 0 {
 		n := copy(p, a.buffered)
 		a.buffered = a.buffered[n:]
@@ -141,10 +170,35 @@
 		return io.EOF
 	}
 	slot := a.throttle.acquire()
-	defer a.throttle.release(slot, time.Now())
+	defer slot.release()
 	return a.readOnce(slot.discardBuffer())
 }
 
+// discard reads and discards up to limit bytes, until the client closes the connection or
+// the read deadline passes.
+func (a *readAhead) discard(limit int) {
+	part := largeBuffers.Get().(*[16 << 10]byte)
+	defer largeBuffers.Put(part)
+	for limit > 0 {
+		n, err := a.nc.Read(part[:]) // waits for data
+		limit -= n
+		for err == nil && limit > 0 && connpool.Look(a.nc) == connpool.Readable {
+			n, err = a.discardOnce()
+			limit -= n
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// discardOnce reads and discards available data once, under the throttle.
+func (a *readAhead) discardOnce() (int, error) {
+	slot := a.throttle.acquire()
+	defer slot.release()
+	return a.nc.Read(slot.discardBuffer())
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/platform/clients/throttle.go
+++ b/internal/platform/clients/throttle.go
@@ -1,19 +1,24 @@
 package clients
 
 import (
-	"runtime"
+	"sync/atomic"
 	"time"
 )
 
 // workThrottle limits how much of the processors is spent on input that costs far more than a usual request, so that
-// timers, responses and the requests of other clients are not delayed. Such work is done in short pieces. Few pieces run at
-// once, in the order in which they were requested, and pauses between them are as long as the work. It is safe for
+// timers, responses and the requests of other clients are not delayed. Such work is done in short pieces, one at a time, in
+// the order in which they were requested. While others wait, pauses between pieces are as long as the work. It is safe for
 // concurrent use.
-type workThrottle struct{ slots chan *workSlot }
+type workThrottle struct {
+	slot    chan *workSlot // holds the slot while nobody works
+	waiting atomic.Int32
+}
 
-// workSlot is the permission to do one piece of work.
+// workSlot is the permission to do one piece of work. Whoever has it must not wait for a client.
 type workSlot struct {
-	unpaused time.Duration // worked since the last pause
+	throttle *workThrottle
+	worked   time.Duration // since the last pause
+	since    time.Time     // when it was acquired
 	buf      []byte        // for data that is discarded
 }
 
@@ -23,27 +28,38 @@
 	discardBufferSize = 256 << 10            // bytes discarded in one piece of work
 )
 
-// newWorkThrottle returns a throttle that lets half of the processors work at once, but one at least.
 func newWorkThrottle() *workThrottle {
-	n := max(1, runtime.GOMAXPROCS(0)/2)
-	t := &workThrottle{slots: make(chan *workSlot, n)}
-	for range n {
-		t.slots <- &workSlot{}
-	}
+	t := &workThrottle{slot: make(chan *workSlot, 1)}
+	t.slot <- &workSlot{throttle: t}
 	return t
 }
 
-// acquire waits for a slot.
-func (t *workThrottle) acquire() *workSlot { return <-t.slots }
+// acquire waits for the slot.
+func (t *workThrottle) acquire() *workSlot {
+	t.waiting.Add(1)
+	slot := <-t.slot
+	t.waiting.Add(-1)
+	slot.since = time.Now()
+	return slot
+}
+
+// charge counts work that was done without the slot, and waits for its turn as if it had been done with it.
+func (t *workThrottle) charge(worked time.Duration) {
+	slot := t.acquire()
+	slot.worked += worked
+	slot.release()
+}
 
-// release returns a slot after a piece of work that began at the given time, and a pause.
-func (t *workThrottle) release(slot *workSlot, startedAt time.Time) {
-	slot.unpaused += time.Since(startedAt)
-	if slot.unpaused >= minWorkPause {
-		time.Sleep(min(slot.unpaused, maxWorkPause))
-		slot.unpaused = 0
+// release returns the slot after a piece of work, and after a pause if one is due.
+func (s *workSlot) release() {
+	s.worked += time.Since(s.since)
+	if s.worked >= minWorkPause {
+		if s.throttle.waiting.Load() > 0 {
+			time.Sleep(min(s.worked, maxWorkPause))
+		}
+		s.worked = 0
 	}
-	t.slots <- slot
+	s.throttle.slot <- s
 }
 
 // discardBuffer returns the slot's buffer.
