Keep the end of an evicted connection whose goroutine had not begun yet

Seen: TestEvictionIsGraceful failed in 1 of 20 runs ("2 requests were submitted, context deadline exceeded"), and in 2 of 48 batches of 15 beside load: a connection stayed open for 5 s behind its eviction.

Cause: an eviction ends a connection's wait by its read deadline. CloseIdle had the same race, which was handled in two places.

Change: limitIdle sets the deadline and looks for both afterwards, in one place.

--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -57,16 +57,19 @@
 // serve reads requests until the connection ends.
 func (c *clientConn) serve() {
 	c.initBuffers(2048)
-	c.nc.SetReadDeadline(time.Now().Add(c.s.limits.Load().Head))
-	if c.s.closing.Load() { // CloseIdle may have set its deadline before the one above
-		c.nc.SetReadDeadline(pastDeadline)
-	}
+	c.limitIdle(c.s.limits.Load().Head)
 	for c.awaitRequest() && c.serveNext() {
 		c.s.markIdle(c, !c.hasBuffered())
-		c.nc.SetReadDeadline(time.Now().Add(c.s.limits.Load().Idle))
-		if c.s.closing.Load() {
-			c.nc.SetReadDeadline(pastDeadline)
-		}
+		c.limitIdle(c.s.limits.Load().Idle)
+	}
+}
+
+// limitIdle sets the time within which the next request has to begin. CloseIdle or an
+// eviction may have ended that time before: their deadline stands.
+func (c *clientConn) limitIdle(limit time.Duration) {
+	c.nc.SetReadDeadline(time.Now().Add(limit))
+	if c.s.closing.Load() || c.s.isEvicted(c) {
+		c.nc.SetReadDeadline(pastDeadline)
 	}
 }
 
--- a/internal/platform/clients/connection_test.go
+++ b/internal/platform/clients/connection_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// Guards against evicted connections that stay open for the time granted to a first request, because their goroutine sets
+// that deadline after the eviction has ended it.
+func TestEvictionBeforeTheConnectionIsServed(t *testing.T) {
+	_, _, s := startServer(t, 10, nil)
+	near, _ := pair(t) // its client sends nothing
+	c := &clientConn{s: s, nc: near, evicted: true}
+	from := time.Now()
+	c.serve()
+	if took := time.Since(from); took > 2*time.Second || c.closeReason != closedEvictedNew { // Limits.Head is 5 s
+		t.Errorf("it ended after %v, reason %v", took, c.closeReason)
+	}
+}
+
 // pair returns both ends of a connection over loopback.
 func pair(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -242,6 +242,13 @@
 	return !c.evicted
 }
 
+// isEvicted reports whether a connection was closed to make room for another.
+func (s *Server) isEvicted(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.evicted
+}
+
 func (s *Server) setIdle(c *clientConn, idle bool) {
 	switch {
 	case idle && c.idleElement == nil:
