Play what is sent behind a request among the costly kinds of input

Cause: the pause that floods behind a request had was taken out with the close behind unread data; the throttle took its place, and no test showed that other requests are not delayed by such floods.

Change: TestCostlyInputDelaysNoOtherRequest has a ninth kind, 100 clients that send 60 MB behind a valid request.

--- a/cmd/gannethook/costlyinput_test.go
+++ b/cmd/gannethook/costlyinput_test.go
@@ -56,6 +56,7 @@
 		"bodies that nest":       {head("Content-Length: 262144\r\n"), `{"a":[`},
 		"heads that don't end":   {"POST / HTTP/1.1\r\n", "A: b\r\n"},
 		"readiness checks":       {"", "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"much behind a request":  {head("Content-Length: 2\r\n") + "{}", "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"},
 		"requests at once":       {"", strings.Replace(head("Content-Length: 2\r\n"), "5000", "1", 1) + "{}"},
 		"requests without an id": {"", "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n\r\n"},
 	} {
