Leave a quarter of the memory for bodies to requests whose turn has come

Cause: read-ahead data and the bodies of requests that are read now share one budget, and the former could take all.

Change: read-ahead data is kept while at most three quarters of the budget are in use.

--- a/internal/platform/clients/conn.go
+++ b/internal/platform/clients/conn.go
@@ -35,7 +35,7 @@
 }
 
 func (c *clientConn) initBuffers(size int) {
-	c.readAhead = &readAhead{nc: c.nc, throttle: c.s.throttle, budget: &c.s.bodies, limit: c.s.limits.Load().Bodies,
+	c.readAhead = &readAhead{nc: c.nc, throttle: c.s.throttle, budget: &c.s.bodies, limit: c.s.limits.Load().readAheadBytes(),
 		arrivals: arrivalLog{drainedAt: c.acceptedAt}}
 	c.br, c.bw = bufio.NewReaderSize(c.readAhead, size), bufio.NewWriterSize(connpool.Writer{Conn: c.nc}, size)
 }
--- a/internal/platform/clients/connection_test.go
+++ b/internal/platform/clients/connection_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// Guards against requests that are refused for want of memory because clients that pipeline without end hold all of it.
+func TestPipelinedDataLeavesMemoryForBodies(t *testing.T) {
+	_, _, s := startServer(t, 10, nil)
+	for range 4 { // each may hold 1 MiB, which is the limit on all bodies here
+		near, far := pair(t)
+		c := &clientConn{s: s, nc: near}
+		c.initBuffers(512)
+		go far.Write(make([]byte, 2*maxReadAheadBytes))
+		for c.readAhead.droppedBytes == 0 {
+			if err := c.readAhead.readOnce(c.readAhead.smallBuf[:]); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if limit := s.limits.Load().Bodies; !s.bodies.Reserve(limit/4, limit) {
+		t.Error("a quarter of the memory for bodies is not left")
+	}
+}
+
 // A connection that is accepted while the router is closing idle ones does not stay open for a request that would arrive
 // too late to be answered.
 func TestConnectionAcceptedDuringStop(t *testing.T) {
--- a/internal/platform/clients/server.go
+++ b/internal/platform/clients/server.go
@@ -36,6 +36,10 @@
 	Shutdown   time.Duration // for reading what a client still sends once its connection's write side is closed
 }
 
+// readAheadBytes returns how much of Bodies may be in use for pipelined data to be buffered.
+// The rest is left to requests whose turn has come.
+func (l *Limits) readAheadBytes() int64 { return l.Bodies / 4 * 3 }
+
 // Config has what New needs.
 type Config struct {
 	Limits  Limits
